State: Add the design, the replicated state and the ports

Cause: the repository was empty. The modules need one agreed set of interfaces before they can be written side by side.

Ruled out: a state that is copied whole for each reader (claims can be 200,000 entries) and a codec of our own (msgpack is packaged).

Conclusion: list races, resends, drain budgets and claims are decided in the replicated state and are the same on every replica.

--- /dev/null
+++ b/Source/Model/Claims.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <msgpack.hpp>
+
+#include "Model/EnumNames.h"
+
+namespace dandelionloom {
+
+/// State of a keyed non-idempotent request. NotRun may be claimed again; all else is final but
+/// Claimed, whose request is in progress or has an unknown outcome.
+enum class ClaimState { Claimed, Done, NotRun, Unknown };
+inline constexpr EnumNames<ClaimState, 4> claimStateNames{
+        {"claimed", "done", "not-run", "unknown"}};
+
+struct RequestClaim
+{
+    std::string plan;
+    std::string key;
+    /// Digest of method, path and body. A resend must match it.
+    std::string digest;
+    /// Entry instance that runs the request, and its process incarnation.
+    std::string gateway;
+    std::uint64_t gatewayIncarnation = 0;
+    std::int64_t claimedAtMs = 0;
+    std::int64_t deadlineAtMs = 0;
+    ClaimState state = ClaimState::Claimed;
+    /// Stored answer of a Done request. `bodyKept` is false if the body exceeded the kept size.
+    std::uint32_t status = 0;
+    std::string contentType;
+    std::string body;
+    bool bodyKept = false;
+
+    bool operator==(const RequestClaim &) const = default;
+    MSGPACK_DEFINE_ARRAY(plan, key, digest, gateway, gatewayIncarnation, claimedAtMs, deadlineAtMs,
+                         state, status, contentType, body, bodyKept)
+};
+
+/// What a claim of one request came to.
+enum class ClaimVerdict {
+    /// The caller of the claim owns the request and may send it.
+    Granted,
+    /// Another claim with the same digest exists; its state tells the outcome.
+    Exists,
+    /// The key was used with another digest.
+    KeyReused,
+    /// The claim table is full. The request was not run.
+    Full
+};
+inline constexpr EnumNames<ClaimVerdict, 4> claimVerdictNames{
+        {"granted", "exists", "key-reused", "full"}};
+
+struct ClaimAnswer
+{
+    ClaimVerdict verdict = ClaimVerdict::Full;
+    RequestClaim claim;
+
+    MSGPACK_DEFINE_ARRAY(verdict, claim)
+};
+
+} // namespace dandelionloom
+
+MSGPACK_ADD_ENUM(dandelionloom::ClaimState)
+MSGPACK_ADD_ENUM(dandelionloom::ClaimVerdict)
--- /dev/null
+++ b/Source/Model/Fleet.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "Model/EnumNames.h"
+
+namespace dandelionloom {
+
+/// Name of the pool that holds instances no service needs now.
+inline constexpr const char *sparePool = "spare";
+
+/// Life of an instance in its pool. Only InService takes new work. Every phase but InService
+/// counts against the availability budget of the pool's plans.
+enum class InstancePhase { InService, Draining, Drained, Rebooting, Proving, Failed };
+inline constexpr EnumNames<InstancePhase, 6> instancePhaseNames{
+        {"in-service", "draining", "drained", "rebooting", "proving", "failed"}};
+
+/// Agreed record of one instance. `epoch` grows with every change and fences commands that were
+/// issued for an earlier state.
+struct InstanceRecord
+{
+    std::string id;
+    std::string pool;
+    std::string availabilityZone;
+    std::string rack;
+    std::uint64_t epoch = 0;
+    InstancePhase phase = InstancePhase::InService;
+    /// Wave or move that holds the drain grant; empty without one.
+    std::string grantHolder;
+    /// Target pool of a move in progress; empty without one.
+    std::string movingTo;
+    std::int64_t phaseSinceMs = 0;
+    std::int64_t lastMaintainedMs = 0;
+
+    bool operator==(const InstanceRecord &) const = default;
+    MSGPACK_DEFINE_ARRAY(id, pool, availabilityZone, rack, epoch, phase, grantHolder, movingTo,
+                         phaseSinceMs, lastMaintainedMs)
+};
+
+enum class WaveState { Running, Paused, Cancelled, Finished };
+inline constexpr EnumNames<WaveState, 4> waveStateNames{
+        {"running", "paused", "cancelled", "finished"}};
+
+/// A maintenance wave: every target is drained, rebooted and proved once.
+struct Wave
+{
+    std::string id;
+    WaveState state = WaveState::Running;
+    std::vector<std::string> targets;
+    std::vector<std::string> finished;
+    std::int64_t startedAtMs = 0;
+    std::int64_t endedAtMs = 0;
+    /// Limit of a graceful shutdown: how long running work may take to end, in milliseconds.
+    std::uint32_t drainLimitMs = 60000;
+
+    bool operator==(const Wave &) const = default;
+    MSGPACK_DEFINE_ARRAY(id, state, targets, finished, startedAtMs, endedAtMs, drainLimitMs)
+};
+
+struct Fleet
+{
+    std::map<std::string, InstanceRecord> instances;
+    std::map<std::string, Wave> waves;
+
+    bool operator==(const Fleet &) const = default;
+    MSGPACK_DEFINE_ARRAY(instances, waves)
+};
+
+} // namespace dandelionloom
+
+MSGPACK_ADD_ENUM(dandelionloom::InstancePhase)
+MSGPACK_ADD_ENUM(dandelionloom::WaveState)
--- /dev/null
+++ b/Source/State/FleetRules.cpp
@@ -0,0 +1,288 @@
+#include "State/FleetRules.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dandelionloom {
+
+namespace {
+
+CommandOutcome refused(CommandStatus status, std::uint64_t epoch, std::string message)
+{
+    return {status, epoch, std::move(message), {}};
+}
+
+CommandOutcome appliedAt(std::uint64_t epoch)
+{
+    return {CommandStatus::Applied, epoch, {}, {}};
+}
+
+/// Finds an instance whose epoch is the expected one; on failure fills `outcome`.
+InstanceRecord *findAt(Fleet &fleet, const std::string &id, std::uint64_t expectedEpoch,
+                       CommandOutcome &outcome)
+{
+    const auto found = fleet.instances.find(id);
+    if (found == fleet.instances.end()) {
+        outcome = refused(CommandStatus::Invalid, 0, "instance '" + id + "' is not registered");
+        return nullptr;
+    }
+    if (found->second.epoch != expectedEpoch) {
+        outcome = refused(CommandStatus::Conflict, found->second.epoch,
+                          "expected epoch " + std::to_string(expectedEpoch) + " of instance '" + id
+                                  + "', found " + std::to_string(found->second.epoch));
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void enterPhase(InstanceRecord &record, InstancePhase phase, std::int64_t atMs)
+{
+    record.phase = phase;
+    record.phaseSinceMs = atMs;
+    ++record.epoch;
+    if (phase == InstancePhase::InService) {
+        record.grantHolder.clear();
+        record.movingTo.clear();
+    }
+}
+
+bool isAllowedStep(InstancePhase from, InstancePhase to)
+{
+    using enum InstancePhase;
+    switch (to) {
+    case Draining:
+        return false; // Needs GrantDrain, which checks the budget.
+    case Drained:
+        return from == Draining;
+    case Rebooting:
+        return from == Drained;
+    case Proving:
+        return from == Rebooting || from == Failed;
+    case InService:
+        return from == Proving;
+    case Failed:
+        return from != Failed;
+    }
+    return false;
+}
+
+void finishTarget(Fleet &fleet, const std::string &holder, const std::string &instance,
+                  std::int64_t atMs)
+{
+    const auto wave = fleet.waves.find(holder);
+    if (wave == fleet.waves.end()) {
+        return;
+    }
+    std::vector<std::string> &finished = wave->second.finished;
+    if (std::find(finished.begin(), finished.end(), instance) == finished.end()) {
+        finished.push_back(instance);
+    }
+    if (finished.size() == wave->second.targets.size()
+        && wave->second.state == WaveState::Running) {
+        wave->second.state = WaveState::Finished;
+        wave->second.endedAtMs = atMs;
+    }
+}
+
+} // namespace
+
+CommandOutcome registerInstance(Fleet &fleet, const RegisterInstance &body, std::int64_t atMs)
+{
+    const auto found = fleet.instances.find(body.id);
+    if (found == fleet.instances.end()) {
+        InstanceRecord record;
+        record.id = body.id;
+        record.pool = body.pool;
+        record.availabilityZone = body.availabilityZone;
+        record.rack = body.rack;
+        record.epoch = 1;
+        record.phaseSinceMs = atMs;
+        fleet.instances.emplace(body.id, std::move(record));
+        return appliedAt(1);
+    }
+    // The pool of a known instance changes only by MoveInstance, whatever it announces.
+    InstanceRecord &record = found->second;
+    if (record.availabilityZone != body.availabilityZone || record.rack != body.rack) {
+        record.availabilityZone = body.availabilityZone;
+        record.rack = body.rack;
+        ++record.epoch;
+    }
+    return appliedAt(record.epoch);
+}
+
+CommandOutcome moveInstance(Fleet &fleet, const MoveInstance &body, std::int64_t atMs)
+{
+    CommandOutcome outcome;
+    InstanceRecord *record = findAt(fleet, body.id, body.expectedEpoch, outcome);
+    if (record == nullptr) {
+        return outcome;
+    }
+    if (record->phase != InstancePhase::Drained || record->movingTo != body.pool) {
+        return refused(CommandStatus::Conflict, record->epoch,
+                       "expected instance '" + body.id + "' drained for a move to '" + body.pool
+                               + "', found " + std::string(instancePhaseNames.name(record->phase))
+                               + " with target '" + record->movingTo + "'");
+    }
+    record->pool = body.pool;
+    enterPhase(*record, InstancePhase::InService, atMs);
+    return appliedAt(record->epoch);
+}
+
+CommandOutcome setInstancePhase(Fleet &fleet, const SetInstancePhase &body, std::int64_t atMs)
+{
+    CommandOutcome outcome;
+    InstanceRecord *record = findAt(fleet, body.id, body.expectedEpoch, outcome);
+    if (record == nullptr) {
+        return outcome;
+    }
+    if (!isAllowedStep(record->phase, body.phase)) {
+        return refused(CommandStatus::Conflict, record->epoch,
+                       "instance '" + body.id + "' cannot go from "
+                               + std::string(instancePhaseNames.name(record->phase)) + " to "
+                               + std::string(instancePhaseNames.name(body.phase)));
+    }
+    const std::string holder = record->grantHolder;
+    if (record->phase == InstancePhase::Rebooting && body.phase == InstancePhase::Proving) {
+        record->lastMaintainedMs = atMs;
+    }
+    const bool maintained = body.phase == InstancePhase::InService;
+    enterPhase(*record, body.phase, atMs);
+    const std::uint64_t epoch = record->epoch;
+    if (maintained && !holder.empty()) {
+        finishTarget(fleet, holder, body.id, atMs);
+    }
+    return appliedAt(epoch);
+}
+
+CommandOutcome startWave(Fleet &fleet, const StartWave &body, std::int64_t atMs)
+{
+    if (fleet.waves.contains(body.wave)) {
+        return refused(CommandStatus::Conflict, 0, "wave '" + body.wave + "' exists already");
+    }
+    if (body.targets.empty()) {
+        return refused(CommandStatus::Invalid, 0,
+                       "expected at least one target instance, found none");
+    }
+    for (const std::string &target : body.targets) {
+        if (!fleet.instances.contains(target)) {
+            return refused(CommandStatus::Invalid, 0,
+                           "instance '" + target + "' is not registered");
+        }
+    }
+    Wave wave;
+    wave.id = body.wave;
+    wave.targets = body.targets;
+    std::sort(wave.targets.begin(), wave.targets.end());
+    wave.targets.erase(std::unique(wave.targets.begin(), wave.targets.end()), wave.targets.end());
+    wave.startedAtMs = atMs;
+    wave.drainLimitMs = body.drainLimitMs;
+    fleet.waves.emplace(body.wave, std::move(wave));
+    return appliedAt(0);
+}
+
+CommandOutcome controlWave(Fleet &fleet, const ControlWave &body, std::int64_t atMs)
+{
+    const auto found = fleet.waves.find(body.wave);
+    if (found == fleet.waves.end()) {
+        return refused(CommandStatus::Invalid, 0, "wave '" + body.wave + "' does not exist");
+    }
+    Wave &wave = found->second;
+    const bool ended = wave.state == WaveState::Cancelled || wave.state == WaveState::Finished;
+    if (ended || body.state == WaveState::Finished) {
+        return refused(CommandStatus::Conflict, 0,
+                       "wave '" + body.wave + "' is " + std::string(waveStateNames.name(wave.state))
+                               + " and cannot become "
+                               + std::string(waveStateNames.name(body.state)));
+    }
+    wave.state = body.state;
+    if (body.state == WaveState::Cancelled) {
+        wave.endedAtMs = atMs;
+    }
+    return appliedAt(0);
+}
+
+CommandOutcome grantDrain(Fleet &fleet, const Lists &lists, const GrantDrain &body,
+                          std::int64_t atMs)
+{
+    CommandOutcome outcome;
+    InstanceRecord *record = findAt(fleet, body.id, body.expectedEpoch, outcome);
+    if (record == nullptr) {
+        return outcome;
+    }
+    if (record->phase != InstancePhase::InService) {
+        return refused(CommandStatus::Conflict, record->epoch,
+                       "expected instance '" + body.id + "' in service, found "
+                               + std::string(instancePhaseNames.name(record->phase)));
+    }
+    const auto wave = fleet.waves.find(body.holder);
+    if (body.movingTo.empty()
+        && (wave == fleet.waves.end() || wave->second.state != WaveState::Running)) {
+        return refused(CommandStatus::Conflict, record->epoch,
+                       "wave '" + body.holder + "' is not running");
+    }
+    const PoolBudget budget = poolBudget(lists, record->pool);
+    const PoolCount count = poolCount(fleet, record->pool);
+    const std::uint32_t unavailable = count.unavailable + body.observedUnavailable + 1;
+    const bool withinBudget = unavailable <= budget.maxUnavailableInstances
+            && unavailable + budget.minHealthyInstances <= count.members;
+    if (budget.bounded && !withinBudget) {
+        return refused(CommandStatus::Conflict, record->epoch,
+                       "availability budget of pool '" + record->pool
+                               + "' is spent: " + std::to_string(unavailable) + " of "
+                               + std::to_string(count.members)
+                               + " instances would be unavailable, allowed are "
+                               + std::to_string(budget.maxUnavailableInstances) + " with "
+                               + std::to_string(budget.minHealthyInstances) + " healthy");
+    }
+    enterPhase(*record, InstancePhase::Draining, atMs);
+    record->grantHolder = body.holder;
+    record->movingTo = body.movingTo;
+    return appliedAt(record->epoch);
+}
+
+CommandOutcome releaseDrain(Fleet &fleet, const ReleaseDrain &body, std::int64_t atMs)
+{
+    CommandOutcome outcome;
+    InstanceRecord *record = findAt(fleet, body.id, body.expectedEpoch, outcome);
+    if (record == nullptr) {
+        return outcome;
+    }
+    if (record->phase != InstancePhase::Draining && record->phase != InstancePhase::Drained) {
+        return refused(CommandStatus::Conflict, record->epoch,
+                       "expected instance '" + body.id + "' draining or drained, found "
+                               + std::string(instancePhaseNames.name(record->phase)));
+    }
+    enterPhase(*record, InstancePhase::InService, atMs);
+    return appliedAt(record->epoch);
+}
+
+PoolBudget poolBudget(const Lists &lists, const std::string &pool)
+{
+    PoolBudget budget;
+    budget.maxUnavailableInstances = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &[id, plan] : lists.plans) {
+        if (plan.service != pool) {
+            continue;
+        }
+        budget.bounded = true;
+        budget.minHealthyInstances = std::max(budget.minHealthyInstances, plan.minHealthyInstances);
+        budget.maxUnavailableInstances =
+                std::min(budget.maxUnavailableInstances, plan.maxUnavailableInstances);
+    }
+    return budget;
+}
+
+PoolCount poolCount(const Fleet &fleet, const std::string &pool)
+{
+    PoolCount count;
+    for (const auto &[id, record] : fleet.instances) {
+        if (record.pool != pool) {
+            continue;
+        }
+        ++count.members;
+        count.unavailable += record.phase == InstancePhase::InService ? 0 : 1;
+    }
+    return count;
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/State/ListRules.cpp
@@ -0,0 +1,115 @@
+#include "State/ListRules.h"
+
+#include <algorithm>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr std::size_t longestName = 128;
+constexpr std::uint32_t longestDeadlineMs = 24U * 60 * 60 * 1000;
+constexpr std::uint32_t mostSlots = 1000000;
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= longestName
+            && std::all_of(text.begin(), text.end(), [](char character) {
+                   return (character >= 'a' && character <= 'z')
+                           || (character >= 'A' && character <= 'Z')
+                           || (character >= '0' && character <= '9') || character == '-'
+                           || character == '_' || character == '.';
+               });
+}
+
+std::string nameFault(const std::string &entry, const std::string &field, const std::string &found)
+{
+    return entry + ": expected a " + field + " of 1 to " + std::to_string(longestName)
+            + " letters, digits, '-', '_' or '.', found '" + found + "'";
+}
+
+std::string rangeFault(const std::string &entry, const std::string &field, std::uint64_t low,
+                       std::uint64_t high, std::uint64_t found)
+{
+    return entry + ": expected " + field + " from " + std::to_string(low) + " to "
+            + std::to_string(high) + ", found " + std::to_string(found);
+}
+
+std::string faultOf(const Plan &plan)
+{
+    const std::string entry = "plan '" + plan.id + "'";
+    if (!isName(plan.id)) {
+        return nameFault(entry, "id", plan.id);
+    }
+    if (!isName(plan.service) || plan.service == "spare") {
+        return nameFault(entry, "service other than 'spare'", plan.service);
+    }
+    if (plan.maxUnavailableInstances < 1) {
+        return rangeFault(entry, "max_unavailable_instances", 1, 1000000,
+                          plan.maxUnavailableInstances);
+    }
+    if (plan.defaultDeadlineMs < 1 || plan.defaultDeadlineMs > longestDeadlineMs) {
+        return rangeFault(entry, "default_deadline_ms", 1, longestDeadlineMs,
+                          plan.defaultDeadlineMs);
+    }
+    return {};
+}
+
+std::string faultOf(const Allowance &allowance)
+{
+    const std::string entry = "allowance of plan '" + allowance.plan + "'";
+    if (allowance.slots < 1 || allowance.slots > mostSlots) {
+        return rangeFault(entry, "slots", 1, mostSlots, allowance.slots);
+    }
+    if (allowance.requestsPerSecond < 1) {
+        return rangeFault(entry, "requests_per_second", 1, 1000000, allowance.requestsPerSecond);
+    }
+    if (allowance.weight < 1) {
+        return rangeFault(entry, "weight", 1, 1000000, allowance.weight);
+    }
+    return {};
+}
+
+template <typename T>
+std::string insertAll(std::map<std::string, T> &target, const std::vector<T> &entries,
+                      std::string T::*id)
+{
+    target.clear();
+    for (const T &entry : entries) {
+        std::string fault = faultOf(entry);
+        if (!fault.empty()) {
+            return fault;
+        }
+        if (!target.emplace(entry.*id, entry).second) {
+            return "expected each plan once, found '" + entry.*id + "' twice";
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+Result<Lists, ListFault> listsWith(const Lists &current, const ApplyList &change)
+{
+    Lists next = current;
+    ++next.revision;
+    std::string fault;
+    if (change.kind == ListKind::Plans) {
+        next.plansRevision = next.revision;
+        fault = insertAll(next.plans, change.plans, &Plan::id);
+    } else {
+        next.allowancesRevision = next.revision;
+        fault = insertAll(next.allowances, change.allowances, &Allowance::plan);
+    }
+    if (!fault.empty()) {
+        return ListFault{std::move(fault)};
+    }
+    for (const auto &[plan, allowance] : next.allowances) {
+        if (!next.plans.contains(plan)) {
+            return ListFault{"expected a plan '" + plan
+                             + "' for its allowance, found none: remove the allowance first"};
+        }
+    }
+    return next;
+}
+
+} // namespace dandelionloom
