Consensus: Add the Raft state machine and the replica runtime

Cause: the replicated log needs an order that survives the loss of a minority of voters, and every entry instance has to follow it.

Ruled out: a voter change that swaps a lost disk's identity in one entry. The quorums {a,c1} and {b,c2} of the sets before and after it have no common voter. The leader removes the old identity first and adds the new one second. Sending entries before the leader's own sync was ruled out too: a full disk could then not be reported as "not appended".

Change: Source/Consensus holds Raft without I/O; its output contract releases votes and answers only after synced(). Source/Runtime holds the thread, the forwarding of proposals, the feed of followers and the progress reports.

--- /dev/null
+++ b/Source/Consensus/Raft.cpp
@@ -0,0 +1,276 @@
+#include "Consensus/Raft.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace dandelionloom {
+
+std::string voteName(const VoterId &voter)
+{
+    return voter.name + "/" + voter.storageId;
+}
+
+Raft::Raft(RaftOptions options, const HardState &hardState,
+           std::shared_ptr<const Snapshot> snapshot, const std::vector<LogEntry> &entries,
+           SteadyTimeMs now)
+    : m_options(std::move(options)), m_random(m_options.seed), m_term(hardState.term),
+      m_votedFor(hardState.votedFor), m_snapshot(std::move(snapshot))
+{
+    const std::uint64_t base = m_snapshot ? m_snapshot->lastIndex : 0;
+    std::uint64_t lastTerm = m_snapshot ? m_snapshot->lastTerm : 0;
+    std::vector<LogEntry> usable;
+    for (const LogEntry &entry : entries) {
+        // Entries that a snapshot from the leader made obsolete may still be on disk. A lower
+        // term or a gap shows where they start.
+        if (entry.index != base + usable.size() + 1 || entry.term < lastTerm) {
+            break;
+        }
+        lastTerm = entry.term;
+        usable.push_back(entry);
+    }
+    m_log = RaftLog(base, m_snapshot ? m_snapshot->lastTerm : 0,
+                    m_snapshot ? m_snapshot->voters : std::vector<VoterId>{}, usable);
+    m_commit = base;
+    m_delivered = base;
+    // Within the first election timeout the instance acts as if it had just heard a leader: it
+    // may have done so before its restart.
+    m_leaderHeardAt = now;
+    resetElectionDeadline(now);
+    m_nextProbe = now;
+}
+
+void Raft::tick(SteadyTimeMs now)
+{
+    if (m_role == RaftRole::Leader) {
+        leaderTick(now);
+        return;
+    }
+    if (isVoter()) {
+        if (now >= m_electionDeadline) {
+            startPreVote(now);
+        }
+        return;
+    }
+    if (now >= m_nextProbe && (m_leader.name.empty() || !leaderIsFresh(now))) {
+        probe(now);
+    }
+}
+
+void Raft::receive(const RaftMessage &message, SteadyTimeMs now)
+{
+    if (m_outputTaken) {
+        throw std::logic_error("expected synced() or syncFailed() before the next input");
+    }
+    const bool probe = message.kind == RaftMessageKind::Probe;
+    if (message.from == m_options.self || message.from.name.empty()
+        || message.to.name != m_options.self.name
+        || (message.to.storageId != m_options.self.storageId
+            && !(probe && message.to.storageId.empty()))) {
+        return;
+    }
+    switch (message.kind) {
+    case RaftMessageKind::Probe:
+        return onProbe(message, now);
+    case RaftMessageKind::ProbeAnswer:
+        return onProbeAnswer(message, now);
+    case RaftMessageKind::PreVote:
+    case RaftMessageKind::Vote:
+        return onVoteRequest(message, now);
+    case RaftMessageKind::PreVoteAnswer:
+    case RaftMessageKind::VoteAnswer:
+        return onVoteAnswer(message, now);
+    case RaftMessageKind::Append:
+        return onAppend(message, now);
+    case RaftMessageKind::AppendAnswer:
+        return onAppendAnswer(message, now);
+    case RaftMessageKind::SnapshotChunk:
+        return onSnapshotChunk(message, now);
+    case RaftMessageKind::SnapshotAnswer:
+        return onSnapshotAnswer(message, now);
+    }
+}
+
+std::optional<LogPosition> Raft::propose(std::string payload)
+{
+    if (m_role != RaftRole::Leader) {
+        return std::nullopt;
+    }
+    appendOwn(commandEntryKind, std::move(payload));
+    return LogPosition{m_log.lastIndex(), m_term};
+}
+
+std::optional<std::uint64_t> Raft::startRead(SteadyTimeMs now)
+{
+    if (m_role != RaftRole::Leader || !committedInTerm()) {
+        return std::nullopt;
+    }
+    m_pendingReads.push_back({++m_lastRead, ++m_round, m_commit});
+    sendHeartbeats(now);
+    confirmReads();
+    return m_lastRead;
+}
+
+void Raft::setSnapshot(std::shared_ptr<const Snapshot> snapshot, std::uint64_t compactTo)
+{
+    m_log.compact(std::min({compactTo, snapshot->lastIndex, m_delivered}));
+    m_snapshot = std::move(snapshot);
+}
+
+RaftOutput Raft::takeOutput()
+{
+    RaftOutput output;
+    if (m_hardStateChanged) {
+        output.hardState = HardState{m_term, m_votedFor};
+    }
+    output.snapshot = m_received;
+    output.entries = m_log.unsynced();
+    output.messages = std::move(m_messages);
+    m_messages.clear();
+    m_outputTaken = true;
+    return output;
+}
+
+RaftReleased Raft::synced(SteadyTimeMs now)
+{
+    m_outputTaken = false;
+    m_hardStateChanged = false;
+    m_log.synced();
+    RaftReleased released;
+    if (m_received) {
+        released.restored = m_received;
+        installSnapshot(now);
+    }
+    if (m_ownVotePending) {
+        m_ownVotePending = false;
+        if (m_role == RaftRole::Candidate) {
+            m_votes.push_back(m_options.self);
+            if (isQuorum(m_votes.size())) {
+                becomeLeader(now);
+            }
+        }
+    }
+    if (m_role == RaftRole::Leader) {
+        advanceCommit();
+        changeVoters(now);
+        confirmReads();
+        sendNewEntries(now);
+    }
+    const std::uint64_t deliverable = std::min(m_commit, m_log.durableIndex());
+    for (; m_delivered < deliverable; ++m_delivered) {
+        released.committed.push_back(m_log.at(m_delivered + 1));
+    }
+    released.messages = std::move(m_messagesAfterSync);
+    m_messagesAfterSync.clear();
+    released.messages.insert(released.messages.end(), m_messages.begin(), m_messages.end());
+    m_messages.clear();
+    released.reads = std::move(m_finishedReads);
+    m_finishedReads.clear();
+    return released;
+}
+
+void Raft::syncFailed(SteadyTimeMs now)
+{
+    m_outputTaken = false;
+    m_log.undo();
+    m_messagesAfterSync.clear();
+    m_received.reset();
+    m_incoming.reset();
+    m_commit = std::max(m_delivered, std::min(m_commit, m_log.lastIndex()));
+    if (m_role == RaftRole::Candidate || (m_role == RaftRole::Leader && !committedInTerm())) {
+        // Without a disk that takes its vote or its first entry it cannot lead; another may.
+        becomeFollower(m_term, now);
+    }
+    m_ownVotePending = false;
+}
+
+bool Raft::isVoter() const
+{
+    return isVoter(m_options.self);
+}
+
+bool Raft::isVoter(const VoterId &id) const
+{
+    return std::find(voters().begin(), voters().end(), id) != voters().end();
+}
+
+bool Raft::isQuorum(std::size_t count) const
+{
+    return count * 2 > voters().size();
+}
+
+std::optional<QuorumContact> Raft::contact(SteadyTimeMs now) const
+{
+    if (m_role != RaftRole::Leader) {
+        return m_contact;
+    }
+    if (!committedInTerm()) {
+        return std::nullopt;
+    }
+    const SteadyTimeMs at = quorumContactAt(now);
+    if (at == 0) {
+        return std::nullopt;
+    }
+    return QuorumContact{at, m_commit};
+}
+
+void Raft::becomeFollower(std::uint64_t term, SteadyTimeMs now)
+{
+    if (term > m_term) {
+        m_term = term;
+        m_votedFor.clear();
+        m_hardStateChanged = true;
+    }
+    if (m_role == RaftRole::Leader) {
+        failReads();
+        m_peers.clear();
+    }
+    m_role = RaftRole::Follower;
+    m_leader = {};
+    m_votes.clear();
+    m_ownVotePending = false;
+    resetElectionDeadline(now);
+}
+
+void Raft::heardLeader(const VoterId &leader, SteadyTimeMs now)
+{
+    m_leader = leader;
+    m_leaderHeardAt = now;
+    resetElectionDeadline(now);
+}
+
+void Raft::resetElectionDeadline(SteadyTimeMs now)
+{
+    std::uniform_int_distribution<std::int64_t> timeout(m_options.electionMinMs,
+                                                        m_options.electionMaxMs);
+    m_electionDeadline = now + timeout(m_random);
+}
+
+void Raft::failReads()
+{
+    for (const PendingRead &read : m_pendingReads) {
+        m_finishedReads.push_back({read.id, std::nullopt});
+    }
+    m_pendingReads.clear();
+}
+
+RaftMessage Raft::message(RaftMessageKind kind, const VoterId &to) const
+{
+    RaftMessage result;
+    result.kind = kind;
+    result.from = m_options.self;
+    result.to = to;
+    result.term = m_term;
+    result.commit = m_commit;
+    return result;
+}
+
+RaftMessage Raft::answer(RaftMessageKind kind, const RaftMessage &request) const
+{
+    RaftMessage result = message(kind, request.from);
+    result.request = request.request;
+    result.round = request.round;
+    result.sentAt = request.sentAt;
+    return result;
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Consensus/RaftElection.cpp
@@ -0,0 +1,147 @@
+#include <algorithm>
+
+#include "Consensus/Raft.h"
+
+// Elections: pre-vote, vote, and the start of a leader's term.
+
+namespace dandelionloom {
+
+void Raft::startPreVote(SteadyTimeMs now)
+{
+    m_role = RaftRole::PreCandidate;
+    m_leader = {};
+    m_votes = {m_options.self};
+    resetElectionDeadline(now);
+    if (isQuorum(m_votes.size())) {
+        startElection(now);
+        return;
+    }
+    for (const VoterId &voter : voters()) {
+        if (voter == m_options.self) {
+            continue;
+        }
+        RaftMessage request = message(RaftMessageKind::PreVote, voter);
+        request.request = nextRequest();
+        request.term = m_term + 1;
+        request.logIndex = m_log.lastIndex();
+        request.logTerm = m_log.lastTerm();
+        m_messages.push_back(std::move(request));
+    }
+}
+
+void Raft::startElection(SteadyTimeMs now)
+{
+    m_role = RaftRole::Candidate;
+    m_leader = {};
+    ++m_term;
+    m_votedFor = voteName(m_options.self);
+    m_hardStateChanged = true;
+    m_votes.clear();
+    m_ownVotePending = true;
+    resetElectionDeadline(now);
+    for (const VoterId &voter : voters()) {
+        if (voter == m_options.self) {
+            continue;
+        }
+        RaftMessage request = message(RaftMessageKind::Vote, voter);
+        request.request = nextRequest();
+        request.logIndex = m_log.lastIndex();
+        request.logTerm = m_log.lastTerm();
+        m_messagesAfterSync.push_back(std::move(request));
+    }
+}
+
+bool Raft::leaderIsFresh(SteadyTimeMs now) const
+{
+    return now - m_leaderHeardAt < m_options.electionMinMs;
+}
+
+bool Raft::isUpToDate(const RaftMessage &message) const
+{
+    return message.logTerm > m_log.lastTerm()
+            || (message.logTerm == m_log.lastTerm() && message.logIndex >= m_log.lastIndex());
+}
+
+void Raft::onVoteRequest(const RaftMessage &request, SteadyTimeMs now)
+{
+    const bool preVote = request.kind == RaftMessageKind::PreVote;
+    // A voter that hears its leader does not help to replace it: a candidate that is cut off one
+    // way would otherwise end a working leader's term.
+    if (m_role == RaftRole::Leader || leaderIsFresh(now)) {
+        if (request.term > m_term) {
+            return;
+        }
+    }
+    if (!preVote && request.term > m_term) {
+        becomeFollower(request.term, now);
+    }
+    RaftMessage reply =
+            answer(preVote ? RaftMessageKind::PreVoteAnswer : RaftMessageKind::VoteAnswer, request);
+    if (preVote) {
+        reply.accepted = request.term > m_term && isUpToDate(request);
+        // A granted pre-vote names the term it was asked for; a refused one the voter's own.
+        reply.term = reply.accepted ? request.term : m_term;
+        m_messagesAfterSync.push_back(std::move(reply));
+        return;
+    }
+    const std::string candidate = voteName(request.from);
+    reply.accepted = request.term == m_term && (m_votedFor.empty() || m_votedFor == candidate)
+            && m_leader.name.empty() && isUpToDate(request);
+    if (reply.accepted) {
+        if (m_votedFor != candidate) {
+            m_votedFor = candidate;
+            m_hardStateChanged = true;
+        }
+        resetElectionDeadline(now);
+    }
+    m_messagesAfterSync.push_back(std::move(reply));
+}
+
+void Raft::onVoteAnswer(const RaftMessage &reply, SteadyTimeMs now)
+{
+    const bool preVote = reply.kind == RaftMessageKind::PreVoteAnswer;
+    if (!reply.accepted) {
+        if (reply.term > m_term) {
+            becomeFollower(reply.term, now);
+        }
+        return;
+    }
+    const bool awaited = preVote ? m_role == RaftRole::PreCandidate && reply.term == m_term + 1
+                                 : m_role == RaftRole::Candidate && reply.term == m_term;
+    if (!awaited || !isVoter(reply.from)
+        || std::find(m_votes.begin(), m_votes.end(), reply.from) != m_votes.end()) {
+        return;
+    }
+    m_votes.push_back(reply.from);
+    if (!isQuorum(m_votes.size())) {
+        return;
+    }
+    if (preVote) {
+        startElection(now);
+    } else if (!m_ownVotePending) {
+        becomeLeader(now);
+    }
+}
+
+void Raft::becomeLeader(SteadyTimeMs now)
+{
+    m_role = RaftRole::Leader;
+    m_leader = m_options.self;
+    m_peers.clear();
+    for (const VoterId &voter : voters()) {
+        if (voter == m_options.self) {
+            continue;
+        }
+        Peer peer;
+        peer.next = m_log.lastIndex() + 1;
+        peer.heardAt = now;
+        m_peers.emplace(voter, peer);
+    }
+    m_nextHeartbeat = now;
+    // An entry of the own term commits the entries of earlier terms. Its payload is empty.
+    appendOwn(commandEntryKind, {});
+    m_termStartIndex = m_log.lastIndex();
+    sendHeartbeats(now);
+}
+
+} // namespace dandelionloom
--- a/Source/Ports/LogStorage.h
+++ b/Source/Ports/LogStorage.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -41,7 +42,10 @@
     std::string storageId;
 
     bool operator==(const VoterId &) const = default;
-    auto operator<=>(const VoterId &) const = default;
+    bool operator<(const VoterId &other) const
+    {
+        return std::tie(name, storageId) < std::tie(other.name, other.storageId);
+    }
     MSGPACK_DEFINE_ARRAY(name, storageId)
 };
 
--- /dev/null
+++ b/Source/Runtime/AppliedState.cpp
@@ -0,0 +1,134 @@
+#include "Runtime/AppliedState.h"
+
+#include <algorithm>
+
+#include "Runtime/ReplicaMessages.h"
+
+namespace dandelionloom {
+
+namespace {
+
+/// Kept to feed followers that are a little behind without a snapshot.
+constexpr std::size_t tailLimitBytes = 4 * 1024 * 1024;
+constexpr std::size_t tailLimitEntries = 16384;
+
+/// Contacts that wait for commands to be applied. A replica that is further behind dates its
+/// contact by the first ones.
+constexpr std::size_t pendingContactLimit = 256;
+
+/// A snapshot as it is stored and sent.
+struct StateDocument
+{
+    std::int64_t lastAtMs = 0;
+    std::string state;
+    MSGPACK_DEFINE_ARRAY(lastAtMs, state)
+};
+
+} // namespace
+
+AppliedState::AppliedState(std::string group, StateStore &store)
+    : m_group(std::move(group)), m_store(store)
+{ }
+
+Result<CommandOutcome, CodecError> AppliedState::apply(const LogEntry &entry)
+{
+    if (entry.index != m_index + 1) {
+        return CodecError{"expected entry " + std::to_string(m_index + 1) + ", found "
+                          + std::to_string(entry.index)};
+    }
+    // Voter changes and a new leader's first entry change nothing but the index.
+    Command command{m_group, m_lastAtMs, NoOperation{}};
+    if (entry.kind == commandEntryKind && !entry.payload.empty()) {
+        auto decoded = decodeCommand(entry.payload);
+        if (!isOk(decoded)) {
+            return errorOf(decoded);
+        }
+        command = takeValue(std::move(decoded));
+    }
+    m_lastAtMs = std::max(m_lastAtMs, command.atMs);
+    CommandOutcome outcome = m_store.apply(entry.index, command);
+    m_index = entry.index;
+    m_tail.push_back(entry);
+    m_tailBytes += entry.payload.size();
+    while (m_tail.size() > 1
+           && (m_tailBytes > tailLimitBytes || m_tail.size() > tailLimitEntries)) {
+        m_tailBytes -= m_tail.front().payload.size();
+        m_tail.pop_front();
+    }
+    settleContacts();
+    return outcome;
+}
+
+Result<Done, CodecError> AppliedState::restore(std::uint64_t index, const std::string &bytes)
+{
+    if (index <= m_index) {
+        return Done{};
+    }
+    auto document = unpackMessage<StateDocument>(bytes);
+    if (!isOk(document)) {
+        return CodecError{"snapshot " + std::to_string(index) + " is damaged"};
+    }
+    auto restored = m_store.restoreSnapshot(valueOf(document).state);
+    if (!isOk(restored)) {
+        return restored;
+    }
+    if (m_store.appliedIndex() != index) {
+        return CodecError{"expected a snapshot of index " + std::to_string(index) + ", found "
+                          + std::to_string(m_store.appliedIndex())};
+    }
+    m_index = index;
+    m_lastAtMs = std::max(m_lastAtMs, valueOf(document).lastAtMs);
+    m_tail.clear();
+    m_tailBytes = 0;
+    settleContacts();
+    return Done{};
+}
+
+std::string AppliedState::encode() const
+{
+    return packMessage(StateDocument{m_lastAtMs, m_store.encodeSnapshot()});
+}
+
+std::optional<std::vector<LogEntry>> AppliedState::entriesAfter(std::uint64_t index,
+                                                                std::size_t maxBytes) const
+{
+    std::vector<LogEntry> entries;
+    if (index >= m_index) {
+        return entries;
+    }
+    if (m_tail.empty() || index + 1 < m_tail.front().index) {
+        return std::nullopt;
+    }
+    std::size_t bytes = 0;
+    for (std::size_t at = index + 1 - m_tail.front().index; at < m_tail.size(); ++at) {
+        bytes += m_tail[at].payload.size();
+        if (!entries.empty() && bytes > maxBytes) {
+            break;
+        }
+        entries.push_back(m_tail[at]);
+    }
+    return entries;
+}
+
+void AppliedState::noteContact(const QuorumContact &contact)
+{
+    const QuorumContact *latest = !m_pendingContacts.empty() ? &m_pendingContacts.back()
+            : m_contact                                      ? &*m_contact
+                                                             : nullptr;
+    if ((latest != nullptr && contact.at <= latest->at)
+        || m_pendingContacts.size() >= pendingContactLimit) {
+        return;
+    }
+    m_pendingContacts.push_back(contact);
+    settleContacts();
+}
+
+void AppliedState::settleContacts()
+{
+    while (!m_pendingContacts.empty() && m_pendingContacts.front().commit <= m_index) {
+        m_contact = m_pendingContacts.front();
+        m_pendingContacts.pop_front();
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/ReplicaCalls.cpp
@@ -0,0 +1,312 @@
+#include <algorithm>
+#include <limits>
+
+#include "Runtime/PendingCall.h"
+#include "Runtime/Replica.h"
+
+// Calls of other threads: proposals, confirmed reads and progress.
+
+namespace dandelionloom {
+
+namespace {
+
+/// Wait before a call that found no leader tries again.
+constexpr std::int64_t retryMs = 50;
+
+} // namespace
+
+struct Replica::ProposeCall
+{
+    std::string encoded;
+    SteadyTimeMs deadline = 0;
+    PendingCall<Result<CommandOutcome, LogError>> pending;
+};
+
+struct Replica::ReadCall
+{
+    SteadyTimeMs deadline = 0;
+    PendingCall<std::uint64_t> pending;
+};
+
+Result<CommandOutcome, LogError> Replica::propose(CommandBody body, Milliseconds timeout)
+{
+    const auto call = std::make_shared<ProposeCall>();
+    call->encoded = encodeCommand({m_options.group, 0, std::move(body)});
+    call->deadline = steadyTimeNow() + timeout.count();
+    if (call->encoded.size() > m_options.maxCommandBytes) {
+        return LogError{LogErrorKind::TooLarge,
+                        "expected a command of at most " + std::to_string(m_options.maxCommandBytes)
+                                + " bytes, found " + std::to_string(call->encoded.size())};
+    }
+    post([this, call] { startPropose(call); });
+    auto result = call->pending.wait(timeout);
+    if (result) {
+        return *std::move(result);
+    }
+    if (call->pending.isExposed()) {
+        return LogError{LogErrorKind::Unknown,
+                        "no outcome within " + std::to_string(timeout.count())
+                                + " ms; the command may still be accepted"};
+    }
+    return LogError{LogErrorKind::NotAccepted,
+                    "found no leader within " + std::to_string(timeout.count()) + " ms"};
+}
+
+void Replica::startPropose(const std::shared_ptr<ProposeCall> &call)
+{
+    if (steadyTimeNow() >= call->deadline) {
+        return;
+    }
+    const std::string leader = leaderName();
+    if (isLeader()) {
+        if (call->pending.expose()) {
+            appendCommand(call->encoded, call->deadline, [this, call](const ProposeAnswer &answer) {
+                finishPropose(call, answer);
+            });
+        }
+    } else if (leader.empty() || leader == m_options.name) {
+        retryPropose(call);
+    } else {
+        forwardPropose(call, leader);
+    }
+}
+
+void Replica::retryPropose(const std::shared_ptr<ProposeCall> &call)
+{
+    call->pending.conceal();
+    postDelayed(retryMs, [this, call] { startPropose(call); });
+}
+
+void Replica::forwardPropose(const std::shared_ptr<ProposeCall> &call, const std::string &leader)
+{
+    const std::int64_t left = call->deadline - steadyTimeNow();
+    if (left <= 0 || !call->pending.expose()) {
+        return;
+    }
+    m_transport.call(
+            leader, PeerMessageKind::Propose, packMessage(ProposeRequest{call->encoded, left}),
+            Milliseconds(left), [this, call](PeerResult result) {
+                post([this, call, result = std::move(result)] {
+                    if (!isOk(result)) {
+                        if (errorOf(result).kind == PeerErrorKind::NoAnswer) {
+                            finishPropose(
+                                    call,
+                                    {ProposeVerdict::Unknown, 0, {}, errorOf(result).message});
+                        } else {
+                            retryPropose(call);
+                        }
+                        return;
+                    }
+                    const auto answer = unpackMessage<ProposeAnswer>(valueOf(result));
+                    if (!isOk(answer)) {
+                        finishPropose(
+                                call,
+                                {ProposeVerdict::Unknown, 0, {}, "the leader's answer is damaged"});
+                        return;
+                    }
+                    whenApplied(valueOf(answer).index, call->deadline,
+                                [this, call, answer = valueOf(answer)] {
+                                    finishPropose(call, answer);
+                                });
+                });
+            });
+}
+
+void Replica::finishPropose(const std::shared_ptr<ProposeCall> &call, const ProposeAnswer &answer)
+{
+    LogErrorKind kind = LogErrorKind::Unknown;
+    switch (answer.verdict) {
+    case ProposeVerdict::Accepted: {
+        auto outcome = decodeOutcome(answer.outcome);
+        if (isOk(outcome)) {
+            call->pending.finish(takeValue(std::move(outcome)));
+            return;
+        }
+        break;
+    }
+    case ProposeVerdict::NotLeader:
+        retryPropose(call);
+        return;
+    case ProposeVerdict::Refused:
+        kind = LogErrorKind::NotAccepted;
+        break;
+    case ProposeVerdict::Unknown:
+        break;
+    case ProposeVerdict::DiskFull:
+        kind = LogErrorKind::DiskFull;
+        break;
+    case ProposeVerdict::TooLarge:
+        kind = LogErrorKind::TooLarge;
+        break;
+    }
+    call->pending.finish(LogError{kind, answer.message});
+}
+
+void Replica::appendCommand(const std::string &encoded, SteadyTimeMs deadline, ProposeDone done)
+{
+    const SteadyTimeMs now = steadyTimeNow();
+    if (!isLeader()) {
+        done({ProposeVerdict::NotLeader, 0, {}, m_options.name + " is not the leader"});
+        return;
+    }
+    if (now >= deadline) {
+        done({ProposeVerdict::Refused, 0, {}, "the time of the call ended before it was appended"});
+        return;
+    }
+    auto command = decodeCommand(encoded);
+    if (!isOk(command)) {
+        done({ProposeVerdict::Refused, 0, {}, errorOf(command).message});
+        return;
+    }
+    leaderDuties(now);
+    Command stamped = takeValue(std::move(command));
+    stamped.atMs = nextAtMs();
+    std::string payload = encodeCommand(stamped);
+    if (payload.size() > m_options.maxCommandBytes + 16) {
+        done({ProposeVerdict::TooLarge,
+              0,
+              {},
+              "expected a command of at most " + std::to_string(m_options.maxCommandBytes)
+                      + " bytes, found " + std::to_string(payload.size())});
+        return;
+    }
+    const auto position = m_raft->propose(std::move(payload));
+    m_waiting.emplace(position->index, WaitingCommand{position->term, deadline, std::move(done)});
+}
+
+void Replica::whenApplied(std::uint64_t index, SteadyTimeMs deadline, std::function<void()> done)
+{
+    m_appliedWaiters.push_back({index, deadline, std::move(done)});
+}
+
+void Replica::runAppliedWaiters()
+{
+    std::list<AppliedWaiter> due;
+    for (auto waiter = m_appliedWaiters.begin(); waiter != m_appliedWaiters.end();) {
+        const auto next = std::next(waiter);
+        if (waiter->index <= m_applied.index()) {
+            due.splice(due.end(), m_appliedWaiters, waiter);
+        }
+        waiter = next;
+    }
+    for (const AppliedWaiter &waiter : due) {
+        waiter.done();
+    }
+}
+
+void Replica::dropLateWaiters(SteadyTimeMs now)
+{
+    std::erase_if(m_appliedWaiters, [&](const auto &waiter) { return waiter.deadline <= now; });
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        if (waiting->second.deadline > now) {
+            ++waiting;
+            continue;
+        }
+        waiting->second.done({ProposeVerdict::Unknown,
+                              0,
+                              {},
+                              "no quorum accepted the command in time; it may still do so"});
+        waiting = m_waiting.erase(waiting);
+    }
+}
+
+Result<std::uint64_t, LogError> Replica::confirmRead(Milliseconds timeout)
+{
+    const auto call = std::make_shared<ReadCall>();
+    call->deadline = steadyTimeNow() + timeout.count();
+    post([this, call] { startRead(call); });
+    const auto index = call->pending.wait(timeout);
+    if (index) {
+        return *index;
+    }
+    return LogError{LogErrorKind::NotAccepted,
+                    "no quorum confirmed the read within " + std::to_string(timeout.count())
+                            + " ms"};
+}
+
+void Replica::startRead(const std::shared_ptr<ReadCall> &call)
+{
+    if (steadyTimeNow() >= call->deadline || call->pending.isAbandoned()) {
+        return;
+    }
+    const auto done = [this, call](std::optional<std::uint64_t> index) {
+        if (!index) {
+            postDelayed(retryMs, [this, call] { startRead(call); });
+            return;
+        }
+        whenApplied(*index, call->deadline,
+                    [this, call] { call->pending.finish(m_applied.index()); });
+    };
+    const std::string leader = leaderName();
+    if (isLeader()) {
+        m_newReads.emplace_back(done);
+        return;
+    }
+    if (leader.empty() || leader == m_options.name) {
+        done(std::nullopt);
+        return;
+    }
+    const Milliseconds timeout(
+            std::min(call->deadline - steadyTimeNow(), 2 * m_options.electionMaxMs));
+    m_transport.call(leader, PeerMessageKind::ReadIndex, {}, timeout,
+                     [this, done](PeerResult result) {
+                         post([done, result = std::move(result)] {
+                             if (!isOk(result)) {
+                                 done(std::nullopt);
+                                 return;
+                             }
+                             const auto answer = unpackMessage<ReadIndexAnswer>(valueOf(result));
+                             const bool confirmed = isOk(answer) && valueOf(answer).confirmed;
+                             done(confirmed ? std::optional(valueOf(answer).index) : std::nullopt);
+                         });
+                     });
+}
+
+Result<std::vector<ReplicaProgress>, LogError> Replica::progress(Milliseconds timeout)
+{
+    const auto call = std::make_shared<PendingCall<std::vector<ReplicaProgress>>>();
+    post([this, call, deadline = steadyTimeNow() + timeout.count()] {
+        startProgress(call, deadline);
+    });
+    auto result = call->wait(timeout);
+    if (result) {
+        return *std::move(result);
+    }
+    return LogError{LogErrorKind::NotAccepted,
+                    "no leader answered within " + std::to_string(timeout.count()) + " ms"};
+}
+
+void Replica::startProgress(const std::shared_ptr<ProgressCall> &call, SteadyTimeMs deadline)
+{
+    if (steadyTimeNow() >= deadline) {
+        return;
+    }
+    if (isLeader()) {
+        call->finish(leaderProgress(steadyTimeNow()));
+        return;
+    }
+    const auto retry = [this, call, deadline] {
+        postDelayed(retryMs, [this, call, deadline] { startProgress(call, deadline); });
+    };
+    const std::string leader = leaderName();
+    if (leader.empty() || leader == m_options.name) {
+        retry();
+        return;
+    }
+    m_transport.call(leader, PeerMessageKind::Progress, {},
+                     Milliseconds(deadline - steadyTimeNow()),
+                     [this, call, retry](PeerResult result) {
+                         post([call, retry, result = std::move(result)] {
+                             const auto answer = isOk(result)
+                                     ? unpackMessage<ProgressAnswer>(valueOf(result))
+                                     : Result<ProgressAnswer, std::monostate>(std::monostate{});
+                             if (isOk(answer) && valueOf(answer).isLeader) {
+                                 call->finish(valueOf(answer).replicas);
+                             } else {
+                                 retry();
+                             }
+                         });
+                     });
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Tests/Consensus/MemoryLogStorage.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "Ports/LogStorage.h"
+
+namespace dandelionloom::test {
+
+/// A log storage that survives restarts of its replica, but not losing its disk.
+class MemoryLogStorage : public LogStorage
+{
+public:
+    /// The storage id is `name` with the number of the disk.
+    explicit MemoryLogStorage(std::string name);
+
+    Result<RecoveredLog, StorageError> open() override;
+    Result<Done, StorageError> saveHardState(const HardState &hardState) override;
+    Result<Done, StorageError> append(const std::vector<LogEntry> &entries) override;
+    Result<Done, StorageError> saveSnapshot(const Snapshot &snapshot) override;
+    std::uint64_t sizeBytes() const override;
+
+    /// Replaces the disk by an empty one. Call while no replica uses it.
+    void loseDisk();
+    /// Makes all writes fail until it is called with none.
+    void failWith(std::optional<StorageErrorKind> kind);
+    std::size_t syncs() const;
+
+private:
+    std::optional<StorageError> fault();
+
+    const std::string m_name;
+    mutable std::mutex m_mutex;
+    std::uint64_t m_disk = 1;
+    bool m_created = true;
+    HardState m_hardState;
+    std::optional<Snapshot> m_snapshot;
+    std::vector<LogEntry> m_entries;
+    std::optional<StorageErrorKind> m_failure;
+    std::size_t m_syncs = 0;
+};
+
+} // namespace dandelionloom::test
