Controller: Carry instances through drain, reboot and failure

Cause: nothing moved an agreed instance record from one phase to the next.

Ruled out: keeping drain progress in the leader's memory only; a new leader would have to guess what was stopped. Every step is an agreed record or a platform command with an id and an epoch, so it can be repeated.

--- a/Source/Model/Fleet.h
+++ b/Source/Model/Fleet.h
@@ -20,6 +20,11 @@
 inline constexpr EnumNames<InstancePhase, 6> instancePhaseNames{
         {"in-service", "draining", "drained", "rebooting", "proving", "failed"}};
 
+/// What the platform says of an instance.
+enum class PlatformInstanceState { Running, Draining, Drained, Rebooting };
+inline constexpr EnumNames<PlatformInstanceState, 4> platformInstanceStateNames{
+        {"running", "draining", "drained", "rebooting"}};
+
 /// Agreed record of one instance. `epoch` grows with every change and fences commands that were
 /// issued for an earlier state.
 struct InstanceRecord
--- a/Source/Ports/Platform.h
+++ b/Source/Ports/Platform.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Model/EnumNames.h"
+#include "Model/Fleet.h"
 #include "Model/Result.h"
 #include "Model/Time.h"
 
@@ -35,10 +36,6 @@
     std::uint64_t epoch = 0;
 };
 
-enum class PlatformInstanceState { Running, Draining, Drained, Rebooting };
-inline constexpr EnumNames<PlatformInstanceState, 4> platformInstanceStateNames{
-        {"running", "draining", "drained", "rebooting"}};
-
 /// A task to run under a lease.
 struct PlatformTask
 {
--- /dev/null
+++ b/Source/Runtime/Controller.cpp
@@ -0,0 +1,265 @@
+#include "Runtime/Controller.h"
+
+#include <algorithm>
+
+#include "State/FleetRules.h"
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr Milliseconds proposeTimeout{3000};
+
+/// A gateway's lease starts when an answer reaches it, which is later than its last report to the
+/// leader by at most one long poll and one round trip.
+constexpr Milliseconds leaseMargin{5000};
+
+std::string commandName(const InstanceRecord &record, const std::string &verb)
+{
+    return record.id + "/" + std::to_string(record.epoch) + "/" + verb;
+}
+
+std::int64_t drainLimitOf(const InstanceRecord &record, const Fleet &fleet)
+{
+    const auto wave = fleet.waves.find(record.grantHolder);
+    return wave == fleet.waves.end() ? Wave{}.drainLimitMs : wave->second.drainLimitMs;
+}
+
+} // namespace
+
+Controller::Controller(ControllerPorts ports, ControllerOptions options)
+    : m_ports(std::move(ports)), m_options(options)
+{ }
+
+Controller::~Controller()
+{
+    stop();
+}
+
+void Controller::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void Controller::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void Controller::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        runOnce(steadyTimeNow());
+        lock.lock();
+        m_wake.wait_for(lock, m_options.interval, [this] { return m_stopping; });
+    }
+}
+
+void Controller::runOnce(SteadyTimeMs nowMs)
+{
+    const LogStatus status = m_ports.log.status();
+    if (status.role != LogRole::Leader || !status.ready) {
+        m_leading = false;
+        return;
+    }
+    if (!m_leading) {
+        m_observations.clear();
+        m_leading = true;
+        m_leadingSince = nowMs;
+    }
+    // A leader that was frozen must learn of its successor before it acts on what it remembers.
+    if (!isOk(m_ports.log.confirmRead(proposeTimeout))) {
+        return;
+    }
+    const auto progress = m_ports.log.progress(proposeTimeout);
+    if (!isOk(progress)) {
+        return;
+    }
+    const auto fleet = m_ports.log.state().fleet();
+    observe(*fleet, nowMs);
+    planWaves(*fleet, *m_ports.log.state().lists());
+    const auto granted = m_ports.log.state().fleet();
+    for (const auto &[id, record] : granted->instances) {
+        advance(record, *granted, valueOf(progress), nowMs);
+    }
+}
+
+void Controller::observe(const Fleet &fleet, SteadyTimeMs nowMs)
+{
+    std::set<std::string> serving;
+    for (const EndpointRecord &endpoint : m_ports.endpoints()) {
+        const Announcement &announced = endpoint.announcement;
+        const auto record = fleet.instances.find(announced.instance);
+        if (record != fleet.instances.end() && announced.service == record->second.pool
+            && announced.state == EndpointState::Serving && endpoint.leaseEndsAt > nowMs) {
+            serving.insert(announced.instance);
+        }
+    }
+    std::erase_if(m_observations,
+                  [&](const auto &item) { return !fleet.instances.contains(item.first); });
+    for (const auto &[id, record] : fleet.instances) {
+        auto [found, isNew] = m_observations.try_emplace(id);
+        Observation &observation = found->second;
+        const bool servingNow = serving.contains(id);
+        if (isNew || observation.endpointServing != servingNow) {
+            observation.endpointServing = servingNow;
+            observation.endpointSince = nowMs;
+        }
+    }
+}
+
+void Controller::planWaves(const Fleet &fleet, const Lists &lists)
+{
+    (void)fleet;
+    (void)lists;
+}
+
+void Controller::advance(const InstanceRecord &record, const Fleet &fleet,
+                         const std::vector<ReplicaProgress> &gateways, SteadyTimeMs nowMs)
+{
+    const auto found = m_observations.find(record.id);
+    if (found == m_observations.end()) {
+        return;
+    }
+    Observation &observation = found->second;
+    if (observation.epoch != record.epoch) {
+        observation.epoch = record.epoch;
+        observation.seenAtIndex = m_ports.log.state().appliedIndex();
+        observation.commandAcknowledged = false;
+        observation.checkPlatform = true;
+    }
+    const LifecycleFacts facts = factsOf(record, fleet, gateways, nowMs);
+    const LifecycleStep step = nextLifecycleStep(facts, m_options.lifecycle);
+    if (step.reason != observation.lastReason) {
+        observation.lastReason = step.reason;
+        logStep(record, step);
+    }
+    if (step.action == LifecycleAction::None && facts.platformState) {
+        observation.checkPlatform = false;
+    }
+    perform(record, step, facts.drainLimitMs);
+}
+
+LifecycleFacts Controller::factsOf(const InstanceRecord &record, const Fleet &fleet,
+                                   const std::vector<ReplicaProgress> &gateways, SteadyTimeMs nowMs)
+{
+    const Observation &observation = m_observations.at(record.id);
+    LifecycleFacts facts;
+    facts.record = record;
+    facts.commandAcknowledged = observation.commandAcknowledged;
+    facts.endpointServing = observation.endpointServing;
+    facts.endpointConditionMs = nowMs - observation.endpointSince;
+    facts.expectsEndpoint = record.pool != sparePool;
+    facts.drainLimitMs = drainLimitOf(record, fleet);
+    facts.nowMs = wallTimeNow();
+    facts.gatewaysConfirmed = confirmedByGateways(observation.seenAtIndex, gateways);
+    // In-service instances are asked for once after each change only: at 22,000 instances one
+    // question a pass for each would exceed the traffic bound of a node.
+    const bool inStep = record.phase != InstancePhase::InService
+            && record.phase != InstancePhase::Failed && record.phase != InstancePhase::Proving;
+    if (m_ports.platform != nullptr && (inStep || observation.checkPlatform)) {
+        const auto state = m_ports.platform->state(record.id);
+        if (isOk(state)) {
+            facts.platformState = valueOf(state);
+        }
+    }
+    return facts;
+}
+
+bool Controller::confirmedByGateways(std::uint64_t index,
+                                     const std::vector<ReplicaProgress> &gateways) const
+{
+    const std::int64_t leaseEndMs = (m_options.listsLease + leaseMargin).count();
+    return std::all_of(gateways.begin(), gateways.end(), [&](const ReplicaProgress &gateway) {
+        if (gateway.appliedIndex >= index) {
+            return true;
+        }
+        const std::int64_t silentMs =
+                gateway.heardAgeMs >= 0 ? gateway.heardAgeMs : steadyTimeNow() - m_leadingSince;
+        return silentMs > leaseEndMs;
+    });
+}
+
+void Controller::perform(const InstanceRecord &record, const LifecycleStep &step,
+                         std::int64_t drainLimitMs)
+{
+    const auto acknowledge = [&](const Result<Done, PlatformError> &result) {
+        if (isOk(result)) {
+            m_observations[record.id].commandAcknowledged = true;
+            return;
+        }
+        m_ports.decisions.event(LogSeverity::Warning, "controller",
+                                "platform command for instance '" + record.id
+                                        + "' failed: " + errorOf(result).message);
+    };
+    switch (step.action) {
+    case LifecycleAction::None:
+        return;
+    case LifecycleAction::RequestDrain:
+        if (m_ports.platform != nullptr) {
+            acknowledge(m_ports.platform->drain({commandName(record, "drain"), record.epoch},
+                                                record.id, Milliseconds(drainLimitMs)));
+        }
+        return;
+    case LifecycleAction::RequestUndrain:
+        if (m_ports.platform != nullptr) {
+            acknowledge(m_ports.platform->undrain({commandName(record, "undrain"), record.epoch},
+                                                  record.id));
+        }
+        return;
+    case LifecycleAction::RequestReboot:
+        if (m_ports.platform != nullptr) {
+            acknowledge(m_ports.platform->reboot({commandName(record, "reboot"), record.epoch},
+                                                 record.id));
+        }
+        return;
+    case LifecycleAction::EnterPhase:
+        propose(record, step, SetInstancePhase{record.id, record.epoch, step.phase});
+        return;
+    case LifecycleAction::ChangePool:
+        propose(record, step, MoveInstance{record.id, record.epoch, record.movingTo});
+        return;
+    }
+}
+
+void Controller::propose(const InstanceRecord &record, const LifecycleStep &step, CommandBody body)
+{
+    const auto result = m_ports.log.propose(std::move(body), proposeTimeout);
+    const std::string name(lifecycleReasonNames.name(step.reason));
+    if (!isOk(result)) {
+        m_ports.decisions.event(LogSeverity::Warning, "controller",
+                                "step '" + name + "' of instance '" + record.id
+                                        + "' was not recorded: " + errorOf(result).message);
+        return;
+    }
+    if (valueOf(result).status != CommandStatus::Applied) {
+        m_ports.decisions.event(LogSeverity::Info, "controller",
+                                "step '" + name + "' of instance '" + record.id
+                                        + "' was refused: " + valueOf(result).message);
+        return;
+    }
+    m_ports.metrics.count("dandelionloom_lifecycle_steps_total", "reason=\"" + name + "\"", 1);
+}
+
+void Controller::logStep(const InstanceRecord &record, const LifecycleStep &step)
+{
+    Decision decision;
+    decision.kind = record.movingTo.empty() ? DecisionKind::Drain : DecisionKind::Move;
+    decision.instance = record.id;
+    decision.pool = record.pool;
+    decision.wave = record.grantHolder;
+    decision.reason = lifecycleReasonNames.name(step.reason);
+    decision.listsRevision = m_ports.log.state().lists()->revision;
+    m_ports.decisions.write(decision);
+}
+
+} // namespace dandelionloom
