--- /dev/null
+++ b/Tests/Scenarios/Support/cluster.lua
@@ -0,0 +1,413 @@
+-- Starts and steers a cluster of entry instances with stand-in endpoints and a stand-in platform.
+
+local cluster = {}
+cluster.__index = cluster
+
+local function address(port)
+    return "127.0.0.1:" .. port
+end
+
+--- Fails the scenario with a message unless the condition holds.
+function check(condition, message, ...)
+    if not condition then
+        error(string.format(message or "check failed", ...), 2)
+    end
+    return condition
+end
+
+--- Waits until the condition holds; gives its value. Fails with the description after the limit.
+function wait_until(limit_ms, description, condition)
+    local deadline = now_ms() + limit_ms
+    while true do
+        local value = condition()
+        if value then
+            return value
+        end
+        if now_ms() > deadline then
+            error("not within " .. limit_ms .. " ms: " .. description, 2)
+        end
+        pause_poll()
+    end
+end
+
+--- Runs one step of the story. A failure inside names the step.
+function section(name, body)
+    local ok, fault = xpcall(body, function(message)
+        return debug.traceback(message, 2)
+    end)
+    if not ok then
+        error("in section '" .. name .. "': " .. fault, 0)
+    end
+end
+
+local function json_field(text, name)
+    return text:match('"' .. name .. '"%s*:%s*"([^"]*)"')
+        or text:match('"' .. name .. '"%s*:%s*(-?[%w%.]+)')
+end
+cluster.json_field = json_field
+
+--- Options: zones, entries, voters, relays (peers talk through relays), timing (TOML lines),
+--- platform (start a stand-in platform when endpoints are added), reboot_ms.
+function cluster.new(options)
+    local self = setmetatable({options = options, entries = {}, endpoints = {}, relays = {}}, cluster)
+    self.zones = options.zones or 3
+    for index = 1, options.entries or 6 do
+        self.entries[index] = {
+            index = index,
+            name = "entry-" .. index,
+            zone = "zone-" .. ((index - 1) % self.zones + 1),
+            voter = index <= (options.voters or 3),
+            ports = {callers = free_port(), operators = free_port(), endpoints = free_port(),
+                     peers = free_port()},
+            folder = work_folder .. "/entry-" .. index,
+        }
+    end
+    self.platform_port = free_port()
+    write_file(work_folder .. "/operators", "operator-1 operator-secret-1\noperator-2 operator-secret-2\n")
+    write_file(work_folder .. "/endpoints", "endpoints endpoint-secret\n")
+    write_file(work_folder .. "/endpoint-credential", "endpoint-secret\n")
+    write_file(work_folder .. "/peers", "peers peer-secret\n")
+    write_file(work_folder .. "/callers", table.concat(options.callers or {
+        "counter-quotes caller-secret-quotes",
+        "night-dues caller-secret-dues",
+        "stock-hold caller-secret-stock",
+    }, "\n") .. "\n")
+    if options.relays then
+        self:add_relays()
+    end
+    for _, entry in ipairs(self.entries) do
+        self:write_settings(entry)
+    end
+    return self
+end
+
+function cluster:add_relays()
+    for _, from in ipairs(self.entries) do
+        self.relays[from.index] = {}
+        for _, to in ipairs(self.entries) do
+            if from ~= to then
+                local port = free_port()
+                self.relays[from.index][to.index] =
+                    {port = port, relay = relay(address(port), address(to.ports.peers))}
+            end
+        end
+    end
+end
+
+function cluster:write_settings(entry)
+    make_folder(entry.folder)
+    local lines = {
+        "[cluster]", 'id = "scenario"', 'group = "region-1"',
+        "[instance]", 'name = "' .. entry.name .. '"',
+        'availability_zone = "' .. entry.zone .. '"',
+        'rack = "rack-' .. entry.index .. '"',
+    }
+    if entry.voter then
+        table.insert(lines, 'data_folder = "' .. entry.folder .. '/data"')
+    end
+    table.insert(lines, "[listen]")
+    for name, port in pairs(entry.ports) do
+        table.insert(lines, name .. ' = "' .. address(port) .. '"')
+    end
+    for _, peer in ipairs(self.entries) do
+        local port = peer.ports.peers
+        if self.options.relays and peer ~= entry then
+            port = self.relays[entry.index][peer.index].port
+        end
+        table.insert(lines, "[[peer]]")
+        table.insert(lines, 'name = "' .. peer.name .. '"')
+        table.insert(lines, 'availability_zone = "' .. peer.zone .. '"')
+        table.insert(lines, 'address = "' .. address(port) .. '"')
+        table.insert(lines, 'operators = "' .. address(peer.ports.operators) .. '"')
+        table.insert(lines, "voter = " .. tostring(peer.voter))
+    end
+    table.insert(lines, "[credentials]")
+    for _, kind in ipairs {"callers", "operators", "endpoints", "peers"} do
+        table.insert(lines, kind .. '_file = "' .. work_folder .. "/" .. kind .. '"')
+    end
+    if self.options.platform then
+        table.insert(lines, "[platform]")
+        table.insert(lines, 'url = "http://' .. address(self.platform_port) .. '"')
+    end
+    table.insert(lines, "[timing]")
+    table.insert(lines, self.options.timing or "")
+    table.insert(lines, self.options.settings or "")
+    entry.settings = entry.folder .. "/settings.toml"
+    write_file(entry.settings, table.concat(lines, "\n") .. "\n")
+end
+
+function cluster:start(entry, environment)
+    entry.log = entry.folder .. "/log"
+    entry.process = spawn {program = "dandelionloom", arguments = {"serve", "--settings", entry.settings},
+                           output = entry.log, environment = environment}
+end
+
+function cluster:start_all()
+    for _, entry in ipairs(self.entries) do
+        self:start(entry)
+    end
+    for _, entry in ipairs(self.entries) do
+        self:wait_ready(entry)
+    end
+end
+
+function cluster:operator_call(entry, method, path, body, headers)
+    headers = headers or {}
+    headers["Authorization"] = headers["Authorization"] or "Bearer operator-secret-1"
+    return http {method = method, address = address(entry.ports.operators), path = path,
+                 headers = headers, body = body or "", timeout_ms = 10000}
+end
+
+--- The status document of an entry instance as fields; nil if it does not answer.
+function cluster:status(entry)
+    local answer = self:operator_call(entry, "GET", "/v1/status")
+    if answer.status ~= 200 then
+        return nil
+    end
+    local own = answer.body:gsub('"instances"%s*:%s*%b[]', "")
+    return {
+        role = json_field(own, "role"),
+        leader = json_field(own, "leader"),
+        term = tonumber(json_field(own, "term")),
+        applied = tonumber(json_field(own, "applied_index")),
+        revision = tonumber(json_field(own, "lists_revision")),
+        contact_ms = tonumber(json_field(own, "quorum_contact_age_ms")),
+        ready = json_field(own, "ready") == "true",
+        text = answer.body,
+    }
+end
+
+function cluster:wait_ready(entry, limit_ms)
+    return wait_until(limit_ms or 15000, entry.name .. " is ready", function()
+        local status = self:status(entry)
+        return status and status.ready and status
+    end)
+end
+
+--- The entry instance that leads, as at least one running instance of `among` reports itself.
+function cluster:wait_leader(limit_ms, among)
+    return wait_until(limit_ms or 15000, "a leader is elected", function()
+        for _, entry in ipairs(among or self.entries) do
+            if entry.process and entry.process:running() then
+                local status = self:status(entry)
+                if status and status.role == "leader" and status.ready then
+                    return entry
+                end
+            end
+        end
+    end)
+end
+
+--- Writes a list. Options: change, expected (default: read first), operator (1 or 2).
+function cluster:apply(entry, list, text, options)
+    options = options or {}
+    local expected = options.expected
+    if not expected then
+        local current = self:operator_call(entry, "GET", "/v1/" .. list .. "?consistent=true")
+        check(current.status == 200, "reading %s: %d %s %s", list, current.status, current.body, current.error)
+        expected = current.headers["etag"]
+    else
+        expected = '"' .. expected .. '"'
+    end
+    self.changes = (self.changes or 0) + 1
+    return self:operator_call(entry, "PUT", "/v1/" .. list, text, {
+        ["Authorization"] = "Bearer operator-secret-" .. (options.operator or 1),
+        ["If-Match"] = expected,
+        ["Content-Type"] = "application/toml",
+        ["Dandelionloom-Change-Id"] = options.change or ("change-" .. seed .. "-" .. self.changes),
+    })
+end
+
+--- Waits until every running entry instance of `among` has the lists revision in force.
+function cluster:wait_revision(revision, limit_ms, among)
+    for _, entry in ipairs(among or self.entries) do
+        wait_until(limit_ms or 11000, entry.name .. " has revision " .. revision, function()
+            local status = self:status(entry)
+            return status and status.revision and status.revision >= revision
+        end)
+    end
+end
+
+function cluster:endpoint_addresses(zone)
+    local list = {}
+    for _, entry in ipairs(self.entries) do
+        if not zone or entry.zone == zone then
+            table.insert(list, address(entry.ports.endpoints))
+        end
+    end
+    return list
+end
+
+--- Adds `count` stand-in endpoints of a service, spread over the zones, four to a rack.
+--- Each announces itself to the entry instances of its own zone first.
+function cluster:add_endpoints(service, count, options)
+    options = options or {}
+    local added = {}
+    for number = 1, count do
+        local zone_number = (number - 1) % self.zones + 1
+        local zone = "zone-" .. zone_number
+        local endpoint = {
+            instance = service .. "-" .. number,
+            service = service,
+            zone = zone,
+            rack = zone .. "-rack-" .. service .. "-" .. math.floor((number - 1) / self.zones / 4) + 1,
+            port = free_port(),
+            incarnation = 1,
+            run_ms = options.run_ms or 2,
+            slots = options.slots or 8,
+        }
+        endpoint.address = address(endpoint.port)
+        self:start_endpoint(endpoint)
+        table.insert(self.endpoints, endpoint)
+        table.insert(added, endpoint)
+    end
+    return added
+end
+
+function cluster:start_endpoint(endpoint)
+    local arguments = {
+        "--address", endpoint.address, "--instance", endpoint.instance, "--service", endpoint.service,
+        "--slots", tostring(endpoint.slots), "--rack", endpoint.rack, "--zone", endpoint.zone,
+        "--incarnation", tostring(endpoint.incarnation), "--run-ms", tostring(endpoint.run_ms),
+        "--credential-file", work_folder .. "/endpoint-credential",
+    }
+    for _, target in ipairs(self:endpoint_addresses(endpoint.zone)) do
+        table.insert(arguments, "--announce")
+        table.insert(arguments, "http://" .. target)
+    end
+    endpoint.process = spawn {program = "standInEndpoint", arguments = arguments,
+                              output = work_folder .. "/" .. endpoint.instance .. ".log"}
+end
+
+--- Starts the stand-in platform for all endpoints added so far.
+function cluster:start_platform()
+    local arguments = {"--address", address(self.platform_port),
+                       "--reboot-ms", tostring(self.options.reboot_ms or 500)}
+    for _, endpoint in ipairs(self.endpoints) do
+        table.insert(arguments, "--instance")
+        table.insert(arguments, endpoint.instance .. "=" .. endpoint.address)
+    end
+    self.platform = spawn {program = "standInPlatform", arguments = arguments,
+                           output = work_folder .. "/platform.log"}
+end
+
+--- Waits until every entry instance of `among` knows `count` serving endpoints.
+function cluster:wait_endpoints(count, limit_ms, among)
+    for _, entry in ipairs(among or self.entries) do
+        wait_until(limit_ms or 15000, entry.name .. " knows " .. count .. " serving endpoints", function()
+            local answer = self:operator_call(entry, "GET", "/v1/endpoints")
+            local _, serving = answer.body:gsub('"serving"', "")
+            return answer.status == 200 and serving == count
+        end)
+    end
+end
+
+--- Sends one request of a plan through an entry instance.
+function cluster:call(entry, plan_secret, path, options)
+    options = options or {}
+    local headers = options.headers or {}
+    headers["Authorization"] = "Bearer " .. plan_secret
+    if options.key then
+        headers["Idempotency-Key"] = options.key
+    end
+    return http {method = options.method or "GET", address = address(entry.ports.callers), path = path,
+                 headers = headers, body = options.body or "", timeout_ms = options.timeout_ms or 8000}
+end
+
+--- How often the endpoints ran a request, by the request's own text: {text = runs}.
+function cluster:runs()
+    local counts = {}
+    for _, endpoint in ipairs(self.endpoints) do
+        local answer = http {address = endpoint.address, path = "/runs"}
+        for key, runs in answer.body:gmatch('"([^"]+)"%s*:%s*(%d+)') do
+            counts[key] = (counts[key] or 0) + tonumber(runs)
+        end
+    end
+    return counts
+end
+
+--- Cuts the peer links between two groups of entry instances. `direction` is "both" (default),
+--- "to" (nothing from left reaches right) or "from".
+function cluster:cut(left, right, direction)
+    direction = direction or "both"
+    local stop_to = direction ~= "from"
+    local stop_from = direction ~= "to"
+    for _, a in ipairs(left) do
+        for _, b in ipairs(right) do
+            if a ~= b then
+                self.relays[a.index][b.index].relay:cut(stop_to, stop_from)
+                self.relays[b.index][a.index].relay:cut(stop_from, stop_to)
+            end
+        end
+    end
+end
+
+--- Ends all cuts. Connections that were silent are closed, as after a long partition.
+function cluster:heal()
+    for _, targets in pairs(self.relays) do
+        for _, link in pairs(targets) do
+            link.relay:reset()
+            link.relay:cut(false, false)
+        end
+    end
+end
+
+function cluster:others(...)
+    local left_out = {}
+    for _, entry in ipairs {...} do
+        left_out[entry] = true
+    end
+    local list = {}
+    for _, entry in ipairs(self.entries) do
+        if not left_out[entry] then
+            table.insert(list, entry)
+        end
+    end
+    return list
+end
+
+function cluster:caller_addresses()
+    local list = {}
+    for _, entry in ipairs(self.entries) do
+        table.insert(list, address(entry.ports.callers))
+    end
+    return list
+end
+
+cluster.plans = [[
+[[plan]]
+id = "counter-quotes"
+customer = "chamdakam"
+service = "pricing"
+urgency = "urgent"
+min_healthy_instances = 2
+max_unavailable_instances = 1
+default_deadline_ms = 3000
+
+[[plan]]
+id = "night-dues"
+customer = "chamdakam"
+service = "dues"
+urgency = "normal"
+min_healthy_instances = 1
+max_unavailable_instances = 1
+default_deadline_ms = 5000
+]]
+
+cluster.allowances = [[
+[[allowance]]
+plan = "counter-quotes"
+max_instances = 12
+slots = 96
+requests_per_second = 2000
+weight = 4
+
+[[allowance]]
+plan = "night-dues"
+max_instances = 12
+slots = 96
+requests_per_second = 2000
+weight = 1
+]]
+
+return cluster
