--- /dev/null
+++ b/Source/Decisions/RunTimes.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Decisions/Routing.h"
+
+namespace dandelionloom {
+
+/// Running estimate of one quantile: moves up or down by a step that shrinks with the sample count.
+struct QuantileEstimate
+{
+    double value = 0;
+    std::uint64_t count = 0;
+};
+
+/// Adds a sample. `quantile` lies between 0 and 1.
+void addSample(QuantileEstimate &estimate, double quantile, double sample);
+
+struct RunTimeLimits
+{
+    /// A kind of request is long work when its 75th percentile exceeds the service's median by
+    /// this factor. Stragglers run many times longer than the rest, so a small factor would only
+    /// split ordinary work.
+    double longFactor = 8;
+    /// Work below this is short whatever the median is, in milliseconds: a slot held this long
+    /// does not delay anyone noticeably.
+    double shortAlwaysMs = 20;
+    /// Samples before a kind can be called long. Unknown work starts as short.
+    std::uint64_t samplesNeeded = 8;
+    /// Kinds remembered for each service; later ones share the service's estimate.
+    std::size_t kindsKept = 512;
+};
+
+/// Observed run times of one service, by kind of request. Declared run times are far off and are
+/// not used.
+struct ServiceRunTimes
+{
+    QuantileEstimate median;
+    std::map<std::string, QuantileEstimate> upperByKind;
+};
+
+void observeRunTime(ServiceRunTimes &times, const std::string &kind, double runMs,
+                    const RunTimeLimits &limits);
+
+WorkClass classify(const ServiceRunTimes &times, const std::string &kind,
+                   const RunTimeLimits &limits);
+
+/// True if a request that started as short has run so long that it counts as long from now on.
+bool hasOverrun(const ServiceRunTimes &times, double elapsedMs, const RunTimeLimits &limits);
+
+/// The kind of a request: method and the first two path segments, without numbers, so that
+/// "/booking/slot/17" and "/booking/slot/18" are one kind.
+std::string requestKind(const std::string &method, const std::string &path);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Decisions/SlotShares.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelionloom {
+
+/// Requests that a gateway has waiting and in flight for one service.
+struct GatewayDemand
+{
+    std::string gateway;
+    double requests = 0;
+};
+
+/// Divides the slots of one endpoint among the gateways by their demand. The shares never add up
+/// to more than `slots`. What does not divide evenly goes to the gateways in an order that depends
+/// on the endpoint, so that over a pool every gateway gets its part.
+std::map<std::string, std::uint32_t> divideSlots(const std::string &endpoint, std::uint32_t slots,
+                                                 const std::vector<GatewayDemand> &demands);
+
+} // namespace dandelionloom
