Settings, Logging, Metrics: Add list files, JSON log and metrics

Cause: operators keep two list files, and every process must leave decisions and figures that other tools can read.

Ruled out: Poco's JSON writer for the log (it does not replace bytes that are not UTF-8), and quantiles of the P-square estimator for the first samples (it starts from five of them).

Change: list files with all faults by line and rendering back to TOML; JsonDecisionLog on Boost.Log; PrometheusMetrics on Boost.Accumulators with a bound of label sets; the example settings and lists of both deployments.

--- /dev/null
+++ b/Source/Adapters/Logging/JsonDecisionLog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+
+#include "Model/Result.h"
+#include "Ports/DecisionLog.h"
+
+namespace dandelionloom {
+
+struct LogOpenError
+{
+    std::string message;
+};
+
+/// Writes one JSON line for each decision and event through Boost.Log. Each line is flushed, so
+/// that a crash loses none. Several logs in one process keep their lines apart.
+class JsonDecisionLog : public DecisionLog
+{
+public:
+    /// `entryInstance` names the process in each line. Lines below `minimum` are left out.
+    JsonDecisionLog(std::string entryInstance, LogSeverity minimum,
+                    std::shared_ptr<std::ostream> target);
+    ~JsonDecisionLog() override;
+
+    JsonDecisionLog(const JsonDecisionLog &) = delete;
+    JsonDecisionLog &operator=(const JsonDecisionLog &) = delete;
+
+    /// Appends to a file, or writes to standard error without one. Fails if the file cannot be
+    /// opened.
+    static Result<std::unique_ptr<JsonDecisionLog>, LogOpenError>
+    open(const std::string &entryInstance, LogSeverity minimum,
+         const std::optional<std::string> &file);
+
+    void write(const Decision &decision) override;
+    void event(LogSeverity severity, const std::string &component,
+               const std::string &message) override;
+
+private:
+    class Sink;
+
+    void emit(const std::string &line);
+
+    const std::string m_entryInstance;
+    const LogSeverity m_minimum;
+    std::unique_ptr<Sink> m_sink;
+};
+
+/// Time in UTC as "2026-01-31T23:59:59.999Z".
+std::string utcText(std::int64_t wallTimeMs);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Tests/Settings/ExamplesTest.cpp
@@ -0,0 +1,124 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+
+#include "Adapters/Settings/ListFiles.h"
+#include "Adapters/Settings/Settings.h"
+#include "State/ListRules.h"
+#include "Support/Section.h"
+
+using namespace dandelionloom;
+using dandelionloom::test::section;
+
+namespace {
+
+std::string joined(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+const std::string folder = "examples/";
+
+Settings settingsOf(const std::string &deployment)
+{
+    auto result = readSettings(folder + deployment + ".toml");
+    CPPUNIT_ASSERT_MESSAGE(isOk(result) ? "" : joined(errorOf(result).faults), isOk(result));
+    return takeValue(std::move(result));
+}
+
+/// Applies both list files of a deployment as the replicated state does.
+Lists listsOf(const std::string &deployment)
+{
+    const auto plans = readPlans(folder + deployment + "-plans.toml");
+    CPPUNIT_ASSERT_MESSAGE(isOk(plans) ? "" : joined(errorOf(plans).faults), isOk(plans));
+    const auto allowances = readAllowances(folder + deployment + "-allowances.toml");
+    CPPUNIT_ASSERT_MESSAGE(isOk(allowances) ? "" : joined(errorOf(allowances).faults),
+                           isOk(allowances));
+    ApplyList change;
+    change.plans = valueOf(plans);
+    const auto withPlans = listsWith({}, change);
+    CPPUNIT_ASSERT(isOk(withPlans));
+    change.kind = ListKind::Allowances;
+    change.allowances = valueOf(allowances);
+    const auto withBoth = listsWith(valueOf(withPlans), change);
+    CPPUNIT_ASSERT(isOk(withBoth));
+    return valueOf(withBoth);
+}
+
+std::set<std::string> servicesOf(const Lists &lists)
+{
+    std::set<std::string> services;
+    for (const auto &[id, plan] : lists.plans) {
+        services.insert(plan.service);
+    }
+    return services;
+}
+
+} // namespace
+
+/// Runs from the root of the repository, as Utilities/test does.
+class ExamplesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExamplesTest);
+    CPPUNIT_TEST(settings);
+    CPPUNIT_TEST(lists);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against examples that serve would refuse.
+    void settings()
+    {
+        for (const auto &[deployment, zoneCount] :
+             std::map<std::string, std::size_t>{{"chamdakam", 3}, {"saddlepoint", 4}}) {
+            section(deployment, [&deployment = deployment, &zoneCount = zoneCount] {
+                const Settings found = settingsOf(deployment);
+                std::set<std::string> zones;
+                std::set<std::string> voterZones;
+                for (const PeerSettings &peer : found.peers) {
+                    zones.insert(peer.availabilityZone);
+                    if (peer.voter) {
+                        voterZones.insert(peer.availabilityZone);
+                    }
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t(6), found.peers.size());
+                CPPUNIT_ASSERT_EQUAL(zoneCount, zones.size());
+                CPPUNIT_ASSERT_EQUAL(std::size_t(3), voterZones.size());
+            });
+        }
+        section("the weights are those of the deployments", [&] {
+            const WeightSettings chamdakam = settingsOf("chamdakam").weights;
+            CPPUNIT_ASSERT(chamdakam.buffer > chamdakam.moves);
+            CPPUNIT_ASSERT(chamdakam.shortWait > chamdakam.rollOutTime);
+            const WeightSettings saddlepoint = settingsOf("saddlepoint").weights;
+            CPPUNIT_ASSERT(saddlepoint.moves > saddlepoint.buffer);
+            CPPUNIT_ASSERT(saddlepoint.rollOutTime > saddlepoint.shortWait);
+        });
+    }
+
+    /// Guards against example lists that the replicated rules refuse, or plans without allowance.
+    void lists()
+    {
+        const Lists chamdakam = listsOf("chamdakam");
+        CPPUNIT_ASSERT((servicesOf(chamdakam)
+                        == std::set<std::string>{"pricing", "stock", "pickup", "dues", "counter"}));
+        const Lists saddlepoint = listsOf("saddlepoint");
+        CPPUNIT_ASSERT((servicesOf(saddlepoint)
+                        == std::set<std::string>{"booking", "fit-records", "payments", "studio",
+                                                 "riders"}));
+        for (const Lists &found : {chamdakam, saddlepoint}) {
+            CPPUNIT_ASSERT_EQUAL(found.plans.size(), found.allowances.size());
+            // A pool has about 10 instances: a budget that leaves no drain would stop every wave.
+            for (const auto &[id, plan] : found.plans) {
+                CPPUNIT_ASSERT(plan.minHealthyInstances + plan.maxUnavailableInstances <= 10);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExamplesTest);
