Http: Serve the administration API

Cause: operators change lists and waves through any entry instance, and a lost answer must neither run a change twice nor be told as not run.

Ruled out: resolving a wave's selection anew for a resend (another fleet gives another command, which the change id refuses), and reading a body before the credential is checked.

Change: OperatorApi without transport, OperatorServer on POCO Net, OperatorCredentials, views, and a fake log for tests.

--- /dev/null
+++ b/Source/Adapters/Http/OperatorAuthentication.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Model/Result.h"
+
+namespace dandelionloom {
+
+/// Faults of a credential file, one a line. They never repeat a credential.
+struct CredentialFileError
+{
+    std::vector<std::string> faults;
+};
+
+/// Names and credentials of the operators.
+class OperatorCredentials
+{
+public:
+    /// Reads lines "name credential"; empty lines and lines that start with '#' are skipped.
+    static Result<OperatorCredentials, CredentialFileError> read(const std::string &path);
+    static Result<OperatorCredentials, CredentialFileError> parse(const std::string &text,
+                                                                  const std::string &file);
+
+    /// The operator that an `Authorization: Bearer <credential>` header belongs to. The time taken
+    /// depends on the header's length and the number of operators only.
+    std::optional<std::string> operatorOf(const std::string &authorization) const;
+
+private:
+    struct Entry
+    {
+        std::string name;
+        std::string credential;
+    };
+    std::vector<Entry> m_entries;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/OperatorViews.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Adapters/Http/OperatorApi.h"
+#include "Model/Fleet.h"
+
+namespace dandelionloom {
+
+// JSON documents that the administration API shows.
+
+std::string plansView(const Lists &lists);
+std::string allowancesView(const Lists &lists);
+std::string historyView(const std::vector<ListChange> &history);
+std::string instancesView(const std::vector<InstanceRecord> &instances);
+std::string endpointsView(const std::vector<EndpointRecord> &endpoints, SteadyTimeMs now);
+
+using ExplainWave = std::function<std::vector<WaveExplanation>(const std::string &wave)>;
+std::string wavesView(const std::map<std::string, Wave> &waves, const ExplainWave &explain);
+std::string waveView(const Wave &wave, const ExplainWave &explain);
+
+/// `replicas` is an error if the leader could not be asked; the rest is shown all the same.
+std::string statusView(const std::string &instanceName, const LogStatus &status, const Lists &lists,
+                       const Result<std::vector<ReplicaProgress>, LogError> &replicas);
+
+/// Instances that match all of the filters pool, rack and availability_zone that are present.
+std::vector<InstanceRecord> matchingInstances(const Fleet &fleet,
+                                              const std::map<std::string, std::string> &filters);
+
+} // namespace dandelionloom
--- a/Source/Adapters/Settings/Settings.cpp
+++ b/Source/Adapters/Settings/Settings.cpp
@@ -9,6 +9,7 @@
 
 #include "Adapters/Settings/SettingsChecks.h"
 #include "Adapters/Settings/TableReader.h"
+#include "Adapters/Settings/TextChecks.h"
 
 namespace dandelionloom {
 
--- a/Source/Adapters/Settings/TableReader.cpp
+++ b/Source/Adapters/Settings/TableReader.cpp
@@ -1,38 +1,18 @@
 #include "Adapters/Settings/TableReader.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <charconv>
 #include <cmath>
-#include <numeric>
 #include <sstream>
 
+#include "Adapters/Settings/TextChecks.h"
+
 namespace dandelionloom {
 
 namespace {
 
-constexpr std::size_t longestName = 128;
-
 /// Longest part of a found value that a message repeats.
 constexpr std::size_t shownValueLength = 64;
 
-std::size_t editDistance(const std::string &left, const std::string &right)
-{
-    std::vector<std::size_t> row(right.size() + 1);
-    std::iota(row.begin(), row.end(), std::size_t(0));
-    for (std::size_t i = 0; i < left.size(); ++i) {
-        std::size_t diagonal = row[0];
-        row[0] = i + 1;
-        for (std::size_t j = 0; j < right.size(); ++j) {
-            const std::size_t replaced = diagonal + (left[i] == right[j] ? 0 : 1);
-            diagonal = row[j + 1];
-            row[j + 1] = std::min({replaced, row[j] + 1, row[j + 1] + 1});
-        }
-    }
-    return row.back();
-}
-
 std::string joined(const std::vector<std::string> &words)
 {
     std::string text;
@@ -51,52 +31,6 @@
 
 } // namespace
 
-std::string nearestWord(const std::string &word, const std::vector<std::string> &known)
-{
-    std::string nearest;
-    std::size_t smallest = std::max<std::size_t>(2, word.size() / 3) + 1;
-    for (const std::string &candidate : known) {
-        const std::size_t distance = editDistance(word, candidate);
-        if (distance < smallest) {
-            smallest = distance;
-            nearest = candidate;
-        }
-    }
-    return nearest;
-}
-
-bool isAddress(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || colon + 1 == text.size()) {
-        return false;
-    }
-    unsigned port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end || port < 1 || port > 65535) {
-        return false;
-    }
-    std::string host = text.substr(0, colon);
-    in6_addr binary = {};
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-        return inet_pton(AF_INET6, host.c_str(), &binary) == 1;
-    }
-    return inet_pton(AF_INET, host.c_str(), &binary) == 1;
-}
-
-bool isEntryName(const std::string &text)
-{
-    return !text.empty() && text.size() <= longestName
-            && std::all_of(text.begin(), text.end(), [](char character) {
-                   return (character >= 'a' && character <= 'z')
-                           || (character >= 'A' && character <= 'Z')
-                           || (character >= '0' && character <= '9') || character == '-'
-                           || character == '_' || character == '.';
-               });
-}
-
 FaultList::FaultList(std::string file) : m_file(std::move(file)) { }
 
 void FaultList::add(std::uint32_t line, const std::string &message)
