Peers: Add the HTTP/2 transport between entry instances

Cause: consensus, feed and endpoint traffic need a PeerTransport. Ruled out: one thread a connection (46 instances make 90 threads), and a connection a call (a handshake and a hello for each heartbeat). Change: nghttp2 sessions over non-blocking sockets, one epoll thread for inbound connections and one for calls. A call counts as sent from the moment its request is given to the HTTP/2 session, so NotSent never covers a message that may have left. Waiting calls fail with the next failed attempt to connect, which also paces callers that retry at once. A ping after half the silence limit separates a long poll from a cut.

--- /dev/null
+++ b/Source/Adapters/Peers/EventLoop.cpp
@@ -0,0 +1,194 @@
+#include "Adapters/Peers/EventLoop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <future>
+#include <system_error>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr EventLoop::WatchId wakeId = 0;
+constexpr int maxWaitMs = 60000;
+
+} // namespace
+
+EventLoop::EventLoop()
+    : m_epoll(::epoll_create1(EPOLL_CLOEXEC)), m_wake(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = wakeId;
+    if (m_epoll < 0 || m_wake < 0 || ::epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wake, &event) != 0) {
+        throw std::system_error(errno, std::generic_category(), "event loop");
+    }
+}
+
+EventLoop::~EventLoop()
+{
+    stop();
+    ::close(m_wake);
+    ::close(m_epoll);
+}
+
+void EventLoop::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void EventLoop::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    wake();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void EventLoop::post(Task task)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping) {
+            return;
+        }
+        m_posted.push_back(std::move(task));
+        if (m_posted.size() > 1) {
+            return;
+        }
+    }
+    wake();
+}
+
+void EventLoop::runAndWait(const Task &task)
+{
+    std::promise<void> finished;
+    post([&] {
+        task();
+        finished.set_value();
+    });
+    finished.get_future().wait();
+}
+
+EventLoop::TimerId EventLoop::startTimer(Milliseconds delay, Task task)
+{
+    const TimerId timer{steadyTimeNow() + std::max<std::int64_t>(delay.count(), 0), m_nextId++};
+    m_timers.emplace(timer, std::move(task));
+    return timer;
+}
+
+void EventLoop::cancelTimer(const TimerId &timer)
+{
+    m_timers.erase(timer);
+}
+
+EventLoop::WatchId EventLoop::watch(int descriptor, std::uint32_t events,
+                                    std::function<void(std::uint32_t)> callback)
+{
+    const WatchId id = m_nextId++;
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = id;
+    if (::epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event) != 0) {
+        throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+    }
+    m_watches.emplace(id, std::make_shared<Watch>(Watch{descriptor, std::move(callback)}));
+    return id;
+}
+
+void EventLoop::changeEvents(WatchId watch, std::uint32_t events)
+{
+    const auto found = m_watches.find(watch);
+    if (found == m_watches.end()) {
+        return;
+    }
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = watch;
+    ::epoll_ctl(m_epoll, EPOLL_CTL_MOD, found->second->descriptor, &event);
+}
+
+void EventLoop::unwatch(WatchId watch)
+{
+    const auto found = m_watches.find(watch);
+    if (found == m_watches.end()) {
+        return;
+    }
+    ::epoll_ctl(m_epoll, EPOLL_CTL_DEL, found->second->descriptor, nullptr);
+    m_watches.erase(found);
+}
+
+void EventLoop::run()
+{
+    std::array<epoll_event, 64> events{};
+    for (;;) {
+        const int count = ::epoll_wait(m_epoll, events.data(), events.size(), waitMs());
+        for (int index = 0; index < count; ++index) {
+            const epoll_event &event = events[static_cast<std::size_t>(index)];
+            if (event.data.u64 == wakeId) {
+                std::uint64_t ignored = 0;
+                (void)!::read(m_wake, &ignored, sizeof ignored);
+                continue;
+            }
+            const auto found = m_watches.find(event.data.u64);
+            if (found != m_watches.end()) {
+                const std::shared_ptr<Watch> watch = found->second;
+                watch->callback(event.events);
+            }
+        }
+        runPosted();
+        runTimers();
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping && m_posted.empty()) {
+            return;
+        }
+    }
+}
+
+void EventLoop::runPosted()
+{
+    std::vector<Task> tasks;
+    {
+        const std::lock_guard lock(m_mutex);
+        tasks.swap(m_posted);
+    }
+    for (Task &task : tasks) {
+        task();
+    }
+}
+
+void EventLoop::runTimers()
+{
+    const SteadyTimeMs now = steadyTimeNow();
+    while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
+        const Task task = std::move(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        task();
+    }
+}
+
+int EventLoop::waitMs() const
+{
+    if (m_timers.empty()) {
+        return maxWaitMs;
+    }
+    const SteadyTimeMs left = m_timers.begin()->first.first - steadyTimeNow();
+    return static_cast<int>(std::clamp<SteadyTimeMs>(left, 0, maxWaitMs));
+}
+
+void EventLoop::wake() const
+{
+    const std::uint64_t one = 1;
+    (void)!::write(m_wake, &one, sizeof one);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Peers/EventLoop.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "Model/Time.h"
+
+namespace dandelionloom {
+
+/// One thread over epoll with timers and posted tasks. All but post(), runAndWait() and stop() may
+/// be called on the loop's own thread only.
+class EventLoop
+{
+public:
+    using Task = std::function<void()>;
+    using WatchId = std::uint64_t;
+    using TimerId = std::pair<SteadyTimeMs, std::uint64_t>;
+
+    /// Throws std::system_error if the system gives no descriptors.
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    void start();
+    /// Runs the tasks posted so far, then joins the thread. Later tasks are dropped.
+    void stop();
+
+    void post(Task task);
+    /// Posts a task and waits until it has run. Not from the loop's thread.
+    void runAndWait(const Task &task);
+
+    TimerId startTimer(Milliseconds delay, Task task);
+    void cancelTimer(const TimerId &timer);
+
+    WatchId watch(int descriptor, std::uint32_t events,
+                  std::function<void(std::uint32_t)> callback);
+    void changeEvents(WatchId watch, std::uint32_t events);
+    void unwatch(WatchId watch);
+
+private:
+    struct Watch
+    {
+        int descriptor = -1;
+        std::function<void(std::uint32_t)> callback;
+    };
+
+    void run();
+    void runPosted();
+    void runTimers();
+    int waitMs() const;
+    void wake() const;
+
+    int m_epoll = -1;
+    int m_wake = -1;
+    std::thread m_thread;
+    std::mutex m_mutex;
+    std::vector<Task> m_posted;
+    bool m_stopping = false;
+
+    std::map<TimerId, Task> m_timers;
+    /// By id and not by descriptor: a descriptor closed and reused within one round of events must
+    /// not get the events of its predecessor.
+    std::map<WatchId, std::shared_ptr<Watch>> m_watches;
+    std::uint64_t m_nextId = 1;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Peers/Http2Connection.cpp
@@ -0,0 +1,287 @@
+#include "Adapters/Peers/Http2Connection.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr std::size_t readBytes = 64U << 10U;
+/// Reads of one connection in a row, so that one busy peer doesn't hold up the others.
+constexpr int readsInRow = 4;
+/// Small, so that a heartbeat waits behind few bytes of a snapshot chunk.
+constexpr std::size_t outputBytes = 64U << 10U;
+constexpr std::uint32_t streamWindowBytes = 1U << 20U;
+constexpr std::int32_t connectionWindowBytes = 8 << 20;
+
+std::string errorText(int number)
+{
+    return std::strerror(number);
+}
+
+} // namespace
+
+Http2Connection::Http2Connection(EventLoop &loop, int descriptor, Http2Role role,
+                                 const Http2Limits &limits, Http2Events events)
+    : m_loop(loop), m_descriptor(descriptor), m_role(role), m_limits(limits),
+      m_events(std::move(events)), m_lastReceivedAt(steadyTimeNow())
+{
+    createSession(role);
+}
+
+Http2Connection::~Http2Connection()
+{
+    if (!m_closed) {
+        m_loop.unwatch(m_watch);
+        ::close(m_descriptor);
+    }
+}
+
+void Http2Connection::createSession(Http2Role role)
+{
+    nghttp2_session_callbacks *callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    setCallbacks(callbacks);
+    nghttp2_session *session = nullptr;
+    if (role == Http2Role::Client) {
+        nghttp2_session_client_new(&session, callbacks, this);
+    } else {
+        nghttp2_session_server_new(&session, callbacks, this);
+    }
+    nghttp2_session_callbacks_del(callbacks);
+    m_session.reset(session);
+
+    const std::array<nghttp2_settings_entry, 4> settings{
+            {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_limits.maxStreams},
+             {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindowBytes},
+             {NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE,
+              static_cast<std::uint32_t>(m_limits.maxHeaderBytes)},
+             {NGHTTP2_SETTINGS_ENABLE_PUSH, 0}}};
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
+}
+
+void Http2Connection::open()
+{
+    const std::weak_ptr<Http2Connection> weak = weak_from_this();
+    m_watch = m_loop.watch(m_descriptor, EPOLLIN, [weak](std::uint32_t events) {
+        if (const std::shared_ptr<Http2Connection> self = weak.lock()) {
+            self->onEvents(events);
+        }
+    });
+    run();
+}
+
+std::int32_t Http2Connection::request(std::string body)
+{
+    if (m_closed) {
+        return NGHTTP2_ERR_INVALID_STATE;
+    }
+    const auto field = [](const char *name, const char *value) {
+        return nghttp2_nv{reinterpret_cast<std::uint8_t *>(const_cast<char *>(name)),
+                          reinterpret_cast<std::uint8_t *>(const_cast<char *>(value)),
+                          std::strlen(name), std::strlen(value),
+                          NGHTTP2_NV_FLAG_NO_COPY_NAME | NGHTTP2_NV_FLAG_NO_COPY_VALUE};
+    };
+    const std::array<nghttp2_nv, 4> fields{field(":method", "POST"), field(":scheme", "http"),
+                                           field(":path", "/"), field(":authority", "peer")};
+    const nghttp2_data_provider provider = bodyProvider();
+    const std::int32_t stream = nghttp2_submit_request(m_session.get(), nullptr, fields.data(),
+                                                       fields.size(), &provider, nullptr);
+    if (stream < 0) {
+        return stream;
+    }
+    m_streams[stream].outbound = std::move(body);
+    m_again = true;
+    run();
+    return stream;
+}
+
+void Http2Connection::respond(std::int32_t stream, std::string body)
+{
+    const auto found = m_streams.find(stream);
+    if (m_closed || found == m_streams.end()) {
+        return;
+    }
+    found->second.outbound = std::move(body);
+    static const std::string name = ":status";
+    static const std::string value = "200";
+    const nghttp2_nv status{reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
+                            reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data())),
+                            name.size(), value.size(),
+                            NGHTTP2_NV_FLAG_NO_COPY_NAME | NGHTTP2_NV_FLAG_NO_COPY_VALUE};
+    const nghttp2_data_provider provider = bodyProvider();
+    nghttp2_submit_response(m_session.get(), stream, &status, 1, &provider);
+    m_again = true;
+    run();
+}
+
+void Http2Connection::resetStream(std::int32_t stream)
+{
+    if (m_closed) {
+        return;
+    }
+    nghttp2_submit_rst_stream(m_session.get(), NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+    m_again = true;
+    run();
+}
+
+void Http2Connection::ping()
+{
+    if (m_closed) {
+        return;
+    }
+    nghttp2_submit_ping(m_session.get(), NGHTTP2_FLAG_NONE, nullptr);
+    m_again = true;
+    run();
+}
+
+void Http2Connection::terminate()
+{
+    if (m_closed) {
+        return;
+    }
+    nghttp2_session_terminate_session(m_session.get(), NGHTTP2_NO_ERROR);
+    m_again = true;
+    run();
+}
+
+void Http2Connection::close(const std::string &reason)
+{
+    if (m_closed) {
+        return;
+    }
+    const std::shared_ptr<Http2Connection> self = shared_from_this();
+    m_closed = true;
+    m_loop.unwatch(m_watch);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+    m_events.closed(reason);
+}
+
+void Http2Connection::onEvents(std::uint32_t events)
+{
+    const std::shared_ptr<Http2Connection> self = shared_from_this();
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !readSome()) {
+        return;
+    }
+    m_again = true;
+    run();
+}
+
+bool Http2Connection::readSome()
+{
+    std::array<std::uint8_t, readBytes> buffer;
+    for (int round = 0; round < readsInRow; ++round) {
+        const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return true;
+        }
+        if (count <= 0) {
+            const std::string reason = count == 0 ? "closed by the peer" : errorText(errno);
+            deliver();
+            close(reason);
+            return false;
+        }
+        m_lastReceivedAt = steadyTimeNow();
+        m_events.bytes(static_cast<std::size_t>(count), 0);
+        const ssize_t used = nghttp2_session_mem_recv(m_session.get(), buffer.data(),
+                                                      static_cast<std::size_t>(count));
+        if (used < 0) {
+            close(m_fault.empty() ? nghttp2_strerror(static_cast<int>(used)) : m_fault);
+            return false;
+        }
+        if (static_cast<std::size_t>(count) < buffer.size()) {
+            return true;
+        }
+    }
+    return true;
+}
+
+bool Http2Connection::writeSome()
+{
+    for (;;) {
+        while (m_output.size() < outputBytes) {
+            const std::uint8_t *data = nullptr;
+            const ssize_t length = nghttp2_session_mem_send(m_session.get(), &data);
+            if (length < 0) {
+                m_fault = nghttp2_strerror(static_cast<int>(length));
+                return false;
+            }
+            if (length == 0) {
+                break;
+            }
+            m_output.append(reinterpret_cast<const char *>(data), static_cast<std::size_t>(length));
+        }
+        if (m_output.empty()) {
+            return true;
+        }
+        const ssize_t sent = ::send(m_descriptor, m_output.data(), m_output.size(), MSG_NOSIGNAL);
+        if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return true;
+        }
+        if (sent < 0) {
+            m_fault = errorText(errno);
+            return false;
+        }
+        m_events.bytes(0, static_cast<std::size_t>(sent));
+        m_output.erase(0, static_cast<std::size_t>(sent));
+    }
+}
+
+void Http2Connection::run()
+{
+    if (m_running || m_closed) {
+        return;
+    }
+    const std::shared_ptr<Http2Connection> self = shared_from_this();
+    m_running = true;
+    do {
+        m_again = false;
+        if (!writeSome()) {
+            deliver();
+            close(m_fault);
+            break;
+        }
+        deliver();
+        if (!m_closed && m_output.empty() && m_waitsForRoom) {
+            m_events.drained();
+        }
+    } while (m_again && !m_closed);
+    m_running = false;
+    if (m_closed) {
+        return;
+    }
+    if (m_output.empty() && nghttp2_session_want_read(m_session.get()) == 0
+        && nghttp2_session_want_write(m_session.get()) == 0) {
+        close(m_fault.empty() ? "ended" : m_fault);
+        return;
+    }
+    if (m_waitsForRoom != !m_output.empty()) {
+        m_waitsForRoom = !m_output.empty();
+        m_loop.changeEvents(m_watch, m_waitsForRoom ? EPOLLIN | EPOLLOUT : EPOLLIN);
+    }
+}
+
+void Http2Connection::deliver()
+{
+    while (!m_closed && !m_messages.empty()) {
+        std::pair<std::int32_t, std::string> message = std::move(m_messages.front());
+        m_messages.pop_front();
+        m_events.message(message.first, std::move(message.second));
+    }
+    while (!m_closed && !m_endedStreams.empty()) {
+        const std::int32_t stream = m_endedStreams.front();
+        m_endedStreams.pop_front();
+        m_events.streamEnded(stream);
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Peers/Http2PeerTransport.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Adapters/Peers/PeerClient.h"
+#include "Adapters/Peers/PeerOptions.h"
+#include "Adapters/Peers/PeerServer.h"
+#include "Adapters/Peers/PeerTraffic.h"
+#include "Model/Result.h"
+#include "Ports/DecisionLog.h"
+#include "Ports/MetricSink.h"
+#include "Ports/PeerTransport.h"
+
+namespace dandelionloom {
+
+struct PeerSetupError
+{
+    std::string message;
+};
+
+/// The PeerTransport over HTTP/2 with prior knowledge. One thread serves inbound connections and
+/// runs the handlers, another carries the calls and runs their replies.
+class Http2PeerTransport : public PeerTransport
+{
+public:
+    /// `listenAddress` is an IP number and port; port 0 takes a free one. An entry of `peers` with
+    /// the own name is ignored.
+    Http2PeerTransport(PeerIdentity self, std::string listenAddress, std::vector<PeerAddress> peers,
+                       PeerTransportOptions options, DecisionLog &log, MetricSink &metrics);
+    ~Http2PeerTransport() override;
+
+    /// Validates the settings, listens and starts the threads.
+    Result<Done, PeerSetupError> start();
+    /// Port that is listened on, after start().
+    std::uint16_t port() const { return m_port; }
+
+    void setHandler(PeerMessageKind kind, Handler handler) override;
+    void call(const std::string &peer, PeerMessageKind kind, std::string body, Milliseconds timeout,
+              Reply reply) override;
+
+    /// Closes all connections and answers all calls. After it no handler runs, and calls are
+    /// answered as not sent. Not from a thread of the transport. The destructor calls it.
+    void stop();
+
+private:
+    std::string settingsFault() const;
+
+    const PeerIdentity m_self;
+    const std::string m_listenAddress;
+    const std::vector<PeerAddress> m_peers;
+    const PeerTransportOptions m_options;
+    DecisionLog &m_log;
+    PeerTraffic m_traffic;
+    PeerServer::Handlers m_handlers;
+    std::shared_ptr<EventLoop> m_serverLoop;
+    std::shared_ptr<EventLoop> m_clientLoop;
+    std::unique_ptr<PeerServer> m_server;
+    std::map<std::string, std::unique_ptr<PeerClient>> m_clients;
+    std::uint16_t m_port = 0;
+    bool m_started = false;
+    bool m_stopped = false;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Tests/Peers/PeerTransportTest.cpp
@@ -0,0 +1,371 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <thread>
+
+#include "Adapters/Peers/PeerEnvelope.h"
+#include "Peers/PeerSupport.h"
+#include "Support/Section.h"
+
+using namespace dandelionloom;
+using namespace dandelionloom::test;
+
+namespace {
+
+const PeerTransport::Handler echo = [](const std::string &from, std::string body,
+                                       const PeerTransport::Reply &reply) {
+    reply(from + ":" + body);
+};
+
+PeerTransportOptions quickOptions()
+{
+    PeerTransportOptions options;
+    options.backOffMin = Milliseconds(5);
+    options.backOffMax = Milliseconds(40);
+    options.helloTimeout = Milliseconds(300);
+    options.silenceLimit = Milliseconds(200);
+    return options;
+}
+
+void assertStarted(PeerNode &node)
+{
+    const Result<Done, PeerSetupError> started = node.transport.start();
+    CPPUNIT_ASSERT_MESSAGE(isOk(started) ? "" : errorOf(started).message, isOk(started));
+}
+
+void assertError(PeerErrorKind kind, const PeerResult &result)
+{
+    CPPUNIT_ASSERT(!isOk(result));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(errorOf(result).message,
+                                 std::string(peerErrorKindNames.name(kind)),
+                                 std::string(peerErrorKindNames.name(errorOf(result).kind)));
+}
+
+} // namespace
+
+class PeerTransportTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerTransportTest);
+    CPPUNIT_TEST(callsAreAnsweredOnce);
+    CPPUNIT_TEST(largeMessagesPass);
+    CPPUNIT_TEST(strangersAreRefused);
+    CPPUNIT_TEST(deadPeerIsNotSent);
+    CPPUNIT_TEST(restartedPeerIsReachedAgain);
+    CPPUNIT_TEST(reconnectsDoNotStorm);
+    CPPUNIT_TEST(silentPeerIsNoticed);
+    CPPUNIT_TEST(longPollOutlivesTheSilenceLimit);
+    CPPUNIT_TEST(stopAnswersAllCalls);
+    CPPUNIT_TEST(settingsAreValidated);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against lost, doubled and mixed-up replies when many calls share a connection.
+    void callsAreAnsweredOnce()
+    {
+        PeerNode server("b");
+        server.transport.setHandler(PeerMessageKind::Vote, echo);
+        assertStarted(server);
+        PeerNode client("a", {{"b", "zone-1", server.address()}});
+        assertStarted(client);
+
+        section("many concurrent calls, more than the stream limit", [&] {
+            constexpr int calls = 1000;
+            Signal signal;
+            std::map<int, int> replies;
+            int wrong = 0;
+            for (int index = 0; index < calls; ++index) {
+                const std::string body = std::to_string(index);
+                client.transport.call(
+                        "b", PeerMessageKind::Vote, body, Milliseconds(10000),
+                        [&, index, body](const PeerResult &result) {
+                            signal.change([&] {
+                                ++replies[index];
+                                wrong += isOk(result) && valueOf(result) == "a:" + body ? 0 : 1;
+                            });
+                        });
+            }
+            CPPUNIT_ASSERT(signal.waitFor([&] { return replies.size() == calls; }));
+            CPPUNIT_ASSERT_EQUAL(0, wrong);
+            for (const auto &[index, count] : replies) {
+                CPPUNIT_ASSERT_EQUAL(1, count);
+            }
+        });
+        section("messages are counted by kind on both sides", [&] {
+            const std::string name = "dandelionloom_peer_messages_total";
+            const std::string vote = "kind=\"vote\"}";
+            CPPUNIT_ASSERT_EQUAL(1000.0,
+                                 client.metrics.value(name + "{direction=\"sent\"," + vote));
+            CPPUNIT_ASSERT_EQUAL(1000.0,
+                                 client.metrics.value(name + "{direction=\"received\"," + vote));
+            CPPUNIT_ASSERT_EQUAL(1000.0,
+                                 server.metrics.value(name + "{direction=\"received\"," + vote));
+            CPPUNIT_ASSERT(
+                    client.metrics.value("dandelionloom_peer_wire_bytes_total{direction=\"sent\"}")
+                    > 1000);
+        });
+        section("a message without handler and an unknown peer", [&] {
+            assertError(PeerErrorKind::Refused, client.call("b", PeerMessageKind::Append, "x"));
+            assertError(PeerErrorKind::NotSent, client.call("c", PeerMessageKind::Vote, "x"));
+        });
+        section("a handler that replies twice, and one that throws", [&] {
+            PeerNode other("c");
+            other.transport.setHandler(PeerMessageKind::Vote,
+                                       [](const std::string &, const std::string &,
+                                          const PeerTransport::Reply &reply) {
+                                           reply(std::string("first"));
+                                           reply(std::string("second"));
+                                       });
+            other.transport.setHandler(
+                    PeerMessageKind::Feed,
+                    [](const std::string &, const std::string &, const PeerTransport::Reply &) {
+                        throw std::runtime_error("broken");
+                    });
+            assertStarted(other);
+            PeerNode caller("a", {{"c", "zone-1", other.address()}});
+            assertStarted(caller);
+            CPPUNIT_ASSERT_EQUAL(std::string("first"),
+                                 valueOf(caller.call("c", PeerMessageKind::Vote, "")));
+            assertError(PeerErrorKind::NoAnswer, caller.call("c", PeerMessageKind::Feed, ""));
+        });
+    }
+
+    /// Guards against flow control that stalls, and against messages past the limit.
+    void largeMessagesPass()
+    {
+        PeerNode server("b");
+        server.transport.setHandler(PeerMessageKind::SnapshotChunk, echo);
+        assertStarted(server);
+        PeerNode client("a", {{"b", "zone-1", server.address()}});
+        assertStarted(client);
+        const std::size_t limit = PeerTransportOptions().maxMessageBytes;
+        const std::string body(limit - 2, 'x');
+        const PeerResult answer = client.call("b", PeerMessageKind::SnapshotChunk, body);
+        CPPUNIT_ASSERT(isOk(answer));
+        CPPUNIT_ASSERT(valueOf(answer) == "a:" + body);
+        assertError(PeerErrorKind::NotSent,
+                    client.call("b", PeerMessageKind::SnapshotChunk, std::string(limit + 1, 'x')));
+        assertError(PeerErrorKind::NoAnswer,
+                    client.call("b", PeerMessageKind::SnapshotChunk, std::string(limit, 'x')));
+    }
+
+    /// Guards against taking messages of another cluster, and against a credential in a log.
+    void strangersAreRefused()
+    {
+        const auto refused = [](PeerIdentity identity, const std::string &expected,
+                                const std::string &found) {
+            PeerNode server("b");
+            std::atomic<int> handled = 0;
+            server.transport.setHandler(PeerMessageKind::Vote,
+                                        [&](const std::string &, const std::string &,
+                                            const PeerTransport::Reply &reply) {
+                                            ++handled;
+                                            reply(std::string());
+                                        });
+            assertStarted(server);
+            PeerNode client("a", {{"b", "zone-1", server.address()}}, {}, std::move(identity));
+            assertStarted(client);
+            assertError(PeerErrorKind::Refused, client.call("b", PeerMessageKind::Vote, "x"));
+            for (PeerNode *node : {&server, &client}) {
+                CPPUNIT_ASSERT(node->log.waitForLine("refused: "));
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), node->log.count(expected));
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), node->log.count(found));
+                CPPUNIT_ASSERT_EQUAL(std::size_t(0), node->log.count("secret"));
+            }
+            CPPUNIT_ASSERT_EQUAL(0, handled.load());
+        };
+        section("another cluster", [&] {
+            PeerIdentity identity;
+            identity.clusterId = "cluster-2";
+            refused(identity, "expected cluster \"cluster-1\"", "found \"cluster-2\"");
+        });
+        section("another group", [&] {
+            PeerIdentity identity;
+            identity.group = "region-2";
+            refused(identity, "expected group \"region-1\"", "found \"region-2\"");
+        });
+        section("another credential", [&] {
+            PeerIdentity identity;
+            identity.credential = "secret-2";
+            refused(identity, "expected the peer credential", "found another one");
+        });
+        section("an unknown protocol version", [&] {
+            PeerHello hello = helloOf(PeerNode::completed({}, "a"));
+            hello.version = 2;
+            const std::optional<std::string> refusal =
+                    refusalOf(hello, PeerNode::completed({}, "b"));
+            CPPUNIT_ASSERT_EQUAL(std::string("expected protocol version \"1\", found \"2\""),
+                                 refusal.value_or(""));
+        });
+        section("another peer behind the address", [&] {
+            PeerNode server("c");
+            assertStarted(server);
+            PeerNode client("a", {{"b", "zone-1", server.address()}});
+            assertStarted(client);
+            assertError(PeerErrorKind::Refused, client.call("b", PeerMessageKind::Vote, "x"));
+            CPPUNIT_ASSERT(client.log.waitForLine("expected \"b\" of cluster \"cluster-1\", found "
+                                                  "\"c\" of cluster \"cluster-1\""));
+        });
+    }
+
+    /// Guards against a call to a dead peer that reads as perhaps received.
+    void deadPeerIsNotSent()
+    {
+        std::string address;
+        {
+            PeerNode gone("b");
+            assertStarted(gone);
+            address = gone.address();
+        }
+        PeerNode client("a", {{"b", "zone-1", address}}, quickOptions());
+        assertStarted(client);
+        assertError(PeerErrorKind::NotSent, client.call("b", PeerMessageKind::Vote, "x"));
+        assertError(PeerErrorKind::NotSent, client.call("b", PeerMessageKind::Vote, "x"));
+    }
+
+    /// Guards against a transport that never returns to a peer that was away.
+    void restartedPeerIsReachedAgain()
+    {
+        auto server = std::make_unique<PeerNode>("b");
+        server->transport.setHandler(PeerMessageKind::Vote, echo);
+        assertStarted(*server);
+        const std::string address = server->address();
+        PeerNode client("a", {{"b", "zone-1", address}}, quickOptions());
+        assertStarted(client);
+        CPPUNIT_ASSERT(isOk(client.call("b", PeerMessageKind::Vote, "1")));
+        server.reset();
+        CPPUNIT_ASSERT(!isOk(client.call("b", PeerMessageKind::Vote, "2", Milliseconds(300))));
+        server = std::make_unique<PeerNode>("b", std::vector<PeerAddress>{}, PeerTransportOptions{},
+                                            PeerIdentity{}, address);
+        server->transport.setHandler(PeerMessageKind::Vote, echo);
+        assertStarted(*server);
+        PeerResult result = PeerError{};
+        for (int attempt = 0; attempt < 20 && !isOk(result); ++attempt) {
+            result = client.call("b", PeerMessageKind::Vote, "3", Milliseconds(300));
+        }
+        CPPUNIT_ASSERT(isOk(result));
+    }
+
+    /// Guards against attempts to connect without pause when the other side closes at once.
+    void reconnectsDoNotStorm()
+    {
+        // The port of the relay's target is closed, so each connection ends right after it began.
+        std::uint16_t closedPort = 0;
+        {
+            PeerNode gone("b");
+            assertStarted(gone);
+            closedPort = gone.transport.port();
+        }
+        ByteRelay relay(closedPort);
+        PeerTransportOptions options = quickOptions();
+        options.backOffMin = Milliseconds(20);
+        options.backOffMax = Milliseconds(160);
+        PeerNode client("a", {{"b", "zone-1", relay.address()}}, options);
+        assertStarted(client);
+        const SteadyTimeMs start = steadyTimeNow();
+        while (steadyTimeNow() - start < 1000) {
+            assertError(PeerErrorKind::NotSent, client.call("b", PeerMessageKind::Vote, "x"));
+        }
+        // The pauses are at least 10, 20, 40 and from then on 80 ms: at most 16 attempts in 1 s.
+        CPPUNIT_ASSERT(relay.accepted() >= 3);
+        CPPUNIT_ASSERT(relay.accepted() <= 16);
+    }
+
+    /// Guards against a one-way cut: the connection stays open, but nothing returns.
+    void silentPeerIsNoticed()
+    {
+        PeerNode server("b");
+        server.transport.setHandler(PeerMessageKind::Vote, echo);
+        assertStarted(server);
+        ByteRelay relay(server.transport.port());
+        PeerNode client("a", {{"b", "zone-1", relay.address()}}, quickOptions());
+        assertStarted(client);
+        CPPUNIT_ASSERT(isOk(client.call("b", PeerMessageKind::Vote, "1")));
+        relay.holdAnswers(true);
+        section("a call is answered by its timeout", [&] {
+            const SteadyTimeMs start = steadyTimeNow();
+            assertError(PeerErrorKind::NoAnswer,
+                        client.call("b", PeerMessageKind::Vote, "2", Milliseconds(60)));
+            CPPUNIT_ASSERT(steadyTimeNow() - start >= 60);
+        });
+        section("a longer call is answered when the silent connection is closed", [&] {
+            assertError(PeerErrorKind::NoAnswer,
+                        client.call("b", PeerMessageKind::Vote, "3", Milliseconds(20000)));
+            CPPUNIT_ASSERT(client.log.waitForLine("no byte received for"));
+        });
+        section("after the cut a new connection carries calls", [&] {
+            relay.holdAnswers(false);
+            PeerResult result = PeerError{};
+            for (int attempt = 0; attempt < 20 && !isOk(result); ++attempt) {
+                result = client.call("b", PeerMessageKind::Vote, "4", Milliseconds(500));
+            }
+            CPPUNIT_ASSERT(isOk(result));
+            CPPUNIT_ASSERT(relay.accepted() >= 2);
+        });
+    }
+
+    /// Guards against closing a healthy connection whose only call waits for an event.
+    void longPollOutlivesTheSilenceLimit()
+    {
+        PeerNode server("b");
+        Signal signal;
+        PeerTransport::Reply held;
+        server.transport.setHandler(
+                PeerMessageKind::Feed,
+                [&](const std::string &, const std::string &, PeerTransport::Reply reply) {
+                    signal.change([&] { held = std::move(reply); });
+                });
+        assertStarted(server);
+        PeerNode client("a", {{"b", "zone-1", server.address()}}, quickOptions());
+        assertStarted(client);
+        const PeerResult silent = client.call("b", PeerMessageKind::Feed, "", Milliseconds(700));
+        assertError(PeerErrorKind::NoAnswer, silent);
+        CPPUNIT_ASSERT_EQUAL(std::string("timeout"), errorOf(silent).message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), client.log.count("lost"));
+    }
+
+    /// Guards against calls that wait forever when the process ends, and late replies of handlers.
+    void stopAnswersAllCalls()
+    {
+        auto server = std::make_unique<PeerNode>("b");
+        Signal signal;
+        PeerTransport::Reply held;
+        server->transport.setHandler(
+                PeerMessageKind::Feed,
+                [&](const std::string &, const std::string &, PeerTransport::Reply reply) {
+                    signal.change([&] { held = std::move(reply); });
+                });
+        assertStarted(*server);
+        PeerNode client("a", {{"b", "zone-1", server->address()}});
+        assertStarted(client);
+        std::vector<PeerResult> replies;
+        client.transport.call("b", PeerMessageKind::Feed, "", Milliseconds(60000),
+                              [&](PeerResult result) {
+                                  signal.change([&] { replies.push_back(std::move(result)); });
+                              });
+        CPPUNIT_ASSERT(signal.waitFor([&] { return held != nullptr; }));
+        client.transport.stop();
+        CPPUNIT_ASSERT(signal.waitFor([&] { return replies.size() == 1; }));
+        assertError(PeerErrorKind::NoAnswer, replies.front());
+        assertError(PeerErrorKind::NotSent, client.call("b", PeerMessageKind::Feed, ""));
+        server.reset();
+        held(std::string("late"));
+    }
+
+    /// Guards against a start with settings that can't work.
+    void settingsAreValidated()
+    {
+        PeerNode named("a", {{"b", "zone-1", "localhost:1"}});
+        const Result<Done, PeerSetupError> result = named.transport.start();
+        CPPUNIT_ASSERT(!isOk(result));
+        CPPUNIT_ASSERT_EQUAL(
+                std::string("expected an IP number and port for peer b, found \"localhost:1\""),
+                errorOf(result).message);
+        PeerNode first("a");
+        assertStarted(first);
+        PeerNode second("b", {}, {}, {}, first.address());
+        CPPUNIT_ASSERT(!isOk(second.transport.start()));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTransportTest);
