State: Settle a claim only for the request that made it

A gateway whose ClaimRequests command has no answer settles the claim as not run in the background. If the caller resends meanwhile and the same process gets the claim again, that late settlement frees the key of a request that is running, and the next resend would run it a second time.

Comparing gateway, incarnation and digest, as before, can't tell the two claims apart. Comparing the deadline was ruled out: two claims may share it. RequestClaim now carries the id of its request, appended to the record, and a settlement must name the same.

StateStoreTest::claims has a step for it; it fails without the comparison.

--- a/Source/Model/Claims.h
+++ b/Source/Model/Claims.h
@@ -32,10 +32,12 @@
     std::string contentType;
     std::string body;
     bool bodyKept = false;
+    /// Id of the request that made the claim. A settlement must name the same.
+    std::string requestId;
 
     bool operator==(const RequestClaim &) const = default;
     MSGPACK_DEFINE_ARRAY(plan, key, digest, gateway, gatewayIncarnation, claimedAtMs, deadlineAtMs,
-                         state, status, contentType, body, bodyKept)
+                         state, status, contentType, body, bodyKept, requestId)
 };
 
 /// What a claim of one request came to.
--- a/Source/State/StateStore.cpp
+++ b/Source/State/StateStore.cpp
@@ -283,12 +283,13 @@
     ClaimShard &shard = claimShard(name);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.claims.find(name);
-    // A claim is settled once, and only by the process that holds it: a late settlement of an
-    // earlier claim of the same key must not change the outcome of the present one.
+    // A claim is settled once, and only by the request that holds it: a late settlement of an
+    // earlier claim of the same key, even by the same process, must not change the outcome of the
+    // present one.
     if (found == shard.claims.end() || found->second.state != ClaimState::Claimed
         || found->second.gateway != settled.gateway
         || found->second.gatewayIncarnation != settled.gatewayIncarnation
-        || found->second.digest != settled.digest) {
+        || found->second.requestId != settled.requestId || found->second.digest != settled.digest) {
         return;
     }
     const std::int64_t claimedAtMs = found->second.claimedAtMs;
--- a/Tests/State/StateStoreTest.cpp
+++ b/Tests/State/StateStoreTest.cpp
@@ -183,6 +183,13 @@
             sequence.apply(SettleRequests{{settled}});
             CPPUNIT_ASSERT(sequence.store.claim("quotes", "k")->state == ClaimState::Claimed);
         });
+        section("a late settlement of an earlier request of the same process changes nothing", [&] {
+            RequestClaim settled = claim("k", "d", "entry-1");
+            settled.requestId = "earlier";
+            settled.state = ClaimState::NotRun;
+            sequence.apply(SettleRequests{{settled}});
+            CPPUNIT_ASSERT(sequence.store.claim("quotes", "k")->state == ClaimState::Claimed);
+        });
         section("not run frees the key; done does not", [&] {
             RequestClaim settled = claim("k", "d", "entry-1");
             settled.state = ClaimState::NotRun;
