--- /dev/null
+++ b/Source/Adapters/Http/ByteReader.cpp
@@ -0,0 +1,154 @@
+#include "Adapters/Http/ByteReader.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr int fillBytes = 16384;
+
+/// Length limit of a chunk size with extensions, and of one trailer field.
+constexpr std::size_t chunkLineLimit = 1024;
+constexpr int trailerLimit = 32;
+
+/// Chunk sizes up to 4 GiB: more digits could overflow a sum.
+constexpr std::size_t chunkSizeDigits = 8;
+
+ReadStatus readChunkSize(ByteReader &reader, std::size_t &size)
+{
+    std::string line;
+    const ReadStatus status = reader.readLine(line, chunkLineLimit);
+    if (status != ReadStatus::Ok) {
+        return status == ReadStatus::TooLong ? ReadStatus::Malformed : status;
+    }
+    const auto end = std::min(line.find(';'), line.size());
+    const char *last = line.data() + end;
+    const auto [rest, error] = std::from_chars(line.data(), last, size, 16);
+    const bool whole = error == std::errc() && rest == last && end <= chunkSizeDigits;
+    return whole ? ReadStatus::Ok : ReadStatus::Malformed;
+}
+
+ReadStatus skipTrailer(ByteReader &reader)
+{
+    std::string line;
+    for (int count = 0; count <= trailerLimit; ++count) {
+        const ReadStatus status = reader.readLine(line, chunkLineLimit);
+        if (status != ReadStatus::Ok) {
+            return status == ReadStatus::TooLong ? ReadStatus::Malformed : status;
+        }
+        if (line.empty()) {
+            return ReadStatus::Ok;
+        }
+    }
+    return ReadStatus::Malformed;
+}
+
+} // namespace
+
+ByteReader::ByteReader(Fill fill) : m_fill(std::move(fill)) { }
+
+ReadStatus ByteReader::fillBuffer()
+{
+    if (m_position == m_buffer.size()) {
+        m_buffer.clear();
+        m_position = 0;
+    }
+    const std::size_t before = m_buffer.size();
+    m_buffer.resize(before + fillBytes);
+    int count = 0;
+    ReadStatus status = ReadStatus::Ok;
+    try {
+        count = m_fill(m_buffer.data() + before, fillBytes);
+    } catch (const Poco::TimeoutException &) {
+        status = ReadStatus::TimedOut;
+    } catch (const Poco::Exception &) {
+        status = ReadStatus::End;
+    }
+    m_buffer.resize(before + static_cast<std::size_t>(std::max(count, 0)));
+    if (status == ReadStatus::Ok && count <= 0) {
+        return ReadStatus::End;
+    }
+    return status;
+}
+
+ReadStatus ByteReader::readLine(std::string &line, std::size_t maxBytes)
+{
+    std::size_t searched = 0;
+    while (true) {
+        const auto end = m_buffer.find('\n', m_position + searched);
+        if (end != std::string::npos) {
+            const std::size_t length = end - m_position;
+            if (length == 0 || m_buffer[end - 1] != '\r') {
+                return ReadStatus::Malformed;
+            }
+            if (length - 1 > maxBytes) {
+                return ReadStatus::TooLong;
+            }
+            line.assign(m_buffer, m_position, length - 1);
+            m_position = end + 1;
+            return ReadStatus::Ok;
+        }
+        searched = buffered();
+        if (searched > maxBytes + 1) {
+            return ReadStatus::TooLong;
+        }
+        const ReadStatus status = fillBuffer();
+        if (status != ReadStatus::Ok) {
+            return status;
+        }
+    }
+}
+
+ReadStatus ByteReader::readExactly(std::string &bytes, std::size_t count)
+{
+    while (count > 0) {
+        const std::size_t taken = std::min(count, buffered());
+        bytes.append(m_buffer, m_position, taken);
+        m_position += taken;
+        count -= taken;
+        if (count > 0) {
+            const ReadStatus status = fillBuffer();
+            if (status != ReadStatus::Ok) {
+                return status;
+            }
+        }
+    }
+    return ReadStatus::Ok;
+}
+
+ReadStatus ByteReader::waitForByte()
+{
+    return buffered() > 0 ? ReadStatus::Ok : fillBuffer();
+}
+
+ReadStatus readChunkedBody(ByteReader &reader, std::string &body, std::size_t maxBytes)
+{
+    while (true) {
+        std::size_t size = 0;
+        ReadStatus status = readChunkSize(reader, size);
+        if (status != ReadStatus::Ok) {
+            return status;
+        }
+        if (size == 0) {
+            return skipTrailer(reader);
+        }
+        if (size > maxBytes - body.size()) {
+            return ReadStatus::TooLong;
+        }
+        status = reader.readExactly(body, size);
+        if (status != ReadStatus::Ok) {
+            return status;
+        }
+        std::string lineEnd;
+        status = reader.readLine(lineEnd, 0);
+        if (status != ReadStatus::Ok) {
+            return status == ReadStatus::TooLong ? ReadStatus::Malformed : status;
+        }
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/CallerServer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+
+#include "Adapters/Http/Credentials.h"
+#include "Adapters/Http/HttpListener.h"
+#include "Ports/Handlers.h"
+
+namespace dandelionloom {
+
+/// Listener for callers. The owner of the credential is the plan.
+class CallerServer : private HttpHandler
+{
+public:
+    /// Throws Poco::Exception if the address can't be bound.
+    CallerServer(const std::string &address, const HttpLimits &limits, Credentials credentials,
+                 CallerHandler &handler);
+
+    void start() { m_listener.start(); }
+    void stop() { m_listener.stop(); }
+    std::string address() const { return m_listener.address(); }
+
+private:
+    Result<std::string, HttpAnswer> authorize(const HttpHead &head) override;
+    HttpAnswer answer(const std::string &principal, HttpHead head, std::string body) override;
+    HttpAnswer faultAnswer(const HttpFault &fault) override;
+
+    const Credentials m_credentials;
+    CallerHandler &m_handler;
+    HttpListener m_listener;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/EndpointServer.cpp
@@ -0,0 +1,176 @@
+#include "Adapters/Http/EndpointServer.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace dandelionloom {
+
+namespace {
+
+using Poco::JSON::Object;
+
+constexpr const char *announcePath = "/v1/endpoints/announce";
+constexpr std::size_t longestName = 128;
+constexpr std::uint32_t mostSlots = 4096;
+constexpr int deepestJson = 4;
+
+HttpAnswer errorAnswer(int status, const std::string &message)
+{
+    Object object;
+    object.set("error", message);
+    std::ostringstream body;
+    object.stringify(body);
+    return {status, {{"Content-Type", "application/json"}}, body.str()};
+}
+
+bool isName(const std::string &text)
+{
+    const auto allowed = [](char character) {
+        return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+                || (character >= '0' && character <= '9') || character == '-' || character == '_'
+                || character == '.';
+    };
+    return !text.empty() && text.size() <= longestName
+            && std::all_of(text.begin(), text.end(), allowed);
+}
+
+/// The field's text; throws if it is missing, no text or no name.
+std::string nameField(const Object &object, const std::string &field)
+{
+    const Poco::Dynamic::Var value = object.get(field);
+    if (!value.isString() || !isName(value.extract<std::string>())) {
+        throw Poco::DataFormatException(
+                field,
+                "expected 1 to 128 letters, digits, '.', '_' or '-', found "
+                        + (value.isString() ? "'" + value.toString().substr(0, longestName) + "'"
+                                            : std::string("no text")));
+    }
+    return value.extract<std::string>();
+}
+
+Poco::UInt64 numberField(const Object &object, const std::string &field)
+{
+    const Poco::Dynamic::Var value = object.get(field);
+    if (!value.isInteger()) {
+        throw Poco::DataFormatException(field, "expected a whole number");
+    }
+    return value.convert<Poco::UInt64>();
+}
+
+/// IP number and port. Names are refused: they would be looked up at every connection.
+std::string addressField(const Object &object)
+{
+    const Poco::Dynamic::Var value = object.get("address");
+    const std::string text = value.isString() ? value.extract<std::string>() : std::string();
+    const auto colon = text.rfind(':');
+    Poco::Net::IPAddress address;
+    if (colon == std::string::npos
+        || !Poco::Net::IPAddress::tryParse(text.substr(0, colon), address)
+        || Poco::Net::SocketAddress(text).port() == 0) {
+        throw Poco::DataFormatException(
+                "address", "expected IP:port, found '" + text.substr(0, longestName) + "'");
+    }
+    return text;
+}
+
+} // namespace
+
+HttpLimits endpointServerLimits()
+{
+    HttpLimits limits;
+    limits.maxRequestLineBytes = 1024;
+    limits.maxHeaderBytes = 8192;
+    limits.maxHeaderCount = 40;
+    limits.maxBodyBytes = 8192;
+    limits.headTime = Milliseconds(5000);
+    limits.bodyTime = Milliseconds(5000);
+    limits.answerTime = Milliseconds(5000);
+    limits.keepAliveTime = Milliseconds(5000);
+    return limits;
+}
+
+Result<Announcement, AnnouncementFault> parseAnnouncement(const std::string &json)
+{
+    try {
+        Poco::JSON::Parser parser;
+        parser.setDepth(deepestJson);
+        const auto object = parser.parse(json).extract<Object::Ptr>();
+        Announcement announcement;
+        announcement.instance = nameField(*object, "instance");
+        announcement.address = addressField(*object);
+        announcement.service = nameField(*object, "service");
+        announcement.rack = nameField(*object, "rack");
+        announcement.availabilityZone = nameField(*object, "availability_zone");
+        announcement.incarnation = numberField(*object, "incarnation");
+        const Poco::UInt64 slots = numberField(*object, "slots");
+        if (slots < 1 || slots > mostSlots) {
+            return AnnouncementFault{"slots: expected 1 to " + std::to_string(mostSlots)
+                                     + ", found " + std::to_string(slots)};
+        }
+        announcement.slots = static_cast<std::uint32_t>(slots);
+        const std::string state = nameField(*object, "state");
+        const auto value = endpointStateNames.value(state);
+        if (!value || *value == EndpointState::Gone) {
+            return AnnouncementFault{"state: expected serving or leaving, found '" + state + "'"};
+        }
+        announcement.state = *value;
+        return announcement;
+    } catch (const Poco::DataFormatException &exception) {
+        return AnnouncementFault{exception.message()};
+    } catch (const std::exception &) {
+        return AnnouncementFault{"expected a JSON object with the fields of an announcement"};
+    }
+}
+
+EndpointServer::EndpointServer(const std::string &address, const HttpLimits &limits,
+                               Credentials credentials, AnnouncementHandler &handler)
+    : m_credentials(std::move(credentials)), m_handler(handler), m_listener(address, limits, *this)
+{ }
+
+Result<std::string, HttpAnswer> EndpointServer::authorize(const HttpHead &head)
+{
+    const auto owner = m_credentials.ownerOf(head.headers);
+    if (!owner) {
+        HttpAnswer answer = errorAnswer(401, "no valid credential");
+        answer.headers.emplace_back("WWW-Authenticate", "Bearer");
+        return answer;
+    }
+    if (head.path() != announcePath) {
+        return errorAnswer(404, std::string("expected path ") + announcePath);
+    }
+    if (head.method != "POST") {
+        HttpAnswer answer = errorAnswer(405, "expected method POST");
+        answer.headers.emplace_back("Allow", "POST");
+        return answer;
+    }
+    return *owner;
+}
+
+HttpAnswer EndpointServer::answer(const std::string &, HttpHead, std::string body)
+{
+    const Result<Announcement, AnnouncementFault> announcement = parseAnnouncement(body);
+    if (!isOk(announcement)) {
+        return errorAnswer(400, errorOf(announcement).message);
+    }
+    const AnnouncementAnswer taken = m_handler.announce(valueOf(announcement));
+    Object object;
+    object.set("verdict", taken.verdict);
+    object.set("lease_ms", static_cast<Poco::Int64>(taken.lease.count()));
+    object.set("pool", taken.pool);
+    std::ostringstream text;
+    object.stringify(text);
+    return {taken.accepted ? 200 : 409, {{"Content-Type", "application/json"}}, text.str()};
+}
+
+HttpAnswer EndpointServer::faultAnswer(const HttpFault &fault)
+{
+    return errorAnswer(fault.status, fault.reason);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/EndpointServer.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+
+#include "Adapters/Http/Credentials.h"
+#include "Adapters/Http/HttpListener.h"
+#include "Ports/Handlers.h"
+
+namespace dandelionloom {
+
+/// Limits of the endpoint listener: announcements are small and rare.
+HttpLimits endpointServerLimits();
+
+struct AnnouncementFault
+{
+    /// Names the field, what was expected and what was found.
+    std::string message;
+};
+
+/// Reads an announcement from its JSON form.
+Result<Announcement, AnnouncementFault> parseAnnouncement(const std::string &json);
+
+/// Listener for endpoints: `POST /v1/endpoints/announce`.
+class EndpointServer : private HttpHandler
+{
+public:
+    /// Throws Poco::Exception if the address can't be bound.
+    EndpointServer(const std::string &address, const HttpLimits &limits, Credentials credentials,
+                   AnnouncementHandler &handler);
+
+    void start() { m_listener.start(); }
+    void stop() { m_listener.stop(); }
+    std::string address() const { return m_listener.address(); }
+
+private:
+    Result<std::string, HttpAnswer> authorize(const HttpHead &head) override;
+    HttpAnswer answer(const std::string &principal, HttpHead head, std::string body) override;
+    HttpAnswer faultAnswer(const HttpFault &fault) override;
+
+    const Credentials m_credentials;
+    AnnouncementHandler &m_handler;
+    HttpListener m_listener;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/EndpointSession.cpp
@@ -0,0 +1,241 @@
+#include "Adapters/Http/EndpointSession.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include "Adapters/Http/ByteReader.h"
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr int answerHeaderLimit = 100;
+
+/// The constructor of Poco::Net::StreamSocket that takes an implementation is protected.
+class SocketOf : public Poco::Net::StreamSocket
+{
+public:
+    explicit SocketOf(Poco::Net::SocketImpl *impl) : StreamSocket(impl) { }
+};
+
+AttemptResult maybeRun(AttemptFault fault)
+{
+    return {AttemptVerdict::MaybeRun, fault, {}};
+}
+
+/// Framing of an answer: its length, or chunked without one.
+struct AnswerFraming
+{
+    bool valid = false;
+    std::optional<std::size_t> length;
+};
+
+AnswerFraming framingOf(const Poco::Net::HTTPResponse &response, const std::string &method)
+{
+    const int status = response.getStatus();
+    if (method == "HEAD" || status == 204 || status == 304) {
+        return {true, 0};
+    }
+    std::size_t lengths = 0;
+    std::string length;
+    std::string coding;
+    for (const auto &[name, value] : response) {
+        if (equalHeaderNames(name, "Content-Length")) {
+            ++lengths;
+            length = value;
+        } else if (equalHeaderNames(name, "Transfer-Encoding")) {
+            coding = value;
+        }
+    }
+    if (!coding.empty()) {
+        return {lengths == 0 && equalHeaderNames(coding, "chunked"), std::nullopt};
+    }
+    // An answer that ends with its connection can't be told from half of one, so it needs a length.
+    std::size_t value = 0;
+    const char *last = length.data() + length.size();
+    const auto [rest, error] = std::from_chars(length.data(), last, value);
+    return {lengths == 1 && !length.empty() && error == std::errc() && rest == last, value};
+}
+
+AttemptFault faultOf(ReadStatus status)
+{
+    switch (status) {
+    case ReadStatus::TimedOut:
+        return AttemptFault::TimedOut;
+    case ReadStatus::TooLong:
+        return AttemptFault::AnswerTooLarge;
+    case ReadStatus::Malformed:
+        return AttemptFault::BadAnswer;
+    default:
+        return AttemptFault::ShortBody;
+    }
+}
+
+} // namespace
+
+namespace detail {
+
+Poco::Timespan DeadlineSocketImpl::timeLeft() const
+{
+    const SteadyTimeMs left = deadlineAt - steadyTimeNow();
+    if (left <= 0) {
+        throw Poco::TimeoutException("deadline");
+    }
+    return {left * Poco::Timespan::MILLISECONDS};
+}
+
+int DeadlineSocketImpl::sendBytes(const void *buffer, int length, int flags)
+{
+    setSendTimeout(timeLeft());
+    // Not StreamSocketImpl::sendBytes, which repeats partial sends and loses their count on error.
+    const int count = SocketImpl::sendBytes(buffer, length, flags | MSG_NOSIGNAL);
+    bytesSent += static_cast<std::size_t>(std::max(count, 0));
+    return count;
+}
+
+int DeadlineSocketImpl::receiveBytes(void *buffer, int length, int flags)
+{
+    if (!poll(timeLeft(), SELECT_READ)) {
+        throw Poco::TimeoutException("deadline");
+    }
+    return SocketImpl::receiveBytes(buffer, length, flags);
+}
+
+} // namespace detail
+
+EndpointSession::EndpointSession(const Poco::Net::StreamSocket &socket,
+                                 detail::DeadlineSocketImpl &impl)
+    : HTTPClientSession(socket), m_socketImpl(impl)
+{
+    setKeepAlive(true);
+}
+
+std::unique_ptr<EndpointSession> EndpointSession::connectTo(const std::string &address,
+                                                            SteadyTimeMs deadlineAt)
+{
+    auto *impl = new detail::DeadlineSocketImpl;
+    SocketOf socket(impl);
+    const SteadyTimeMs left = deadlineAt - steadyTimeNow();
+    if (left <= 0) {
+        throw Poco::TimeoutException("deadline");
+    }
+    socket.connect(Poco::Net::SocketAddress(address),
+                   Poco::Timespan(left * Poco::Timespan::MILLISECONDS));
+    socket.setNoDelay(true);
+    return std::unique_ptr<EndpointSession>(new EndpointSession(socket, *impl));
+}
+
+AttemptResult EndpointSession::exchange(const EndpointAttempt &attempt, std::size_t maxAnswerBytes)
+{
+    m_reusable = false;
+    m_socketImpl.deadlineAt = attempt.deadlineAt;
+    m_socketImpl.bytesSent = 0;
+    try {
+        send(attempt);
+    } catch (const Poco::Exception &) {
+        const bool sent = m_socketImpl.bytesSent > 0;
+        return {sent ? AttemptVerdict::MaybeRun : AttemptVerdict::NotSent,
+                AttemptFault::SendFailed,
+                {}};
+    }
+    try {
+        return receive(attempt, maxAnswerBytes);
+    } catch (const Poco::TimeoutException &) {
+        return maybeRun(AttemptFault::TimedOut);
+    } catch (const Poco::Net::NoMessageException &) {
+        return maybeRun(AttemptFault::ConnectionLost);
+    } catch (const Poco::Net::MessageException &) {
+        return maybeRun(AttemptFault::BadAnswer);
+    } catch (const Poco::SyntaxException &) {
+        return maybeRun(AttemptFault::BadAnswer);
+    } catch (const Poco::Exception &) {
+        return maybeRun(AttemptFault::ConnectionLost);
+    }
+}
+
+void EndpointSession::send(const EndpointAttempt &attempt)
+{
+    // Written here and not by HTTPClientSession::sendRequest(), which repeats a failed send on a
+    // new connection on its own.
+    std::string bytes = attempt.method + " " + attempt.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : attempt.headers) {
+        bytes += name + ": " + value + "\r\n";
+    }
+    const SteadyTimeMs left = std::max<SteadyTimeMs>(attempt.deadlineAt - steadyTimeNow(), 1);
+    bytes += std::string(headerNames::requestId) + ": " + attempt.requestId + "\r\n";
+    bytes += std::string(headerNames::attemptId) + ": " + attempt.attemptId + "\r\n";
+    bytes += std::string(headerNames::deadline) + ": " + std::to_string(left) + "\r\n";
+    bytes += "Content-Length: " + std::to_string(attempt.body.size()) + "\r\n";
+    bytes += "Connection: keep-alive\r\n\r\n";
+    bytes += attempt.body;
+    constexpr std::size_t sendLimit = 262144;
+    for (std::size_t position = 0; position < bytes.size();) {
+        const std::size_t part = std::min(bytes.size() - position, sendLimit);
+        const int count = socket().sendBytes(bytes.data() + position, static_cast<int>(part));
+        if (count <= 0) {
+            throw Poco::TimeoutException("deadline");
+        }
+        position += static_cast<std::size_t>(count);
+    }
+}
+
+AttemptResult EndpointSession::receive(const EndpointAttempt &attempt, std::size_t maxAnswerBytes)
+{
+    Poco::Net::HTTPResponse response;
+    response.setFieldLimit(answerHeaderLimit);
+    receiveResponse(response);
+    if (response.get(headerNames::attemptId, "") != attempt.attemptId) {
+        return maybeRun(AttemptFault::WrongAttemptId);
+    }
+    const AnswerFraming framing = framingOf(response, attempt.method);
+    if (!framing.valid) {
+        return maybeRun(AttemptFault::BadAnswer);
+    }
+    ByteReader reader([&](char *buffer, int size) {
+        return static_cast<int>(HTTPSession::read(buffer, size));
+    });
+    AttemptResult result{AttemptVerdict::Answered, AttemptFault::None, {}};
+    ReadStatus status = ReadStatus::TooLong;
+    if (!framing.length) {
+        status = readChunkedBody(reader, result.answer.body, maxAnswerBytes);
+    } else if (*framing.length <= maxAnswerBytes) {
+        status = reader.readExactly(result.answer.body, *framing.length);
+    }
+    if (status != ReadStatus::Ok) {
+        return maybeRun(faultOf(status));
+    }
+    if (reader.buffered() > 0 || buffered() > 0 || socket().available() > 0) {
+        return maybeRun(AttemptFault::LeftOverBytes);
+    }
+    HttpHeaders received;
+    for (const auto &item : response) {
+        received.emplace_back(item.first, item.second);
+    }
+    result.answer.status = response.getStatus();
+    result.answer.headers = endToEndHeaders(received);
+    if (attempt.method == "HEAD" && response.has("Content-Length")) {
+        result.answer.headers.emplace_back("Content-Length", response.get("Content-Length"));
+    }
+    if (response.get(headerNames::refused, "") == "not-started") {
+        result.verdict = AttemptVerdict::Refused;
+    }
+    m_reusable = response.getKeepAlive();
+    return result;
+}
+
+bool EndpointSession::isQuiet()
+{
+    try {
+        // Readable without a request in flight means closed by the endpoint, or stray bytes.
+        return buffered() == 0 && !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/EndpointSession.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include "Model/Time.h"
+#include "Ports/EndpointClient.h"
+
+namespace dandelionloom {
+
+namespace detail {
+
+/// Socket whose sends and receives end at a deadline, and that counts the bytes it sent.
+class DeadlineSocketImpl : public Poco::Net::StreamSocketImpl
+{
+public:
+    int sendBytes(const void *buffer, int length, int flags) override;
+    int receiveBytes(void *buffer, int length, int flags) override;
+
+    SteadyTimeMs deadlineAt = 0;
+    std::size_t bytesSent = 0;
+
+private:
+    Poco::Timespan timeLeft() const;
+};
+
+} // namespace detail
+
+/// One connection to an endpoint. Each exchange uses it to the end of the answer or closes it.
+class EndpointSession : public Poco::Net::HTTPClientSession
+{
+public:
+    /// Connects until `deadlineAt`. Throws Poco::Exception if that fails.
+    static std::unique_ptr<EndpointSession> connectTo(const std::string &address,
+                                                      SteadyTimeMs deadlineAt);
+
+    /// Sends the attempt and reads its answer.
+    AttemptResult exchange(const EndpointAttempt &attempt, std::size_t maxAnswerBytes);
+
+    /// True if the connection is open, without unread bytes.
+    bool isQuiet();
+    /// True if the last exchange left the connection usable.
+    bool isReusable() const { return m_reusable; }
+
+    SteadyTimeMs idleSince = 0;
+
+private:
+    EndpointSession(const Poco::Net::StreamSocket &socket, detail::DeadlineSocketImpl &impl);
+
+    void send(const EndpointAttempt &attempt);
+    AttemptResult receive(const EndpointAttempt &attempt, std::size_t maxAnswerBytes);
+
+    detail::DeadlineSocketImpl &m_socketImpl;
+    bool m_reusable = false;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/HttpEndpointClient.cpp
@@ -0,0 +1,120 @@
+#include "Adapters/Http/HttpEndpointClient.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+namespace dandelionloom {
+
+HttpEndpointClient::HttpEndpointClient(const EndpointClientOptions &options, MetricSink &metrics)
+    : m_options(options), m_metrics(metrics)
+{ }
+
+HttpEndpointClient::Shard &HttpEndpointClient::shardOf(const std::string &address)
+{
+    return m_shards[std::hash<std::string>{}(address) % shardCount];
+}
+
+AttemptResult HttpEndpointClient::run(const EndpointAttempt &attempt)
+{
+    std::unique_ptr<EndpointSession> session;
+    if (!acquire(attempt, session)) {
+        return {AttemptVerdict::NotSent, AttemptFault::NoConnection, {}};
+    }
+    AttemptResult result = runOn(attempt, session);
+    if (session && !session->isReusable()) {
+        session.reset();
+    }
+    release(attempt.address, std::move(session));
+    if (isDroppedAnswer(result.fault)) {
+        m_metrics.count("dandelionloom_dropped_answers_total",
+                        "reason=\"" + std::string(attemptFaultNames.name(result.fault)) + "\"", 1);
+    }
+    return result;
+}
+
+AttemptResult HttpEndpointClient::runOn(const EndpointAttempt &attempt,
+                                        std::unique_ptr<EndpointSession> &session)
+{
+    if (!session) {
+        const SteadyTimeMs limit = steadyTimeNow() + m_options.connectTime.count();
+        try {
+            session = EndpointSession::connectTo(attempt.address,
+                                                 std::min(attempt.deadlineAt, limit));
+        } catch (const Poco::Exception &) {
+            return {AttemptVerdict::NotSent, AttemptFault::ConnectFailed, {}};
+        }
+    }
+    return session->exchange(attempt, m_options.maxAnswerBytes);
+}
+
+bool HttpEndpointClient::acquire(const EndpointAttempt &attempt,
+                                 std::unique_ptr<EndpointSession> &session)
+{
+    const Milliseconds maxIdle =
+            attempt.idempotent ? m_options.idleTime : m_options.idleTimeNonIdempotent;
+    Shard &shard = shardOf(attempt.address);
+    std::vector<std::unique_ptr<EndpointSession>> closing;
+    std::unique_lock lock(shard.mutex);
+    while (true) {
+        Pool &pool = shard.pools[attempt.address];
+        const SteadyTimeMs now = steadyTimeNow();
+        while (!pool.idle.empty()) {
+            std::unique_ptr<EndpointSession> candidate = std::move(pool.idle.back());
+            pool.idle.pop_back();
+            if (now - candidate->idleSince < maxIdle.count() && candidate->isQuiet()) {
+                session = std::move(candidate);
+                return true;
+            }
+            --pool.open;
+            closing.push_back(std::move(candidate));
+        }
+        if (pool.open < m_options.maxConnectionsPerEndpoint) {
+            ++pool.open;
+            return true;
+        }
+        const SteadyTimeMs left = attempt.deadlineAt - now;
+        if (left <= 0) {
+            return false;
+        }
+        shard.released.wait_for(lock, Milliseconds(left));
+    }
+}
+
+void HttpEndpointClient::release(const std::string &address,
+                                 std::unique_ptr<EndpointSession> session)
+{
+    Shard &shard = shardOf(address);
+    const std::lock_guard lock(shard.mutex);
+    Pool &pool = shard.pools[address];
+    if (session) {
+        session->idleSince = steadyTimeNow();
+        pool.idle.push_back(std::move(session));
+    } else {
+        --pool.open;
+    }
+    if (pool.open == 0) {
+        shard.pools.erase(address);
+    }
+    shard.released.notify_all();
+}
+
+void HttpEndpointClient::forget(const std::string &address)
+{
+    std::vector<std::unique_ptr<EndpointSession>> closing;
+    Shard &shard = shardOf(address);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.pools.find(address);
+    if (found == shard.pools.end()) {
+        return;
+    }
+    closing.swap(found->second.idle);
+    found->second.open -= closing.size();
+    if (found->second.open == 0) {
+        shard.pools.erase(found);
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/HttpHead.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "Adapters/Http/ByteReader.h"
+#include "Adapters/Http/HttpLimits.h"
+#include "Model/HttpMessage.h"
+#include "Model/Result.h"
+
+namespace dandelionloom {
+
+/// Request line and header fields of a request.
+struct HttpHead
+{
+    std::string method;
+    /// Path and query as sent.
+    std::string target;
+    HttpHeaders headers;
+    /// Length of the body; empty for a chunked one.
+    std::optional<std::size_t> contentLength = 0;
+    bool keepAlive = true;
+    bool expectsContinue = false;
+
+    /// The target without its query.
+    std::string path() const { return target.substr(0, target.find('?')); }
+};
+
+/// Why a request can't be served. The connection is closed after the answer.
+struct HttpFault
+{
+    /// 0 to close without an answer.
+    int status = 400;
+    std::string reason;
+};
+
+/// Reads and checks a request head. Stricter than POCO's parser, which accepts bare line feeds,
+/// folded fields, and Content-Length next to Transfer-Encoding: two readers of one connection
+/// could then see different requests.
+Result<HttpHead, HttpFault> readHead(ByteReader &reader, const HttpLimits &limits);
+
+/// Reads the body that the head announces.
+Result<std::string, HttpFault> readBody(ByteReader &reader, const HttpHead &head,
+                                        const HttpLimits &limits);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Adapters/Http/HttpLimits.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "Model/Result.h"
+#include "Model/Time.h"
+
+namespace dandelionloom {
+
+/// Limits of one HTTP listener.
+struct HttpLimits
+{
+    std::size_t maxRequestLineBytes = 8192;
+    /// All header lines together.
+    std::size_t maxHeaderBytes = 16384;
+    std::size_t maxHeaderCount = 100;
+    std::size_t maxBodyBytes = 1024 * 1024;
+    /// From the first byte of a request to the end of its head. Also the wait for the first
+    /// request of a connection.
+    Milliseconds headTime{10000};
+    /// From the end of the head to the end of the body.
+    Milliseconds bodyTime{30000};
+    /// For the caller to take the answer.
+    Milliseconds answerTime{30000};
+    /// Wait for the next request of a connection.
+    Milliseconds keepAliveTime{15000};
+    /// Each connection holds one thread.
+    std::size_t maxConnections = 512;
+    std::size_t maxRequestsPerConnection = 100000;
+    /// How long stop() lets running requests end.
+    Milliseconds stopTime{5000};
+};
+
+struct LimitFault
+{
+    /// Names the setting, what was expected and what was found.
+    std::string message;
+};
+
+Result<Done, LimitFault> checkLimits(const HttpLimits &limits);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Model/HttpMessage.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dandelionloom {
+
+/// Header fields in the order they were received.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Compares header names, which ignore the case of ASCII letters.
+bool equalHeaderNames(std::string_view left, std::string_view right);
+
+/// Value of the first field with the name.
+std::optional<std::string> headerValue(const HttpHeaders &headers, std::string_view name);
+
+void removeHeader(HttpHeaders &headers, std::string_view name);
+
+/// The fields that a proxy may pass on: without the hop-by-hop fields of RFC 9110 section 7.6.1
+/// and those that `Connection` names, and without `Content-Length`, which each hop writes itself.
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
+struct HttpAnswer
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+namespace headerNames {
+inline constexpr const char *outcome = "Dandelionloom-Outcome";
+inline constexpr const char *requestId = "Dandelionloom-Request-Id";
+inline constexpr const char *attemptId = "Dandelionloom-Attempt-Id";
+inline constexpr const char *deadline = "Dandelionloom-Deadline-Ms";
+inline constexpr const char *refused = "Dandelionloom-Refused";
+inline constexpr const char *lists = "Dandelionloom-Lists";
+inline constexpr const char *reason = "Dandelionloom-Reason";
+inline constexpr const char *idempotencyKey = "Idempotency-Key";
+} // namespace headerNames
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/AnnouncementIntake.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "Ports/EndpointClient.h"
+#include "Ports/Handlers.h"
+#include "Ports/ReplicatedLog.h"
+#include "Runtime/EndpointTable.h"
+#include "Runtime/InstanceRegistrar.h"
+#include "Runtime/WorkQueue.h"
+
+namespace dandelionloom {
+
+/// Takes announcements into the endpoint table and tells the parts that depend on them.
+class AnnouncementIntake : public AnnouncementHandler
+{
+public:
+    /// `owner` is the name of this entry instance.
+    AnnouncementIntake(std::string owner, EndpointTable &table, const StateStore &state,
+                       WorkQueue &queue, EndpointClient &client, InstanceRegistrar &registrar);
+
+    AnnouncementAnswer announce(const Announcement &announcement) override;
+    /// Ends leases. To be called about once a second.
+    void expire();
+
+private:
+    const std::string m_owner;
+    EndpointTable &m_table;
+    const StateStore &m_state;
+    WorkQueue &m_queue;
+    EndpointClient &m_client;
+    InstanceRegistrar &m_registrar;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/AttemptRunner.cpp
@@ -0,0 +1,149 @@
+#include "Runtime/AttemptRunner.h"
+
+#include <algorithm>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr double millisecondsPerSecond = 1000;
+
+Decision decisionFor(const CheckedRequest &request, DecisionKind kind, std::string reason)
+{
+    Decision decision;
+    decision.kind = kind;
+    decision.request = request.id;
+    decision.plan = request.request.plan;
+    decision.service = request.service;
+    decision.listsRevision = request.listsRevision;
+    decision.reason = std::move(reason);
+    return decision;
+}
+
+/// Gives the slot back at the end of its scope.
+class SlotHolder
+{
+public:
+    SlotHolder(WorkQueue &queue, const Slot &slot) : m_queue(queue), m_slot(slot) { }
+    ~SlotHolder() { m_queue.release(m_slot); }
+    SlotHolder(const SlotHolder &) = delete;
+    SlotHolder &operator=(const SlotHolder &) = delete;
+
+private:
+    WorkQueue &m_queue;
+    const Slot &m_slot;
+};
+
+} // namespace
+
+std::string metricLabels(const std::string &plan, const std::string &service)
+{
+    return "plan=\"" + plan + "\",service=\"" + service + "\"";
+}
+
+AttemptRunner::AttemptRunner(const AttemptRunnerOptions &options, WorkQueue &queue,
+                             EndpointClient &client, DecisionLog &log, MetricSink &metrics)
+    : m_options(options), m_queue(queue), m_client(client), m_log(log), m_metrics(metrics),
+      m_budget(options.budget)
+{ }
+
+RequestEnd AttemptRunner::run(const CheckedRequest &request)
+{
+    m_budget.addRequest();
+    const HttpHeaders headers = forwardedHeaders(request.request);
+    WorkItem item;
+    item.requestId = request.id;
+    item.plan = request.request.plan;
+    item.service = request.service;
+    item.deadlineAt = request.deadlineAt;
+    bool mayHaveRun = false;
+    for (std::uint32_t number = 1;; ++number) {
+        const SteadyTimeMs waitingSince = steadyTimeNow();
+        const Result<Slot, SlotRefusal> granted = m_queue.acquire(item);
+        m_metrics.observe("dandelionloom_wait_seconds", metricLabels(item.plan, item.service),
+                          static_cast<double>(steadyTimeNow() - waitingSince)
+                                  / millisecondsPerSecond);
+        if (!isOk(granted)) {
+            const std::string reason(routingReasonNames.name(errorOf(granted).reason));
+            m_log.write(decisionFor(request, DecisionKind::Shed, reason));
+            return {mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason};
+        }
+        const Slot &slot = valueOf(granted);
+        AttemptResult result;
+        {
+            const SlotHolder holder(m_queue, slot);
+            result = attempt(request, slot, number, headers);
+        }
+        if (result.verdict == AttemptVerdict::Answered) {
+            return {RequestOutcome::Done, {}, std::move(result.answer)};
+        }
+        const bool provablyNotRun = result.verdict != AttemptVerdict::MaybeRun;
+        mayHaveRun = mayHaveRun || !provablyNotRun;
+        if (!decide(request, slot, number, provablyNotRun, result.fault)) {
+            const std::string reason = result.verdict == AttemptVerdict::Refused
+                    ? "refused-by-endpoint"
+                    : std::string(attemptFaultNames.name(result.fault));
+            return {mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason};
+        }
+        item.triedInstances.push_back(slot.instance);
+        item.triedRacks.push_back(slot.rack);
+    }
+}
+
+AttemptResult AttemptRunner::attempt(const CheckedRequest &request, const Slot &slot,
+                                     std::uint32_t number, const HttpHeaders &headers)
+{
+    EndpointAttempt attempt;
+    attempt.instance = slot.instance;
+    attempt.address = slot.address;
+    attempt.requestId = request.id;
+    attempt.attemptId = request.id + "." + std::to_string(number);
+    attempt.method = request.request.method;
+    attempt.target = request.request.target;
+    attempt.headers = headers;
+    attempt.body = request.request.body;
+    attempt.deadlineAt = request.deadlineAt;
+    attempt.idempotent = request.idempotent;
+    Decision decision = decisionFor(request, DecisionKind::Route,
+                                    std::string(routingReasonNames.name(slot.reason)));
+    decision.attempt = attempt.attemptId;
+    decision.endpoint = slot.address;
+    decision.instance = slot.instance;
+    m_log.write(decision);
+    const SteadyTimeMs startedAt = steadyTimeNow();
+    AttemptResult result = m_client.run(attempt);
+    m_metrics.observe("dandelionloom_run_seconds",
+                      metricLabels(request.request.plan, request.service),
+                      static_cast<double>(steadyTimeNow() - startedAt) / millisecondsPerSecond);
+    return result;
+}
+
+bool AttemptRunner::decide(const CheckedRequest &request, const Slot &slot, std::uint32_t attempts,
+                           bool provablyNotRun, AttemptFault fault)
+{
+    RetryFacts facts;
+    facts.idempotent = request.idempotent;
+    facts.provablyNotRun = provablyNotRun;
+    facts.attempts = attempts;
+    facts.maxAttempts = m_options.maxAttempts;
+    facts.timeLeft = Milliseconds(request.deadlineAt - steadyTimeNow());
+    facts.budgetLeft = m_budget.hasRetry();
+    RetryDecision decision = decideRetry(facts);
+    if (decision.retry && !m_budget.spend()) {
+        decision = {false, RetryReason::BudgetSpent};
+    }
+    Decision line = decisionFor(request, DecisionKind::Retry,
+                                std::string(retryReasonNames.name(decision.reason)) + " after "
+                                        + std::string(attemptFaultNames.name(fault)));
+    line.attempt = request.id + "." + std::to_string(attempts);
+    line.endpoint = slot.address;
+    line.instance = slot.instance;
+    m_log.write(line);
+    if (decision.retry) {
+        m_metrics.count("dandelionloom_retries_total",
+                        metricLabels(request.request.plan, request.service), 1);
+    }
+    return decision.retry;
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/AttemptRunner.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+
+#include "Decisions/Retry.h"
+#include "Ports/DecisionLog.h"
+#include "Ports/EndpointClient.h"
+#include "Ports/MetricSink.h"
+#include "Runtime/RequestChecks.h"
+#include "Runtime/RequestOutcome.h"
+#include "Runtime/RetryBudget.h"
+#include "Runtime/WorkQueue.h"
+
+namespace dandelionloom {
+
+struct AttemptRunnerOptions
+{
+    std::uint32_t maxAttempts = 3;
+    RetryBudgetOptions budget;
+};
+
+/// Runs a request on endpoints: waits for a slot, sends, retries where that is safe. Thread-safe.
+class AttemptRunner
+{
+public:
+    AttemptRunner(const AttemptRunnerOptions &options, WorkQueue &queue, EndpointClient &client,
+                  DecisionLog &log, MetricSink &metrics);
+
+    /// Ends at the request's deadline at the latest. Not-run only if no attempt can have run.
+    RequestEnd run(const CheckedRequest &request);
+
+private:
+    AttemptResult attempt(const CheckedRequest &request, const Slot &slot, std::uint32_t number,
+                          const HttpHeaders &headers);
+    bool decide(const CheckedRequest &request, const Slot &slot, std::uint32_t attempts,
+                bool provablyNotRun, AttemptFault fault);
+
+    const AttemptRunnerOptions m_options;
+    WorkQueue &m_queue;
+    EndpointClient &m_client;
+    DecisionLog &m_log;
+    MetricSink &m_metrics;
+    RetryBudget m_budget;
+};
+
+/// Labels of a request's metrics.
+std::string metricLabels(const std::string &plan, const std::string &service);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/KeyedRequests.cpp
@@ -0,0 +1,129 @@
+#include "Runtime/KeyedRequests.h"
+
+#include <utility>
+
+namespace dandelionloom {
+
+namespace {
+
+/// How long a not-run answer waits for its settlement, so that an immediate resend finds the key
+/// free.
+constexpr Milliseconds notRunSettleWait{500};
+
+RequestEnd replayedEnd(const RequestClaim &claim)
+{
+    RequestEnd end;
+    end.outcome = RequestOutcome::Done;
+    end.reason = claim.bodyKept ? "replayed" : "replayed-body-not-kept";
+    end.answer.status = static_cast<int>(claim.status);
+    if (!claim.contentType.empty()) {
+        end.answer.headers.emplace_back("Content-Type", claim.contentType);
+    }
+    end.answer.body = claim.body;
+    return end;
+}
+
+} // namespace
+
+RequestEnd readClaim(const RequestClaim &claim, const GatewayIdentity &reader,
+                     const GatewayGone &isGone, WallTimeMs now)
+{
+    switch (claim.state) {
+    case ClaimState::Done:
+        return replayedEnd(claim);
+    case ClaimState::NotRun:
+        return {RequestOutcome::NotRun, "not-run-before"};
+    case ClaimState::Unknown:
+        return {RequestOutcome::Unknown, "unknown-before"};
+    case ClaimState::Claimed:
+        break;
+    }
+    if (now >= claim.deadlineAtMs) {
+        return {RequestOutcome::Unknown, "claim-past-deadline"};
+    }
+    const bool formerSelf =
+            claim.gateway == reader.name && claim.gatewayIncarnation != reader.incarnation;
+    if (formerSelf || (isGone && isGone(claim.gateway, claim.gatewayIncarnation))) {
+        return {RequestOutcome::Unknown, "claimed-by-ended-process"};
+    }
+    return {RequestOutcome::InProgress, "claimed"};
+}
+
+RequestClaim settledClaim(const RequestClaim &claim, const RequestEnd &end)
+{
+    RequestClaim settled = claim;
+    switch (end.outcome) {
+    case RequestOutcome::Done:
+        settled.state = ClaimState::Done;
+        settled.status = static_cast<std::uint32_t>(end.answer.status);
+        settled.contentType = headerValue(end.answer.headers, "Content-Type").value_or("");
+        settled.bodyKept = end.answer.body.size() <= keptBodyBytes;
+        settled.body = settled.bodyKept ? end.answer.body : "";
+        break;
+    case RequestOutcome::NotRun:
+        settled.state = ClaimState::NotRun;
+        break;
+    default:
+        settled.state = ClaimState::Unknown;
+        break;
+    }
+    return settled;
+}
+
+KeyedRequests::KeyedRequests(GatewayIdentity identity, GatewayGone isGone, ClaimBatcher &claims,
+                             SettleQueue &settlements, AttemptRunner &runner, DecisionLog &log)
+    : m_identity(std::move(identity)), m_isGone(std::move(isGone)), m_claims(claims),
+      m_settlements(settlements), m_runner(runner), m_log(log)
+{ }
+
+RequestEnd KeyedRequests::run(const CheckedRequest &request)
+{
+    RequestClaim wanted;
+    wanted.plan = request.request.plan;
+    wanted.key = request.key;
+    wanted.digest = requestDigest(request.request);
+    wanted.gateway = m_identity.name;
+    wanted.gatewayIncarnation = m_identity.incarnation;
+    wanted.deadlineAtMs = wallTimeNow() + (request.deadlineAt - steadyTimeNow());
+    wanted.requestId = request.id;
+    const auto claimed = m_claims.claim(std::move(wanted), request.deadlineAt);
+    if (!isOk(claimed)) {
+        writeLine(request, errorOf(claimed).reason);
+        return {RequestOutcome::NotRun, errorOf(claimed).reason};
+    }
+    const ClaimAnswer &answer = valueOf(claimed);
+    writeLine(request, std::string(claimVerdictNames.name(answer.verdict)));
+    switch (answer.verdict) {
+    case ClaimVerdict::Granted:
+        return runClaimed(request, answer.claim);
+    case ClaimVerdict::Exists:
+        return readClaim(answer.claim, m_identity, m_isGone, wallTimeNow());
+    case ClaimVerdict::KeyReused:
+        return refusedEnd(422, "key-reused-with-other-request");
+    case ClaimVerdict::Full:
+        break;
+    }
+    return {RequestOutcome::NotRun, "claim-table-full"};
+}
+
+RequestEnd KeyedRequests::runClaimed(const CheckedRequest &request, const RequestClaim &claim)
+{
+    RequestEnd end = m_runner.run(request);
+    const bool notRun = end.outcome == RequestOutcome::NotRun;
+    m_settlements.settle(settledClaim(claim, end), notRun ? notRunSettleWait : Milliseconds(0));
+    return end;
+}
+
+void KeyedRequests::writeLine(const CheckedRequest &request, const std::string &reason)
+{
+    Decision decision;
+    decision.kind = DecisionKind::Claim;
+    decision.request = request.id;
+    decision.plan = request.request.plan;
+    decision.service = request.service;
+    decision.reason = reason;
+    decision.listsRevision = request.listsRevision;
+    m_log.write(decision);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Tests/StandIns/standInEndpoint/EndpointHttp.h
@@ -0,0 +1,255 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+#include "EndpointWork.h"
+
+namespace dandelionloom::standIn {
+
+/// HTTP side of a stand-in endpoint. A request is answered as its header `Stand-In-Mode` says, or
+/// else as setMode() or `/admin/mode?mode=NAME` said last:
+/// ok, late (answers 60 s late or `Stand-In-Late-Ms`), twice, wrong-id, no-id, swapped (the answer
+/// of the request before), half, half-chunk, no-length, two-lengths, refuse (before the start),
+/// fail (status 500), fail-after-run (runs, then closes).
+class EndpointHttp
+{
+public:
+    using Admin = std::function<std::string(const std::string &path, int downMs)>;
+
+    /// `admin` serves the admin paths that this class doesn't know; it may be empty.
+    explicit EndpointHttp(EndpointSettings settings, Admin admin = {})
+        : m_settings(std::move(settings)), m_admin(std::move(admin)), m_work(m_settings.slots),
+          m_threads(2, mostConnections)
+    {
+        start();
+    }
+
+    ~EndpointHttp() { stop(); }
+
+    void start()
+    {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(m_settings.address), true, false);
+        socket.listen(mostConnections);
+        m_settings.address = socket.address().toString();
+        auto *parameters = new Poco::Net::HTTPServerParams;
+        parameters->setMaxThreads(mostConnections);
+        parameters->setMaxQueued(mostConnections);
+        parameters->setKeepAliveTimeout(Poco::Timespan(15, 0));
+        m_server = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), m_threads, socket,
+                                                           parameters);
+        m_server->start();
+    }
+
+    /// Stops listening and breaks every connection.
+    void stop()
+    {
+        if (!m_server) {
+            return;
+        }
+        m_work.abort(true);
+        m_work.release();
+        m_server->stopAll(true);
+        m_threads.joinAll();
+        m_server.reset();
+        m_work.abort(false);
+    }
+
+    const std::string &address() const { return m_settings.address; }
+    EndpointWork &work() { return m_work; }
+
+    void setMode(const std::string &mode)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_mode = mode;
+    }
+
+private:
+    static constexpr int mostConnections = 256;
+    static constexpr const char *attemptHeader = "Dandelionloom-Attempt-Id";
+
+    class Handler : public Poco::Net::HTTPRequestHandler
+    {
+    public:
+        explicit Handler(EndpointHttp &owner) : m_owner(owner) { }
+
+        void handleRequest(Poco::Net::HTTPServerRequest &request,
+                           Poco::Net::HTTPServerResponse &response) override
+        {
+            try {
+                m_owner.serve(request, response);
+            } catch (const Poco::Exception &) {
+                response.setKeepAlive(false);
+            }
+        }
+
+    private:
+        EndpointHttp &m_owner;
+    };
+
+    class Factory : public Poco::Net::HTTPRequestHandlerFactory
+    {
+    public:
+        explicit Factory(EndpointHttp &owner) : m_owner(owner) { }
+
+        Poco::Net::HTTPRequestHandler *
+        createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+        {
+            return new Handler(m_owner);
+        }
+
+    private:
+        EndpointHttp &m_owner;
+    };
+
+    void serve(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+    {
+        std::string body;
+        Poco::StreamCopier::copyToString(request.stream(), body);
+        const Poco::URI uri(request.getURI());
+        if (uri.getPath() == "/runs" || uri.getPath().starts_with("/admin/")) {
+            const std::string text = administer(uri);
+            response.setContentType("application/json");
+            response.sendBuffer(text.data(), text.size());
+            return;
+        }
+        const std::string mode = request.get("Stand-In-Mode", currentMode());
+        response.set(attemptHeader, request.get(attemptHeader, ""));
+        if (mode == "refuse") {
+            m_work.countRefused();
+            refuse(response);
+            return;
+        }
+        if (!m_work.begin()) {
+            refuse(response);
+            return;
+        }
+        m_work.countRun(request.get("Dandelionloom-Request-Id", ""),
+                        request.get("Idempotency-Key", ""));
+        const int lateMs = mode == "late" ? std::stoi(request.get("Stand-In-Late-Ms", "60000")) : 0;
+        m_work.run(std::chrono::milliseconds(m_settings.runMs + lateMs));
+        try {
+            answer(mode, request, response,
+                   m_settings.instance + ":" + request.getURI() + ":" + body);
+        } catch (...) {
+            m_work.end();
+            throw;
+        }
+        m_work.end();
+    }
+
+    static void refuse(Poco::Net::HTTPServerResponse &response)
+    {
+        const std::string text = "not started\n";
+        response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        response.set("Dandelionloom-Refused", "not-started");
+        response.sendBuffer(text.data(), text.size());
+    }
+
+    void answer(const std::string &mode, Poco::Net::HTTPServerRequest &request,
+                Poco::Net::HTTPServerResponse &response, std::string text)
+    {
+        const std::string attempt = request.get(attemptHeader, "");
+        const std::string length = "Content-Length: " + std::to_string(text.size()) + "\r\n";
+        const auto head = [](const std::string &id) {
+            return "HTTP/1.1 200 OK\r\n" + std::string(attemptHeader) + ": " + id + "\r\n";
+        };
+        const std::string whole = head(attempt) + length + "\r\n" + text;
+        if (mode == "twice") {
+            sendRaw(request, response, whole + whole);
+        } else if (mode == "wrong-id") {
+            sendRaw(request, response, head("other.1") + length + "\r\n" + text);
+        } else if (mode == "no-id") {
+            sendRaw(request, response, "HTTP/1.1 200 OK\r\n" + length + "\r\n" + text);
+        } else if (mode == "swapped") {
+            sendRaw(request, response, lastAnswer());
+        } else if (mode == "half") {
+            sendRaw(request, response, whole.substr(0, whole.size() - text.size() / 2));
+        } else if (mode == "half-chunk") {
+            sendRaw(request, response,
+                    head(attempt) + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        } else if (mode == "no-length") {
+            sendRaw(request, response, head(attempt) + "\r\n" + text);
+        } else if (mode == "two-lengths") {
+            sendRaw(request, response,
+                    head(attempt) + length + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        } else if (mode == "fail-after-run") {
+            response.setKeepAlive(false);
+        } else {
+            if (mode == "fail") {
+                response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+            }
+            response.setContentType("text/plain");
+            response.sendBuffer(text.data(), text.size());
+            const std::lock_guard lock(m_mutex);
+            m_lastAnswer = whole;
+        }
+    }
+
+    static void sendRaw(Poco::Net::HTTPServerRequest &request,
+                        Poco::Net::HTTPServerResponse &response, const std::string &bytes)
+    {
+        auto &implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request);
+        implementation.socket().sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        response.setKeepAlive(false);
+    }
+
+    std::string administer(const Poco::URI &uri)
+    {
+        const std::string &path = uri.getPath();
+        if (path == "/runs") {
+            return m_work.runsJson();
+        }
+        std::string mode;
+        int downMs = 0;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            if (name == "mode") {
+                mode = value;
+            } else if (name == "down_ms") {
+                downMs = std::stoi(value);
+            }
+        }
+        if (path == "/admin/mode") {
+            setMode(mode);
+        }
+        return m_admin ? m_admin(path, downMs) : "{}";
+    }
+
+    std::string currentMode() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_mode;
+    }
+
+    std::string lastAnswer() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_lastAnswer;
+    }
+
+    EndpointSettings m_settings;
+    const Admin m_admin;
+    EndpointWork m_work;
+    mutable std::mutex m_mutex;
+    std::string m_mode = "ok";
+    std::string m_lastAnswer;
+    Poco::ThreadPool m_threads;
+    std::unique_ptr<Poco::Net::HTTPServer> m_server;
+};
+
+} // namespace dandelionloom::standIn
--- /dev/null
+++ b/Tests/StandIns/standInEndpoint/EndpointWork.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string>
+
+#include <Poco/JSON/Object.h>
+
+namespace dandelionloom::standIn {
+
+struct EndpointSettings
+{
+    std::string address = "127.0.0.1:0";
+    std::string instance = "worker-1";
+    std::string service = "pricing";
+    std::string rack = "rack-1";
+    std::string availabilityZone = "zone-a";
+    int slots = 8;
+    int runMs = 0;
+    std::uint64_t incarnation = 1;
+};
+
+/// Counts and slots of a stand-in endpoint.
+class EndpointWork
+{
+public:
+    explicit EndpointWork(int slots) : m_slots(slots) { }
+
+    /// Takes a slot; false if all are in use.
+    bool begin()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_inFlight >= m_slots) {
+            ++m_refused;
+            return false;
+        }
+        ++m_inFlight;
+        m_mostInFlight = std::max(m_mostInFlight, m_inFlight);
+        return true;
+    }
+
+    void end()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_inFlight;
+        m_changed.notify_all();
+    }
+
+    void countRun(const std::string &request, const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_total;
+        ++m_runs[request];
+        if (!key.empty()) {
+            ++m_keys[key];
+        }
+        m_changed.notify_all();
+    }
+
+    void countRefused()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_refused;
+    }
+
+    void waitUntilIdle(std::chrono::milliseconds limit)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, limit, [&] { return m_inFlight == 0; });
+    }
+
+    /// Waits until `total` runs were counted.
+    bool waitForRuns(int total, std::chrono::milliseconds limit)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, limit, [&] { return m_total >= total; });
+    }
+
+    /// Holds every run until release(), so that a test decides when it ends.
+    void hold()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_held = true;
+    }
+
+    void release()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_held = false;
+        m_changed.notify_all();
+    }
+
+    /// Spends the run time of one request.
+    void run(std::chrono::milliseconds duration)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [&] { return !m_held; });
+        if (duration.count() > 0) {
+            m_changed.wait_for(lock, duration, [&] { return m_aborted; });
+        }
+    }
+
+    /// Ends all runs early, as a reboot does.
+    void abort(bool aborted)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_aborted = aborted;
+        m_changed.notify_all();
+    }
+
+    int total() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_total;
+    }
+
+    int refused() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_refused;
+    }
+
+    int runsOfKey(const std::string &key) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_keys.find(key);
+        return found == m_keys.end() ? 0 : found->second;
+    }
+
+    int inFlight() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_inFlight;
+    }
+
+    std::string runsJson() const
+    {
+        const std::lock_guard lock(m_mutex);
+        Poco::JSON::Object runs;
+        for (const auto &[request, count] : m_runs) {
+            runs.set(request, count);
+        }
+        Poco::JSON::Object keys;
+        for (const auto &[key, count] : m_keys) {
+            keys.set(key, count);
+        }
+        Poco::JSON::Object object;
+        object.set("total", m_total);
+        object.set("refused", m_refused);
+        object.set("most_in_flight", m_mostInFlight);
+        object.set("runs", runs);
+        object.set("keys", keys);
+        std::ostringstream text;
+        object.stringify(text);
+        return text.str();
+    }
+
+private:
+    const int m_slots;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_inFlight = 0;
+    int m_mostInFlight = 0;
+    int m_total = 0;
+    int m_refused = 0;
+    bool m_held = false;
+    bool m_aborted = false;
+    std::map<std::string, int> m_runs;
+    std::map<std::string, int> m_keys;
+};
+
+} // namespace dandelionloom::standIn
