Program: Wire one entry instance

Cause: the parts stood side by side; serve started none of them.

Change: EntryInstance builds and starts the log, the peers, the gateway, the controller and the three listeners from the settings.

Conclusion: voters still lack their disk storage.

--- a/Source/Decisions/Ejection.cpp
+++ b/Source/Decisions/Ejection.cpp
@@ -34,27 +34,27 @@
 {
     const bool succeeded =
             std::any_of(attempts.begin(), attempts.end(), [](const JudgedAttempt &attempt) {
-                return attempt.result == AttemptResult::Succeeded;
+                return attempt.result == AttemptJudgement::Succeeded;
             });
     std::set<std::string> erring;
     for (const JudgedAttempt &attempt : attempts) {
-        if (attempt.result == AttemptResult::ServerError) {
+        if (attempt.result == AttemptJudgement::ServerError) {
             erring.insert(attempt.instance);
         }
     }
     const bool requestAtFault = !succeeded && erring.size() >= 2;
     for (const JudgedAttempt &attempt : attempts) {
         EndpointHealth &endpoint = health[attempt.instance];
-        if (attempt.result == AttemptResult::Succeeded) {
+        if (attempt.result == AttemptJudgement::Succeeded) {
             endpoint.failures = 0;
             endpoint.ejections = endpoint.ejectedUntil > nowMs ? endpoint.ejections : 0;
             continue;
         }
-        if (attempt.result == AttemptResult::RefusedBusy
-            || (attempt.result == AttemptResult::ServerError && requestAtFault)) {
+        if (attempt.result == AttemptJudgement::RefusedBusy
+            || (attempt.result == AttemptJudgement::ServerError && requestAtFault)) {
             continue;
         }
-        const bool proven = succeeded || attempt.result == AttemptResult::TransportError;
+        const bool proven = succeeded || attempt.result == AttemptJudgement::TransportError;
         endpoint.failures += proven ? 1 : unprovenFailureWeight;
         const double allowed = limits.largestEjectedShare * static_cast<double>(poolSize);
         if (endpoint.failures >= limits.failuresToEject && endpoint.ejectedUntil <= nowMs
--- a/Source/Decisions/Ejection.h
+++ b/Source/Decisions/Ejection.h
@@ -11,7 +11,7 @@
 
 namespace dandelionloom {
 
-enum class AttemptResult {
+enum class AttemptJudgement {
     Succeeded,
     /// The endpoint answered with a server error.
     ServerError,
@@ -20,13 +20,13 @@
     /// The endpoint refused before starting because its slots are taken. No fault of it.
     RefusedBusy
 };
-inline constexpr EnumNames<AttemptResult, 4> attemptResultNames{
+inline constexpr EnumNames<AttemptJudgement, 4> attemptJudgementNames{
         {"succeeded", "server-error", "transport-error", "refused-busy"}};
 
 struct JudgedAttempt
 {
     std::string instance;
-    AttemptResult result = AttemptResult::Succeeded;
+    AttemptJudgement result = AttemptJudgement::Succeeded;
 };
 
 struct EjectionLimits
--- /dev/null
+++ b/Source/Program/EntryInstance.cpp
@@ -0,0 +1,329 @@
+#include "Program/EntryInstance.h"
+
+#include <fstream>
+#include <random>
+
+#include <Poco/Exception.h>
+#include <Poco/URI.h>
+
+#include "Adapters/Http/CallerServer.h"
+#include "Adapters/Http/EndpointServer.h"
+#include "Adapters/Http/HttpEndpointClient.h"
+#include "Adapters/Http/OperatorServer.h"
+#include "Adapters/Http/PlatformClient.h"
+#include "Adapters/Logging/JsonDecisionLog.h"
+#include "Adapters/Metrics/PrometheusMetrics.h"
+#include "Adapters/Peers/Http2PeerTransport.h"
+#include "Runtime/AnnouncementIntake.h"
+#include "Runtime/AttemptRunner.h"
+#include "Runtime/ClaimBatcher.h"
+#include "Runtime/Controller.h"
+#include "Runtime/EndpointTable.h"
+#include "Runtime/FirstComeQueue.h"
+#include "Runtime/Gateway.h"
+#include "Runtime/InstanceRegistrar.h"
+#include "Runtime/KeyedRequests.h"
+#include "Runtime/Replica.h"
+#include "Runtime/SettleQueue.h"
+
+namespace dandelionloom {
+
+namespace {
+
+/// Interval of upkeep: leases end and metrics are refreshed this often.
+constexpr Milliseconds upkeepInterval{1000};
+
+/// The process incarnation: wall time at the start, so that it grows with every start without a
+/// disk. Two starts within a millisecond cannot happen to one instance.
+std::uint64_t newIncarnation()
+{
+    return static_cast<std::uint64_t>(wallTimeNow());
+}
+
+HttpLimits callerLimits(const LimitSettings &settings)
+{
+    HttpLimits limits;
+    limits.maxRequestLineBytes = settings.requestLineBytes;
+    limits.maxHeaderBytes = settings.headerBytes;
+    limits.maxHeaderCount = settings.headerCount;
+    limits.maxBodyBytes = settings.bodyBytes;
+    limits.headTime = settings.readTimeout;
+    limits.bodyTime = settings.readTimeout;
+    limits.maxConnections = settings.callerConnections;
+    return limits;
+}
+
+ReplicaOptions replicaOptions(const Settings &settings)
+{
+    ReplicaOptions options;
+    options.name = settings.instance.name;
+    options.availabilityZone = settings.instance.availabilityZone;
+    options.group = settings.cluster.group;
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.name != settings.instance.name) {
+            options.peers.push_back({peer.name, peer.availabilityZone, peer.voter});
+        }
+    }
+    options.heartbeatMs = settings.timing.heartbeat.count();
+    options.electionMinMs = settings.timing.electionTimeoutMin.count();
+    options.electionMaxMs = settings.timing.electionTimeoutMax.count();
+    options.compactBytes = settings.storage.compactAfterBytes;
+    options.compactEntries = settings.storage.compactAfterEntries;
+    options.seed = std::random_device{}();
+    return options;
+}
+
+std::vector<PeerAddress> peerAddresses(const Settings &settings)
+{
+    std::vector<PeerAddress> addresses;
+    for (const PeerSettings &peer : settings.peers) {
+        addresses.push_back({peer.name, peer.availabilityZone, peer.address});
+    }
+    return addresses;
+}
+
+/// The first credential of a file: what this process presents itself with.
+std::string ownCredential(const std::string &path)
+{
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+        const auto separator = line.find(' ');
+        if (!line.empty() && line.front() != '#' && separator != std::string::npos) {
+            return line.substr(separator + 1);
+        }
+    }
+    return {};
+}
+
+ControllerOptions controllerOptions(const Settings &settings)
+{
+    ControllerOptions options;
+    options.listsLease = settings.timing.listsLease;
+    options.lifecycle.provingMs = settings.timing.proving.count();
+    options.lifecycle.failureDelayMs = 2 * settings.timing.endpointLease.count();
+    return options;
+}
+
+std::unique_ptr<Platform> makePlatform(const Settings &settings)
+{
+    if (!settings.platform.url) {
+        return nullptr;
+    }
+    PlatformClientOptions options;
+    options.address = Poco::URI(*settings.platform.url).getAuthority();
+    if (!settings.platform.credentialFile.empty()) {
+        options.credential = ownCredential(settings.platform.credentialFile);
+    }
+    return std::make_unique<PlatformClient>(options);
+}
+
+} // namespace
+
+/// The order of the members is the order of construction; destruction runs the other way round, so
+/// that listeners end before what they use.
+struct EntryInstance::Parts
+{
+    Parts(const Settings &settings, std::unique_ptr<JsonDecisionLog> openedLog,
+          std::unique_ptr<LogStorage> openedStorage, Credentials callerCredentials,
+          Credentials endpointCredentials, OperatorCredentials operatorCredentials,
+          std::function<void(const std::string &)> onFatal)
+        : log(std::move(openedLog)), storage(std::move(openedStorage)),
+          identity{settings.instance.name, newIncarnation()}, store(settings.cluster.group),
+          transport(peerIdentity(settings), settings.listen.peers, peerAddresses(settings), {},
+                    *log, metrics),
+          replica(replicaOptions(settings), storage.get(), transport, store, *log, metrics,
+                  std::move(onFatal)),
+          table(EndpointTableOptions{.lease = settings.timing.endpointLease}),
+          client({}, metrics), queue(queueOptions(settings), table, store),
+          registrar({}, replica, *log),
+          intake(settings.instance.name, table, store, queue, client, registrar),
+          settlements({}, replica, *log, metrics), claims({}, replica, settlements),
+          runner(runnerOptions(settings), queue, client, *log, metrics),
+          keyed(identity, gatewayGone(), claims, settlements, runner, *log),
+          gateway({identity, settings.timing.listsLease}, replica, runner, keyed, *log, metrics),
+          platform(makePlatform(settings)),
+          controller({replica, platform.get(), endpointRecords(), *log, metrics},
+                     controllerOptions(settings)),
+          callerServer(settings.listen.callers, callerLimits(settings.limits),
+                       std::move(callerCredentials), gateway),
+          endpointServer(settings.listen.endpoints, endpointServerLimits(),
+                         std::move(endpointCredentials), intake),
+          operatorServer({settings.listen.operators, settings.instance.name,
+                          std::move(operatorCredentials), settings.limits},
+                         {replica, *log, endpointRecords(), waveExplanations(),
+                          [this] { return metrics.render(); }})
+    {
+    }
+
+    PeerIdentity peerIdentity(const Settings &settings) const
+    {
+        PeerIdentity self;
+        self.clusterId = settings.cluster.id;
+        self.group = settings.cluster.group;
+        self.name = settings.instance.name;
+        self.incarnation = identity.incarnation;
+        self.credential = ownCredential(settings.credentials.peersFile);
+        return self;
+    }
+
+    static FirstComeQueueOptions queueOptions(const Settings &settings)
+    {
+        FirstComeQueueOptions options;
+        options.availabilityZone = settings.instance.availabilityZone;
+        options.seed = std::random_device{}();
+        return options;
+    }
+
+    static AttemptRunnerOptions runnerOptions(const Settings &settings)
+    {
+        (void)settings;
+        return {};
+    }
+
+    /// Another process of the same entry instance with a lower incarnation has ended.
+    GatewayGone gatewayGone() const
+    {
+        return [this](const std::string &name, std::uint64_t incarnation) {
+            return name == identity.name && incarnation < identity.incarnation;
+        };
+    }
+
+    std::function<std::vector<EndpointRecord>()> endpointRecords() const
+    {
+        return [this] {
+            std::vector<EndpointRecord> records;
+            for (const auto &record : table.all()) {
+                records.push_back(*record);
+            }
+            return records;
+        };
+    }
+
+    std::function<std::vector<WaveExplanation>(const std::string &)> waveExplanations() const
+    {
+        return [](const std::string &) { return std::vector<WaveExplanation>{}; };
+    }
+
+    std::unique_ptr<JsonDecisionLog> log;
+    PrometheusMetrics metrics;
+    std::unique_ptr<LogStorage> storage;
+    GatewayIdentity identity;
+    StateStore store;
+    Http2PeerTransport transport;
+    Replica replica;
+    EndpointTable table;
+    HttpEndpointClient client;
+    FirstComeQueue queue;
+    InstanceRegistrar registrar;
+    AnnouncementIntake intake;
+    SettleQueue settlements;
+    ClaimBatcher claims;
+    AttemptRunner runner;
+    KeyedRequests keyed;
+    Gateway gateway;
+    std::unique_ptr<Platform> platform;
+    Controller controller;
+    CallerServer callerServer;
+    EndpointServer endpointServer;
+    OperatorServer operatorServer;
+};
+
+EntryInstance::EntryInstance() = default;
+
+Result<std::unique_ptr<EntryInstance>, StartError>
+EntryInstance::start(const Settings &settings, std::function<void(const std::string &)> onFatal)
+{
+    StartError error;
+    auto log = JsonDecisionLog::open(settings.instance.name, settings.log.severity,
+                                     settings.log.file);
+    auto callers = Credentials::fromFile(settings.credentials.callersFile);
+    auto endpoints = Credentials::fromFile(settings.credentials.endpointsFile);
+    auto operators = OperatorCredentials::read(settings.credentials.operatorsFile);
+    if (!isOk(log)) {
+        error.faults.push_back(errorOf(log).message);
+    }
+    for (const auto *credentials : {&callers, &endpoints}) {
+        if (!isOk(*credentials)) {
+            error.faults.push_back(errorOf(*credentials).message);
+        }
+    }
+    if (!isOk(operators)) {
+        const auto &faults = errorOf(operators).faults;
+        error.faults.insert(error.faults.end(), faults.begin(), faults.end());
+    }
+    if (ownCredential(settings.credentials.peersFile).empty()) {
+        error.faults.push_back(settings.credentials.peersFile
+                               + ": expected a line \"name credential\", found none");
+    }
+    if (!error.faults.empty()) {
+        return error;
+    }
+    std::unique_ptr<EntryInstance> instance(new EntryInstance);
+    try {
+        instance->m_parts = std::make_unique<Parts>(
+                settings, takeValue(std::move(log)), nullptr, takeValue(std::move(callers)),
+                takeValue(std::move(endpoints)), takeValue(std::move(operators)),
+                std::move(onFatal));
+    } catch (const Poco::Exception &exception) {
+        return StartError{{"cannot listen: " + exception.displayText()}};
+    }
+    Parts &parts = *instance->m_parts;
+    const auto opened = parts.replica.open();
+    if (!isOk(opened)) {
+        return StartError{{errorOf(opened).message}};
+    }
+    const auto transport = parts.transport.start();
+    if (!isOk(transport)) {
+        return StartError{{errorOf(transport).message}};
+    }
+    parts.replica.start();
+    parts.controller.start();
+    const auto operatorServer = parts.operatorServer.start();
+    if (!isOk(operatorServer)) {
+        return StartError{{errorOf(operatorServer).message}};
+    }
+    parts.endpointServer.start();
+    parts.callerServer.start();
+    instance->m_upkeep = std::thread([self = instance.get()] { self->runUpkeep(); });
+    parts.log->event(LogSeverity::Info, "program", "entry instance started");
+    return instance;
+}
+
+EntryInstance::~EntryInstance()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_upkeep.joinable()) {
+        m_upkeep.join();
+    }
+    if (!m_parts) {
+        return;
+    }
+    // Callers first: their running requests still need the log to settle their claims.
+    m_parts->callerServer.stop();
+    m_parts->endpointServer.stop();
+    m_parts->operatorServer.stop();
+    m_parts->controller.stop();
+    m_parts->replica.stop();
+    m_parts->transport.stop();
+}
+
+void EntryInstance::runUpkeep()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_wake.wait_for(lock, upkeepInterval, [this] { return m_stopping; })) {
+        lock.unlock();
+        m_parts->intake.expire();
+        const LogStatus status = m_parts->replica.status();
+        m_parts->metrics.gauge("dandelionloom_lists_revision", {},
+                               static_cast<double>(m_parts->store.lists()->revision));
+        m_parts->metrics.gauge("dandelionloom_quorum_contact_age_milliseconds", {},
+                               static_cast<double>(status.quorumContactAgeMs));
+        lock.lock();
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Program/ServeCommand.cpp
@@ -0,0 +1,41 @@
+#include "Program/ServeCommand.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <pthread.h>
+#include <unistd.h>
+
+#include "Program/EntryInstance.h"
+#include "Program/ExitCode.h"
+
+namespace dandelionloom {
+
+int runServe(const Settings &settings)
+{
+    // Signals are taken by this thread alone; a peer that closes early must not end the process.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    auto started = EntryInstance::start(settings, [](const std::string &message) {
+        // After a failed sync nothing in memory can be trusted to be on disk: end without cleanup.
+        std::cerr << "serve: " << message << std::endl;
+        _exit(static_cast<int>(ExitCode::Refused));
+    });
+    if (!isOk(started)) {
+        for (const std::string &fault : errorOf(started).faults) {
+            std::cerr << "serve: " << fault << "\n";
+        }
+        return static_cast<int>(ExitCode::Usage);
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return static_cast<int>(ExitCode::Ok);
+}
+
+} // namespace dandelionloom
