Program: Add the command line

Cause: operators need one tool that never runs a change twice, and tells a change that was not run from one whose outcome is unknown.

Ruled out: taking any later refusal as the outcome of a lost answer (only the agreed state's answer to the same change id settles it), and reading the revision from a follower that may be behind (it ends in a conflict).

--- /dev/null
+++ b/Source/Program/ListCommands.cpp
@@ -0,0 +1,282 @@
+#include "Program/ListCommands.h"
+
+#include <charconv>
+
+#include <Poco/JSON/Array.h>
+
+#include "Adapters/Json/JsonWriter.h"
+#include "Adapters/Logging/JsonDecisionLog.h"
+#include "Adapters/Settings/ListFiles.h"
+#include "Program/ListDiff.h"
+#include "Program/TableText.h"
+
+namespace dandelionloom {
+
+namespace {
+
+/// A list as entries by id, and as the TOML text that is sent.
+struct ReadList
+{
+    ListEntries entries;
+    std::string text;
+    std::vector<std::string> faults;
+};
+
+template <typename Entry>
+ReadList readListOf(const Result<std::vector<Entry>, ListFileError> &result, std::string Entry::*id,
+                    std::string (*render)(const std::map<std::string, Entry> &))
+{
+    ReadList list;
+    if (!isOk(result)) {
+        list.faults = errorOf(result).faults;
+        return list;
+    }
+    std::map<std::string, Entry> entries;
+    for (const Entry &entry : valueOf(result)) {
+        list.entries[entry.*id] = fieldsOf(entry);
+        entries[entry.*id] = entry;
+    }
+    list.text = render(entries);
+    return list;
+}
+
+ReadList readFile(ListKind kind, const std::string &path)
+{
+    return kind == ListKind::Plans
+            ? readListOf(readPlans(path), &Plan::id, &renderPlans)
+            : readListOf(readAllowances(path), &Allowance::plan, &renderAllowances);
+}
+
+ReadList readText(ListKind kind, const std::string &text)
+{
+    return kind == ListKind::Plans
+            ? readListOf(parsePlans(text, "server"), &Plan::id, &renderPlans)
+            : readListOf(parseAllowances(text, "server"), &Allowance::plan, &renderAllowances);
+}
+
+std::string listPath(ListKind kind)
+{
+    return "/v1/" + std::string(listKindNames.name(kind));
+}
+
+ExitCode writeFaults(const ClientCommand &command, const std::vector<std::string> &faults)
+{
+    for (const std::string &fault : faults) {
+        command.err() << fault << "\n";
+    }
+    return ExitCode::Usage;
+}
+
+ExitCode show(const ClientCommand &command, ListKind kind)
+{
+    ClientAnswer answer;
+    const std::string accept = command.output() == "json" ? "application/json" : "application/toml";
+    if (const auto code = command.read(command.readPath(listPath(kind)), accept, answer)) {
+        return *code;
+    }
+    if (command.output() != "table") {
+        command.out() << answer.body;
+        return ExitCode::Ok;
+    }
+    const ReadList list = readText(kind, answer.body);
+    if (!list.faults.empty()) {
+        command.err() << "expected a list from " << answer.server << ", found another answer\n";
+        return ExitCode::Refused;
+    }
+    TableRow headings;
+    const EntryFields names = kind == ListKind::Plans ? fieldsOf(Plan()) : fieldsOf(Allowance());
+    for (const auto &[name, text] : names) {
+        headings.push_back(name);
+    }
+    std::vector<TableRow> rows;
+    for (const auto &[id, fields] : list.entries) {
+        TableRow row;
+        for (const auto &[name, text] : fields) {
+            row.push_back(text);
+        }
+        rows.push_back(std::move(row));
+    }
+    command.out() << "revision " << answer.entityTag << "\n";
+    writeTable(command.out(), headings, rows);
+    return ExitCode::Ok;
+}
+
+ExitCode history(const ClientCommand &command)
+{
+    ClientAnswer answer;
+    if (const auto code =
+                command.read(command.readPath("/v1/plans/history"), "application/json", answer)) {
+        return *code;
+    }
+    if (command.output() == "json") {
+        command.out() << answer.body;
+        return ExitCode::Ok;
+    }
+    Poco::JSON::Object::Ptr object;
+    if (const auto code = command.parseBody(answer, object)) {
+        return *code;
+    }
+    std::vector<TableRow> rows;
+    const Poco::JSON::Array::Ptr changes = object->getArray("changes");
+    for (unsigned index = 0; !changes.isNull() && index < changes->size(); ++index) {
+        const Poco::JSON::Object &change = *changes->getObject(index);
+        rows.push_back({cell(change, "revision"), cell(change, "list"), cell(change, "entries"),
+                        cell(change, "operator"), cell(change, "change_id"),
+                        utcText(change.getValue<Poco::Int64>("accepted_at_ms"))});
+    }
+    writeTable(command.out(), {"revision", "list", "entries", "operator", "change_id", "accepted"},
+               rows);
+    return ExitCode::Ok;
+}
+
+void writeDiff(const ClientCommand &command, const ListDiff &diff)
+{
+    if (command.output() == "json") {
+        JsonWriter json;
+        json.beginObject().member("added", diff.added).member("removed", diff.removed);
+        json.key("changed").beginArray();
+        for (const auto &[id, changes] : diff.changed) {
+            json.beginObject().member("id", id).key("fields").beginArray();
+            for (const FieldChange &change : changes) {
+                json.beginObject()
+                        .member("name", change.field)
+                        .member("from", change.from)
+                        .member("to", change.to)
+                        .endObject();
+            }
+            json.endArray().endObject();
+        }
+        json.endArray().endObject();
+        command.out() << json.text() << "\n";
+        return;
+    }
+    for (const std::string &id : diff.removed) {
+        command.out() << "- " << id << "\n";
+    }
+    for (const std::string &id : diff.added) {
+        command.out() << "+ " << id << "\n";
+    }
+    for (const auto &[id, changes] : diff.changed) {
+        for (const FieldChange &change : changes) {
+            command.out() << "~ " << id << ": " << change.field << " " << change.from << " -> "
+                          << change.to << "\n";
+        }
+    }
+    if (diff.empty()) {
+        command.out() << "no difference\n";
+    }
+}
+
+ExitCode diff(const ClientCommand &command, ListKind kind)
+{
+    const ReadList wanted = readFile(kind, command.value("file"));
+    if (!wanted.faults.empty()) {
+        return writeFaults(command, wanted.faults);
+    }
+    ClientAnswer answer;
+    if (const auto code =
+                command.read(command.readPath(listPath(kind)), "application/toml", answer)) {
+        return *code;
+    }
+    const ReadList current = readText(kind, answer.body);
+    if (!current.faults.empty()) {
+        command.err() << "expected a list from " << answer.server << ", found another answer\n";
+        return ExitCode::Refused;
+    }
+    writeDiff(command, listDiff(current.entries, wanted.entries));
+    return ExitCode::Ok;
+}
+
+/// The revision that a change starts from: --if-match, or the current one.
+std::optional<ExitCode> startRevision(const ClientCommand &command, ListKind kind,
+                                      std::string &revision)
+{
+    revision = command.value("if-match");
+    if (revision.empty()) {
+        // A follower behind the others would give a revision that only leads to a conflict.
+        ClientAnswer answer;
+        if (const auto code =
+                    command.read(listPath(kind) + "?consistent=true", "application/toml", answer)) {
+            return code;
+        }
+        revision = answer.entityTag;
+    }
+    if (revision.size() > 2 && revision.front() == '"' && revision.back() == '"') {
+        revision = revision.substr(1, revision.size() - 2);
+    }
+    std::uint64_t number = 0;
+    const char *end = revision.data() + revision.size();
+    const auto parsed = std::from_chars(revision.data(), end, number);
+    if (revision.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+        return command.usage("expected --if-match as a revision like 7, found '" + revision + "'");
+    }
+    return std::nullopt;
+}
+
+ExitCode apply(const ClientCommand &command, ListKind kind)
+{
+    const ReadList wanted = readFile(kind, command.value("file"));
+    if (!wanted.faults.empty()) {
+        return writeFaults(command, wanted.faults);
+    }
+    std::string revision;
+    if (const auto code = startRevision(command, kind, revision)) {
+        return *code;
+    }
+    ClientRequest request;
+    request.method = "PUT";
+    request.path = listPath(kind);
+    request.headers["If-Match"] = "\"" + revision + "\"";
+    request.headers["Content-Type"] = "application/toml";
+    request.body = wanted.text;
+    const std::string id = command.changeId(" --if-match " + revision);
+    ClientAnswer answer;
+    if (const auto code = command.change(std::move(request), id, answer)) {
+        return *code;
+    }
+    if (command.output() == "json") {
+        command.out() << answer.body;
+    } else {
+        command.out() << "accepted as revision " << answer.entityTag << " by " << answer.server
+                      << "\n";
+    }
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+ExitCode runListCommand(const CommandInput &input, ListKind kind)
+{
+    const std::string list(listKindNames.name(kind));
+    ClientCommand command(
+            input,
+            "Shows and changes the " + list + ". Actions: show, apply FILE, diff FILE, history.",
+            "dandelionloom " + list + " apply " + list
+                    + ".toml --server 10.0.0.1:8081 --server 10.0.0.2:8081 --credential-file "
+                      "operator.credential",
+            {"action", "file"});
+    command.addChangeOptions(true);
+    command.allowOutput("toml");
+    if (const auto code = command.parse()) {
+        return *code;
+    }
+    const std::string action = command.value("action");
+    const bool needsFile = action == "apply" || action == "diff";
+    if (!needsFile && action != "show" && action != "history") {
+        return command.usage("expected show, apply, diff or history, found '" + action + "'");
+    }
+    if (needsFile != command.has("file")) {
+        return command.usage(needsFile ? "expected a FILE after " + action + ", found none"
+                                       : "expected no FILE after " + action + ", found '"
+                                             + command.value("file") + "'");
+    }
+    if (action == "show") {
+        return show(command, kind);
+    }
+    if (action == "history") {
+        return history(command);
+    }
+    return action == "apply" ? apply(command, kind) : diff(command, kind);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Program/WaveCommands.cpp
@@ -0,0 +1,172 @@
+#include "Program/WaveCommands.h"
+
+#include <charconv>
+#include <sstream>
+
+#include <Poco/JSON/Array.h>
+
+#include "Adapters/Json/JsonWriter.h"
+#include "Adapters/Settings/TextChecks.h"
+#include "Program/TableText.h"
+
+namespace dandelionloom {
+
+namespace {
+
+std::size_t lengthOf(const Poco::JSON::Object &object, const std::string &key)
+{
+    const Poco::JSON::Array::Ptr array = object.getArray(key);
+    return array.isNull() ? 0 : array->size();
+}
+
+void addWave(const Poco::JSON::Object &wave, std::vector<TableRow> &waves,
+             std::vector<TableRow> &explanations)
+{
+    waves.push_back({cell(wave, "id"), cell(wave, "state"),
+                     std::to_string(lengthOf(wave, "finished")),
+                     std::to_string(lengthOf(wave, "targets")), cell(wave, "drain_limit_ms")});
+    const Poco::JSON::Array::Ptr found = wave.getArray("explanations");
+    for (unsigned index = 0; !found.isNull() && index < found->size(); ++index) {
+        const Poco::JSON::Object &explanation = *found->getObject(index);
+        explanations.push_back({cell(wave, "id"), cell(explanation, "instance"),
+                                cell(explanation, "phase"), cell(explanation, "reason")});
+    }
+}
+
+/// Shows the answer to a wave path: one wave, or all.
+ExitCode showWaves(const ClientCommand &command, const ClientAnswer &answer)
+{
+    if (command.output() == "json") {
+        command.out() << answer.body;
+        return ExitCode::Ok;
+    }
+    Poco::JSON::Object::Ptr object;
+    if (const auto code = command.parseBody(answer, object)) {
+        return *code;
+    }
+    std::vector<TableRow> waves;
+    std::vector<TableRow> explanations;
+    if (object->has("id")) {
+        addWave(*object, waves, explanations);
+    }
+    const Poco::JSON::Array::Ptr all = object->getArray("waves");
+    for (unsigned index = 0; !all.isNull() && index < all->size(); ++index) {
+        addWave(*all->getObject(index), waves, explanations);
+    }
+    writeTable(command.out(), {"wave", "state", "finished", "targets", "drain_limit_ms"}, waves);
+    if (!explanations.empty()) {
+        command.out() << "\n";
+        writeTable(command.out(), {"wave", "instance", "phase", "reason"}, explanations);
+    }
+    return ExitCode::Ok;
+}
+
+ExitCode status(const ClientCommand &command)
+{
+    const std::string path =
+            command.has("id") ? "/v1/waves/" + command.value("id") : std::string("/v1/waves");
+    ClientAnswer answer;
+    if (const auto code = command.read(command.readPath(path), "application/json", answer)) {
+        return *code;
+    }
+    return showWaves(command, answer);
+}
+
+/// The wave as the API takes it. Gives an exit code on wrong usage.
+std::optional<ExitCode> waveBody(const ClientCommand &command, std::string &body)
+{
+    JsonWriter json;
+    json.beginObject().member("id", command.value("id"));
+    if (command.has("instances")) {
+        std::vector<std::string> instances;
+        std::istringstream words(command.value("instances"));
+        for (std::string word; std::getline(words, word, ',');) {
+            instances.push_back(word);
+        }
+        json.member("instances", instances);
+    }
+    json.memberIfAny("pool", command.value("pool"));
+    json.memberIfAny("rack", command.value("rack"));
+    json.memberIfAny("availability_zone", command.value("availability-zone"));
+    const bool filtered =
+            command.has("pool") || command.has("rack") || command.has("availability-zone");
+    if (command.has("instances") == filtered) {
+        return command.usage("expected either --instances or a selection by --pool, --rack or "
+                             "--availability-zone, found "
+                             + std::string(filtered ? "both" : "neither"));
+    }
+    if (command.has("drain-limit-ms")) {
+        const std::string text = command.value("drain-limit-ms");
+        std::uint64_t limit = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), limit);
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+            return command.usage("expected --drain-limit-ms as a whole number, found '" + text
+                                 + "'");
+        }
+        json.member("drain_limit_ms", limit);
+    }
+    body = json.endObject().text();
+    return std::nullopt;
+}
+
+ExitCode change(const ClientCommand &command, const std::string &action)
+{
+    ClientRequest request;
+    request.method = "POST";
+    if (action == "start") {
+        request.path = "/v1/waves";
+        request.headers["Content-Type"] = "application/json";
+        if (const auto code = waveBody(command, request.body)) {
+            return *code;
+        }
+    } else {
+        request.path = "/v1/waves/" + command.value("id") + "/" + action;
+    }
+    const std::string id = command.changeId();
+    ClientAnswer answer;
+    if (const auto code = command.change(std::move(request), id, answer)) {
+        return *code;
+    }
+    return showWaves(command, answer);
+}
+
+} // namespace
+
+ExitCode runWaveCommand(const CommandInput &input)
+{
+    ClientCommand command(
+            input,
+            "Starts and controls maintenance waves. Actions: start ID, pause ID, resume ID, cancel "
+            "ID, status [ID].",
+            "dandelionloom waves start kernel-7 --rack zone-a-rack-1 --drain-limit-ms 120000 "
+            "--server 10.0.0.1:8081 --credential-file operator.credential",
+            {"action", "id"});
+    command.addChangeOptions(false);
+    command.addOption("instances", "instances of a new wave, separated by commas");
+    command.addOption("pool", "pool whose instances a new wave takes");
+    command.addOption("rack", "rack whose instances a new wave takes");
+    command.addOption("availability-zone", "availability zone whose instances a new wave takes");
+    command.addOption("drain-limit-ms", "how long running work may take to end (default: 60000)");
+    if (const auto code = command.parse()) {
+        return *code;
+    }
+    const std::string action = command.value("action");
+    if (command.has("id") && !isEntryName(command.value("id"))) {
+        return command.usage("expected a wave id of 1 to 128 letters, digits, '-', '_' or '.', "
+                             "found '"
+                             + command.value("id") + "'");
+    }
+    if (action == "status") {
+        return status(command);
+    }
+    if (action != "start" && action != "pause" && action != "resume" && action != "cancel") {
+        return command.usage("expected start, pause, resume, cancel or status, found '" + action
+                             + "'");
+    }
+    if (!command.has("id")) {
+        return command.usage("expected a wave id after " + action + ", found none");
+    }
+    return change(command, action);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Program/WaveCommands.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Program/ClientCommand.h"
+
+namespace dandelionloom {
+
+/// `waves`: start, pause, resume, cancel, status.
+ExitCode runWaveCommand(const CommandInput &input);
+
+} // namespace dandelionloom
--- a/Source/Program/main.cpp
+++ b/Source/Program/main.cpp
@@ -1,7 +1,9 @@
 #include <iostream>
 
-int main()
+#include "Program/Program.h"
+
+int main(int argumentCount, char **arguments)
 {
-    std::cout << "dandelionloom " << DANDELIONLOOM_VERSION << "\n";
-    return 0;
+    return dandelionloom::runProgram({arguments + 1, arguments + argumentCount}, std::cout,
+                                     std::cerr);
 }
--- a/Tests/Operators/OperatorFixture.cpp
+++ b/Tests/Operators/OperatorFixture.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-std::string exchange(std::uint16_t port, const std::string &bytes)
+std::string roundTrip(std::uint16_t port, const std::string &bytes)
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
     socket.setReceiveTimeout(Poco::Timespan(receiveTimeoutSeconds, 0));
@@ -51,7 +51,7 @@
     if (method != "GET") {
         bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    return exchange(fixture.server->port(), bytes + "\r\n" + body);
+    return roundTrip(fixture.server->port(), bytes + "\r\n" + body);
 }
 
 int statusOf(const std::string &response)
--- a/Tests/Operators/OperatorFixture.h
+++ b/Tests/Operators/OperatorFixture.h
@@ -69,7 +69,7 @@
 
 /// Sends bytes on a new connection and reads until the server closes it or a response with its
 /// body has arrived.
-std::string exchange(std::uint16_t port, const std::string &bytes);
+std::string roundTrip(std::uint16_t port, const std::string &bytes);
 
 /// Sends one request with the credential of alice; `headers` are whole lines without line ends.
 std::string request(const OperatorFixture &fixture, const std::string &method,
--- a/Tests/Support/FakeReplicatedLog.h
+++ b/Tests/Support/FakeReplicatedLog.h
@@ -74,10 +74,19 @@
     void failNext(LogErrorKind kind, bool applied = false)
     {
         const std::lock_guard lock(m_mutex);
+        m_failsAlways = false;
         m_failure = LogError{kind, "injected " + std::string(logErrorKindNames.name(kind))};
         m_failureApplies = applied;
     }
 
+    /// Each call from now on fails.
+    void failAlways(LogErrorKind kind)
+    {
+        failNext(kind);
+        const std::lock_guard lock(m_mutex);
+        m_failsAlways = true;
+    }
+
     void setStatus(const LogStatus &status)
     {
         const std::lock_guard lock(m_mutex);
@@ -107,7 +116,9 @@
     LogError takeFailure()
     {
         LogError failure = *m_failure;
-        m_failure.reset();
+        if (!m_failsAlways) {
+            m_failure.reset();
+        }
         return failure;
     }
 
@@ -118,6 +129,7 @@
     std::vector<ReplicaProgress> m_progress;
     std::optional<LogError> m_failure;
     bool m_failureApplies = false;
+    bool m_failsAlways = false;
     std::uint64_t m_index = 0;
     int m_proposals = 0;
     int m_confirmedReads = 0;
