Scenarios: Serve the whole path with six processes

Cause: endpoints announce themselves to one entry instance only; the others did not know them, so callers there were told not-run.

Ruled out: endpoints that announce to every entry instance (six times the renewals for each worker).

Change: accepted announcements are passed on to the peers; voters use the disk log; the scenario counts runs at the endpoints.

--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
 
+#include "Adapters/Disk/DiskLogStorage.h"
 #include "Adapters/Http/CallerServer.h"
 #include "Adapters/Http/EndpointServer.h"
 #include "Adapters/Http/HttpEndpointClient.h"
@@ -14,6 +15,7 @@
 #include "Adapters/Logging/JsonDecisionLog.h"
 #include "Adapters/Metrics/PrometheusMetrics.h"
 #include "Adapters/Peers/Http2PeerTransport.h"
+#include "Runtime/AnnouncementForwarder.h"
 #include "Runtime/AnnouncementIntake.h"
 #include "Runtime/AttemptRunner.h"
 #include "Runtime/ClaimBatcher.h"
@@ -82,6 +84,17 @@
     return addresses;
 }
 
+std::vector<std::string> peerNames(const Settings &settings)
+{
+    std::vector<std::string> names;
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.name != settings.instance.name) {
+            names.push_back(peer.name);
+        }
+    }
+    return names;
+}
+
 /// The first credential of a file: what this process presents itself with.
 std::string ownCredential(const std::string &path)
 {
@@ -104,6 +117,18 @@
     return options;
 }
 
+std::unique_ptr<LogStorage> makeStorage(const Settings &settings)
+{
+    if (!settings.instance.dataFolder) {
+        return nullptr;
+    }
+    DiskLogOptions options;
+    options.folder = *settings.instance.dataFolder;
+    options.clusterId = settings.cluster.id;
+    options.group = settings.cluster.group;
+    return std::make_unique<DiskLogStorage>(std::move(options));
+}
+
 std::unique_ptr<Platform> makePlatform(const Settings &settings)
 {
     if (!settings.platform.url) {
@@ -127,16 +152,20 @@
           std::unique_ptr<LogStorage> openedStorage, Credentials callerCredentials,
           Credentials endpointCredentials, OperatorCredentials operatorCredentials,
           std::function<void(const std::string &)> onFatal)
-        : log(std::move(openedLog)), storage(std::move(openedStorage)),
-          identity{settings.instance.name, newIncarnation()}, store(settings.cluster.group),
-          transport(peerIdentity(settings), settings.listen.peers, peerAddresses(settings), {},
-                    *log, metrics),
+        : log(std::move(openedLog)),
+          storage(std::move(openedStorage)), identity{settings.instance.name, newIncarnation()},
+          store(settings.cluster.group), transport(peerIdentity(settings), settings.listen.peers,
+                                                   peerAddresses(settings), {}, *log, metrics),
           replica(replicaOptions(settings), storage.get(), transport, store, *log, metrics,
                   std::move(onFatal)),
-          table(EndpointTableOptions{.lease = settings.timing.endpointLease}),
-          client({}, metrics), queue(queueOptions(settings), table, store),
-          registrar({}, replica, *log),
+          table(EndpointTableOptions{.lease = settings.timing.endpointLease}), client({}, metrics),
+          queue(queueOptions(settings), table, store), registrar({}, replica, *log),
           intake(settings.instance.name, table, store, queue, client, registrar),
+          forwarder(intake, transport, peerNames(settings),
+                    [this](const Announcement &announcement, const std::string &owner) {
+                        table.announce(announcement, owner, steadyTimeNow());
+                        queue.endpointsChanged(announcement.service);
+                    }),
           settlements({}, replica, *log, metrics), claims({}, replica, settlements),
           runner(runnerOptions(settings), queue, client, *log, metrics),
           keyed(identity, gatewayGone(), claims, settlements, runner, *log),
@@ -147,13 +176,12 @@
           callerServer(settings.listen.callers, callerLimits(settings.limits),
                        std::move(callerCredentials), gateway),
           endpointServer(settings.listen.endpoints, endpointServerLimits(),
-                         std::move(endpointCredentials), intake),
+                         std::move(endpointCredentials), forwarder),
           operatorServer({settings.listen.operators, settings.instance.name,
                           std::move(operatorCredentials), settings.limits},
                          {replica, *log, endpointRecords(), waveExplanations(),
                           [this] { return metrics.render(); }})
-    {
-    }
+    { }
 
     PeerIdentity peerIdentity(const Settings &settings) const
     {
@@ -216,6 +244,7 @@
     FirstComeQueue queue;
     InstanceRegistrar registrar;
     AnnouncementIntake intake;
+    AnnouncementForwarder forwarder;
     SettleQueue settlements;
     ClaimBatcher claims;
     AttemptRunner runner;
@@ -234,8 +263,8 @@
 EntryInstance::start(const Settings &settings, std::function<void(const std::string &)> onFatal)
 {
     StartError error;
-    auto log = JsonDecisionLog::open(settings.instance.name, settings.log.severity,
-                                     settings.log.file);
+    auto log =
+            JsonDecisionLog::open(settings.instance.name, settings.log.severity, settings.log.file);
     auto callers = Credentials::fromFile(settings.credentials.callersFile);
     auto endpoints = Credentials::fromFile(settings.credentials.endpointsFile);
     auto operators = OperatorCredentials::read(settings.credentials.operatorsFile);
@@ -261,9 +290,9 @@
     std::unique_ptr<EntryInstance> instance(new EntryInstance);
     try {
         instance->m_parts = std::make_unique<Parts>(
-                settings, takeValue(std::move(log)), nullptr, takeValue(std::move(callers)),
-                takeValue(std::move(endpoints)), takeValue(std::move(operators)),
-                std::move(onFatal));
+                settings, takeValue(std::move(log)), makeStorage(settings),
+                takeValue(std::move(callers)), takeValue(std::move(endpoints)),
+                takeValue(std::move(operators)), std::move(onFatal));
     } catch (const Poco::Exception &exception) {
         return StartError{{"cannot listen: " + exception.displayText()}};
     }
--- a/Tests/Scenarios/Support/cluster.lua
+++ b/Tests/Scenarios/Support/cluster.lua
@@ -64,9 +64,9 @@
     end
     self.platform_port = free_port()
     write_file(work_folder .. "/operators", "operator-1 operator-secret-1\noperator-2 operator-secret-2\n")
-    write_file(work_folder .. "/endpoints", "endpoints endpoint-secret\n")
-    write_file(work_folder .. "/endpoint-credential", "endpoint-secret\n")
-    write_file(work_folder .. "/peers", "peers peer-secret\n")
+    write_file(work_folder .. "/endpoints", "endpoints endpoint-secret-0001\n")
+    
+    write_file(work_folder .. "/peers", "peers peer-secret-0001\n")
     write_file(work_folder .. "/callers", table.concat(options.callers or {
         "counter-quotes caller-secret-quotes",
         "night-dues caller-secret-dues",
@@ -269,7 +269,7 @@
         "--address", endpoint.address, "--instance", endpoint.instance, "--service", endpoint.service,
         "--slots", tostring(endpoint.slots), "--rack", endpoint.rack, "--zone", endpoint.zone,
         "--incarnation", tostring(endpoint.incarnation), "--run-ms", tostring(endpoint.run_ms),
-        "--credential-file", work_folder .. "/endpoint-credential",
+        "--credential-file", work_folder .. "/endpoints",
     }
     for _, target in ipairs(self:endpoint_addresses(endpoint.zone)) do
         table.insert(arguments, "--announce")
@@ -314,12 +314,13 @@
                  headers = headers, body = options.body or "", timeout_ms = options.timeout_ms or 8000}
 end
 
---- How often the endpoints ran a request, by the request's own text: {text = runs}.
+--- How often the endpoints ran a request, by request id: {id = runs}.
 function cluster:runs()
     local counts = {}
     for _, endpoint in ipairs(self.endpoints) do
         local answer = http {address = endpoint.address, path = "/runs"}
-        for key, runs in answer.body:gmatch('"([^"]+)"%s*:%s*(%d+)') do
+        local runs_object = answer.body:match('"runs"%s*:%s*(%b{})') or ""
+        for key, runs in runs_object:gmatch('"([^"]+)"%s*:%s*(%d+)') do
             counts[key] = (counts[key] or 0) + tonumber(runs)
         end
     end
@@ -374,7 +375,7 @@
     return list
 end
 
-cluster.plans = [[
+cluster.plans = [=[
 [[plan]]
 id = "counter-quotes"
 customer = "chamdakam"
@@ -392,9 +393,9 @@
 min_healthy_instances = 1
 max_unavailable_instances = 1
 default_deadline_ms = 5000
-]]
+]=]
 
-cluster.allowances = [[
+cluster.allowances = [=[
 [[allowance]]
 plan = "counter-quotes"
 max_instances = 12
@@ -408,6 +409,6 @@
 slots = 96
 requests_per_second = 2000
 weight = 1
-]]
+]=]
 
 return cluster
