Peers: Test damaged input and bound what a stranger can send

Cause: bytes from the network must close their connection at most. Ruled out: relying on the message limit alone. Before its hello a connection could hold 32 MiB, and five bytes of msgpack could claim an array of gigabytes. Change: a connection takes 4 KiB until its hello was accepted; envelopes are decoded with limits on fields and depth.

--- a/Source/Adapters/Peers/Http2Connection.h
+++ b/Source/Adapters/Peers/Http2Connection.h
@@ -62,6 +62,9 @@
     void terminate();
     void close(const std::string &reason);
 
+    /// Sets the limits of bodies and buffers from now on.
+    void setLimits(const Http2Limits &limits) { m_limits = limits; }
+
     SteadyTimeMs lastReceivedAt() const { return m_lastReceivedAt; }
     /// True while messages are better kept back, as the peer doesn't read.
     bool congested() const { return !m_output.empty(); }
@@ -103,7 +106,7 @@
     EventLoop &m_loop;
     int m_descriptor = -1;
     const Http2Role m_role;
-    const Http2Limits m_limits;
+    Http2Limits m_limits;
     Http2Events m_events;
     std::unique_ptr<nghttp2_session, SessionDeleter> m_session;
     EventLoop::WatchId m_watch = 0;
--- a/Source/Adapters/Peers/PeerEnvelope.h
+++ b/Source/Adapters/Peers/PeerEnvelope.h
@@ -59,6 +59,9 @@
     MSGPACK_DEFINE_ARRAY(status, body)
 };
 
+/// Fields of an envelope at most, with room for those of a newer version.
+inline constexpr std::size_t maxEnvelopeFields = 16;
+
 /// Bytes that an envelope adds to a body, at most.
 inline constexpr std::size_t maxEnvelopeBytes = 64;
 
@@ -91,7 +94,10 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        // No envelope is larger or deeper; the limits keep a few bytes from claiming gigabytes.
+        const msgpack::unpack_limit limit(maxEnvelopeFields, 0, bytes.size(), 0, 0, 1);
+        const msgpack::object_handle handle =
+                msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size() || handle->type != msgpack::type::ARRAY) {
             return std::nullopt;
         }
--- a/Source/Adapters/Peers/PeerServer.cpp
+++ b/Source/Adapters/Peers/PeerServer.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds acceptPause{100};
 constexpr SteadyTimeMs refusalLogIntervalMs = 60000;
 constexpr std::size_t maxRememberedRefusals = 256;
+/// Limit of the hello, so that a stranger can't make the process hold much.
+constexpr std::size_t maxHelloBytes = 4096;
 
 /// Host part, as the port of a client differs at each attempt.
 std::string hostOf(const std::string &address)
@@ -110,11 +112,13 @@
     };
     events.drained = [] {};
     events.closed = [this, id](const std::string &reason) { onClosed(id, reason); };
+    Http2Limits limits = http2Limits(m_context.options);
+    limits.maxBodyBytes = maxHelloBytes;
+    limits.maxBufferedBytes = maxHelloBytes;
     Accepted &accepted = m_accepted[id];
     accepted.address = address;
-    accepted.connection =
-            std::make_shared<Http2Connection>(*m_loop, descriptor, Http2Role::Server,
-                                              http2Limits(m_context.options), std::move(events));
+    accepted.connection = std::make_shared<Http2Connection>(*m_loop, descriptor, Http2Role::Server,
+                                                            limits, std::move(events));
     accepted.timer = m_loop->startTimer(m_context.options.helloTimeout, [this, id] {
         m_accepted.at(id).connection->close("expected a hello within "
                                             + std::to_string(m_context.options.helloTimeout.count())
@@ -163,6 +167,7 @@
         accepted.lastStream = stream;
     } else {
         accepted.name = hello->name;
+        accepted.connection->setLimits(http2Limits(m_context.options));
     }
     std::string message = encodeEnvelope(reply);
     m_context.traffic.sent(PeerMessageKind::Hello, message.size());
