--- /dev/null
+++ b/Source/Adapters/Disk/LogSegments.cpp
@@ -0,0 +1,312 @@
+#include "Adapters/Disk/LogSegments.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+
+#include "Adapters/Disk/AtomicFile.h"
+#include "Adapters/Disk/Records.h"
+
+namespace dandelionloom {
+
+namespace {
+
+const std::string segmentPrefix = "log-";
+constexpr std::size_t sequenceDigits = 12;
+
+/// First record of a segment.
+struct SegmentHeader
+{
+    std::uint64_t sequence = 0;
+    bool startsLog = false;
+    std::uint64_t startsAfter = 0;
+
+    MSGPACK_DEFINE_ARRAY(sequence, startsLog, startsAfter)
+};
+
+template <typename T>
+std::string packed(const T &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+template <typename T>
+std::optional<T> unpacked(const std::string &bytes)
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size())->as<T>();
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+StorageError damaged(const std::string &path, std::uint64_t offset, const std::string &detail)
+{
+    return {StorageErrorKind::Damaged,
+            path + " at offset " + std::to_string(offset) + ": " + detail};
+}
+
+} // namespace
+
+LogSegments::LogSegments(FileCalls calls, std::string folder)
+    : m_calls(std::move(calls)), m_folder(std::move(folder))
+{ }
+
+LogSegments::~LogSegments()
+{
+    closeCurrent();
+}
+
+std::string LogSegments::pathOf(std::uint64_t sequence) const
+{
+    std::string digits = std::to_string(sequence);
+    digits.insert(0, sequenceDigits - std::min(sequenceDigits, digits.size()), '0');
+    return m_folder + "/" + segmentPrefix + digits;
+}
+
+std::vector<std::uint64_t> LogSegments::listSequences() const
+{
+    std::vector<std::uint64_t> result;
+    std::error_code error;
+    for (const auto &entry : std::filesystem::directory_iterator(m_folder, error)) {
+        const std::string name = entry.path().filename().string();
+        if (name.starts_with(segmentPrefix)) {
+            result.push_back(std::strtoull(name.c_str() + segmentPrefix.size(), nullptr, 10));
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+Result<RecoveredSegments, StorageError> LogSegments::recover()
+{
+    RecoveredSegments result;
+    const std::vector<std::uint64_t> sequences = listSequences();
+    result.found = !sequences.empty();
+    for (const std::uint64_t sequence : sequences) {
+        const Result<Done, StorageError> recovered =
+                recoverOne(sequence, sequence == sequences.back(), result);
+        if (!isOk(recovered)) {
+            return errorOf(recovered);
+        }
+    }
+    for (std::size_t index = 1; index < m_segments.size(); ++index) {
+        const std::uint64_t expected = m_segments[index - 1].sequence + 1;
+        if (m_segments[index].sequence != expected) {
+            return StorageError{StorageErrorKind::Damaged,
+                                "expected segment " + pathOf(expected) + ", found none"};
+        }
+    }
+    if (m_segments.empty()) {
+        return result;
+    }
+    // Removes what a crash left of obsolete segments.
+    const Result<Done, StorageError> removed = removeBefore(m_segments.front().sequence);
+    if (!isOk(removed)) {
+        return errorOf(removed);
+    }
+    const Result<Done, StorageError> opened = openCurrent();
+    if (!isOk(opened)) {
+        return errorOf(opened);
+    }
+    return result;
+}
+
+Result<Done, StorageError> LogSegments::recoverOne(std::uint64_t sequence, bool last,
+                                                   RecoveredSegments &result)
+{
+    const std::string path = pathOf(sequence);
+    const Result<std::optional<std::string>, StorageError> content = readFile(path);
+    if (!isOk(content)) {
+        return errorOf(content);
+    }
+    const std::string bytes = valueOf(content).value_or("");
+    RecordScan scan = scanRecords(sequence, bytes);
+    if (scan.tail == RecordTail::Damaged || (scan.tail == RecordTail::Torn && !last)) {
+        return damaged(path, scan.validBytes, "expected a whole record, found damaged bytes");
+    }
+    if (scan.records.empty()) {
+        // The process ended while it created the segment; nothing in it was acknowledged.
+        result.tornBytes += bytes.size();
+        if (!last) {
+            return damaged(path, 0, "expected a segment header, found an empty file");
+        }
+        return m_calls.remove(path) == 0 ? Result<Done, StorageError>(Done{})
+                                         : storageErrorOf(errno, "remove", path);
+    }
+    if (scan.tail == RecordTail::Torn) {
+        result.tornBytes += bytes.size() - scan.validBytes;
+        const Result<Done, StorageError> done = cut(sequence, scan.validBytes);
+        if (!isOk(done)) {
+            return done;
+        }
+    }
+    const std::optional<SegmentHeader> header =
+            unpacked<SegmentHeader>(scan.records.front().payload);
+    if (!header || header->sequence != sequence) {
+        return damaged(path, 0, "expected the header of this segment, found another record");
+    }
+    if (header->startsLog) {
+        result.batches.clear();
+        result.startsAfter = header->startsAfter;
+        m_segments.clear();
+    }
+    m_segments.push_back({sequence, scan.validBytes});
+    for (std::size_t index = 1; index < scan.records.size(); ++index) {
+        const Record &record = scan.records[index];
+        std::optional<std::vector<LogEntry>> entries =
+                unpacked<std::vector<LogEntry>>(record.payload);
+        if (!entries) {
+            return damaged(path, record.offset, "expected log entries, found another record");
+        }
+        result.batches.push_back({sequence, path + " at offset " + std::to_string(record.offset),
+                                  std::move(*entries)});
+    }
+    return Done{};
+}
+
+Result<Done, StorageError> LogSegments::cut(std::uint64_t sequence, std::uint64_t bytes)
+{
+    const int descriptor = m_calls.open(pathOf(sequence), O_WRONLY);
+    if (descriptor < 0) {
+        return fault("open", sequence);
+    }
+    m_calls.point(crashPoints::truncate);
+    const bool done = m_calls.truncate(descriptor, static_cast<off_t>(bytes)) == 0
+            && m_calls.sync(descriptor) == 0;
+    const StorageError error = fault("truncate", sequence);
+    ::close(descriptor);
+    return done ? Result<Done, StorageError>(Done{}) : error;
+}
+
+Result<Done, StorageError> LogSegments::openCurrent()
+{
+    closeCurrent();
+    m_descriptor = m_calls.open(pathOf(current()), O_WRONLY);
+    return m_descriptor < 0 ? Result<Done, StorageError>(fault("open", current())) : Done{};
+}
+
+Result<Done, StorageError> LogSegments::create(std::optional<std::uint64_t> startsAfter)
+{
+    const std::uint64_t sequence = current() + 1;
+    const std::string path = pathOf(sequence);
+    const std::string header = encodeRecord(
+            {sequence, 0},
+            packed(SegmentHeader{sequence, startsAfter.has_value(), startsAfter.value_or(0)}));
+    m_calls.point(crashPoints::append);
+    const int descriptor = m_calls.open(path, O_WRONLY | O_CREAT | O_TRUNC);
+    if (descriptor < 0) {
+        return storageErrorOf(errno, "create", path);
+    }
+    const int writeFault = writeAll(m_calls, descriptor, header, 0);
+    if (writeFault != 0) {
+        ::close(descriptor);
+        m_calls.remove(path);
+        return storageErrorOf(writeFault, "write", path);
+    }
+    m_calls.point(crashPoints::sync);
+    if (m_calls.sync(descriptor) != 0) {
+        const StorageError error = fault("sync", sequence);
+        ::close(descriptor);
+        return error;
+    }
+    m_calls.point(crashPoints::folderSync);
+    if (m_calls.syncFolder(m_folder) != 0) {
+        const StorageError error = fault("sync the folder of", sequence);
+        ::close(descriptor);
+        return error;
+    }
+    closeCurrent();
+    m_descriptor = descriptor;
+    m_segments.push_back({sequence, header.size()});
+    return Done{};
+}
+
+Result<Done, StorageError> LogSegments::append(const std::vector<LogEntry> &entries)
+{
+    Segment &segment = m_segments.back();
+    const std::string record = encodeRecord({segment.sequence, segment.bytes}, packed(entries));
+    m_calls.point(crashPoints::append);
+    const int writeFault =
+            writeAll(m_calls, m_descriptor, record, static_cast<off_t>(segment.bytes));
+    if (writeFault != 0) {
+        const StorageError error = storageErrorOf(writeFault, "write", pathOf(segment.sequence));
+        const Result<Done, StorageError> takenBack = takeBack(segment.bytes);
+        return isOk(takenBack) ? Result<Done, StorageError>(error) : takenBack;
+    }
+    m_calls.point(crashPoints::sync);
+    if (m_calls.sync(m_descriptor) != 0) {
+        return fault("sync", segment.sequence);
+    }
+    segment.bytes += record.size();
+    return Done{};
+}
+
+Result<Done, StorageError> LogSegments::takeBack(std::uint64_t bytes)
+{
+    // Synced, so that a refused record can't return after a crash.
+    m_calls.point(crashPoints::truncate);
+    const bool done = m_calls.truncate(m_descriptor, static_cast<off_t>(bytes)) == 0
+            && m_calls.sync(m_descriptor) == 0;
+    return done ? Result<Done, StorageError>(Done{}) : fault("truncate", current());
+}
+
+Result<Done, StorageError> LogSegments::removeBefore(std::uint64_t segment)
+{
+    // Oldest first and one at a time, so that a crash leaves no gap between segments.
+    for (const std::uint64_t sequence : listSequences()) {
+        if (sequence >= segment) {
+            break;
+        }
+        m_calls.point(crashPoints::remove);
+        if (m_calls.remove(pathOf(sequence)) != 0 || m_calls.syncFolder(m_folder) != 0) {
+            return fault("remove", sequence);
+        }
+    }
+    std::erase_if(m_segments, [&](const Segment &known) { return known.sequence < segment; });
+    return Done{};
+}
+
+std::uint64_t LogSegments::current() const
+{
+    return m_segments.empty() ? 0 : m_segments.back().sequence;
+}
+
+std::uint64_t LogSegments::currentBytes() const
+{
+    return m_segments.empty() ? 0 : m_segments.back().bytes;
+}
+
+std::uint64_t LogSegments::sizeBytes() const
+{
+    std::uint64_t result = 0;
+    for (const Segment &segment : m_segments) {
+        result += segment.bytes;
+    }
+    return result;
+}
+
+StorageError LogSegments::fault(const std::string &what, std::uint64_t sequence) const
+{
+    return {StorageErrorKind::InputOutput,
+            what + " " + pathOf(sequence) + ": " + std::strerror(errno)};
+}
+
+void LogSegments::closeCurrent()
+{
+    if (m_descriptor >= 0) {
+        ::close(m_descriptor);
+        m_descriptor = -1;
+    }
+}
+
+} // namespace dandelionloom
