Consensus: Test Raft under seeded faults and fix admission while idle

Cause: the state machine was tested on a healthy network only.

Change: RaftSimulation runs voters with simulated clocks, disks and a network that drops, delays, duplicates, reorders, cuts one way, freezes, crashes (also in a sync) and loses disks. Each step checks one leader a term, equal committed entries, log matching, confirmed reads and the dating of quorum contacts.

Found and fixed: a voter with a new folder was registered behind the log's end, and heartbeats that name index 0 always match, so it got no entries until the next command. A probe now carries the last index, and what is not known to match is sent.

--- a/Source/Consensus/RaftLeader.cpp
+++ b/Source/Consensus/RaftLeader.cpp
@@ -69,7 +69,11 @@
     // A lost request is repeated after half of the shortest election timeout.
     const bool waiting =
             peer.inFlight != 0 && now - peer.inFlightSince < m_options.electionMinMs / 2;
-    const bool behind = !waiting && peer.next <= m_log.durableIndex();
+    const bool behind = !waiting && peer.match < m_log.durableIndex();
+    if (behind) {
+        // Also when all was sent once: what is not known to match is sent again.
+        peer.next = std::min(peer.next, m_log.durableIndex());
+    }
     if (behind && (peer.transfer || !m_log.termAt(peer.next - 1))) {
         sendChunk(id, peer, now);
         return;
--- a/Source/Consensus/RaftMembership.cpp
+++ b/Source/Consensus/RaftMembership.cpp
@@ -28,6 +28,7 @@
         }
         RaftMessage request = message(RaftMessageKind::Probe, {name, {}});
         request.request = nextRequest();
+        request.logIndex = m_log.durableIndex();
         m_messages.push_back(std::move(request));
     }
 }
@@ -51,7 +52,7 @@
     const auto [learner, added] = m_peers.try_emplace(request.from);
     learner->second.heardAt = now;
     if (added) {
-        learner->second.next = m_log.durableIndex() + 1;
+        learner->second.next = std::min(request.logIndex, m_log.durableIndex()) + 1;
         sendToPeer(request.from, learner->second, now, true);
     }
 }
--- /dev/null
+++ b/Tests/Consensus/RaftSimulation.cpp
@@ -0,0 +1,460 @@
+#include "Consensus/RaftSimulation.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace dandelionloom::test {
+
+namespace {
+
+/// Small, so that batches and snapshots take several messages.
+constexpr std::size_t batchBytes = 64;
+
+/// Whether the two logs agree up to the last entry that both hold with the same term.
+bool logsMatch(const RaftLog &left, const RaftLog &right)
+{
+    const std::uint64_t first = std::max(left.baseIndex(), right.baseIndex()) + 1;
+    bool matched = false;
+    for (std::uint64_t index = std::min(left.lastIndex(), right.lastIndex()); index >= first;
+         --index) {
+        const bool same = left.at(index).term == right.at(index).term;
+        if ((same && left.at(index) != right.at(index)) || (!same && matched)) {
+            return false;
+        }
+        matched = matched || same;
+    }
+    return true;
+}
+
+} // namespace
+
+RaftSimulation::RaftSimulation(std::size_t nodes, std::uint64_t seed)
+    : m_seed(seed), m_random(seed), m_nodes(nodes)
+{
+    for (std::size_t index = 0; index < nodes; ++index) {
+        m_nodes[index].name = std::string(1, static_cast<char>('a' + index));
+        // Clocks of different machines have nothing in common.
+        m_nodes[index].clockOffset = static_cast<std::int64_t>(m_random() % 500000);
+    }
+    for (Node &node : m_nodes) {
+        start(node);
+    }
+}
+
+void RaftSimulation::start(Node &node)
+{
+    RaftOptions options;
+    options.self = {node.name, node.name + "-" + std::to_string(node.disk)};
+    for (const Node &other : m_nodes) {
+        options.voterNames.push_back(other.name);
+    }
+    options.maxBatchBytes = batchBytes;
+    options.seed = m_random();
+    node.applied.clear();
+    node.appliedIndex = 0;
+    node.reads.clear();
+    node.frozen = false;
+    if (node.snapshot) {
+        for (const auto &[index, entry] : m_committed) {
+            if (index <= node.snapshot->lastIndex) {
+                node.applied.push_back(entry.payload);
+            }
+        }
+        node.appliedIndex = node.snapshot->lastIndex;
+    }
+    node.raft = std::make_unique<Raft>(options, node.hardState, node.snapshot, node.entries,
+                                       clockOf(node));
+}
+
+void RaftSimulation::crash(std::size_t node)
+{
+    m_nodes[node].raft.reset();
+    m_nodes[node].frozen = false;
+}
+
+void RaftSimulation::restart(std::size_t node)
+{
+    start(m_nodes[node]);
+}
+
+void RaftSimulation::loseDisk(std::size_t node)
+{
+    crash(node);
+    Node &lost = m_nodes[node];
+    ++lost.disk;
+    ++m_lostDisks;
+    lost.hardState = {};
+    lost.snapshot.reset();
+    lost.entries.clear();
+    start(lost);
+}
+
+void RaftSimulation::freeze(std::size_t node)
+{
+    m_nodes[node].frozen = true;
+}
+
+void RaftSimulation::thaw(std::size_t node)
+{
+    m_nodes[node].frozen = false;
+}
+
+void RaftSimulation::setDiskFull(std::size_t node, bool full)
+{
+    m_nodes[node].diskFull = full;
+}
+
+void RaftSimulation::cut(std::size_t from, std::size_t to)
+{
+    m_cut.emplace(from, to);
+}
+
+void RaftSimulation::cutBoth(std::size_t left, std::size_t right)
+{
+    cut(left, right);
+    cut(right, left);
+}
+
+void RaftSimulation::isolate(std::size_t node)
+{
+    for (std::size_t other = 0; other < size(); ++other) {
+        cutBoth(node, other);
+    }
+}
+
+void RaftSimulation::heal()
+{
+    m_cut.clear();
+}
+
+std::optional<LogPosition> RaftSimulation::propose(std::size_t node, const std::string &value)
+{
+    if (!isUp(node) || isFrozen(node)) {
+        return std::nullopt;
+    }
+    return m_nodes[node].raft->propose(value);
+}
+
+void RaftSimulation::read(std::size_t node)
+{
+    if (!isUp(node) || isFrozen(node)) {
+        return;
+    }
+    Node &reader = m_nodes[node];
+    const auto id = reader.raft->startRead(clockOf(reader));
+    if (id) {
+        reader.reads[*id] = m_committed.empty() ? 0 : m_committed.rbegin()->first;
+    }
+}
+
+void RaftSimulation::run(std::int64_t milliseconds)
+{
+    for (const std::int64_t end = m_now + milliseconds; m_now < end;) {
+        ++m_now;
+        while (!m_deliveries.empty() && m_deliveries.begin()->first <= m_now) {
+            const Delivery delivery = std::move(m_deliveries.begin()->second);
+            m_deliveries.erase(m_deliveries.begin());
+            Node &receiver = m_nodes[delivery.to];
+            if (!receiver.raft) {
+                continue;
+            }
+            if (receiver.frozen) {
+                m_deliveries.emplace(m_now + 1, delivery);
+                continue;
+            }
+            receiver.raft->receive(delivery.message, clockOf(receiver));
+        }
+        for (std::size_t index = 0; index < size(); ++index) {
+            Node &node = m_nodes[index];
+            if (node.raft && !node.frozen) {
+                node.raft->tick(clockOf(node));
+                process(index);
+            }
+        }
+        if (m_now % 50 == 0) {
+            checkLogs();
+        }
+    }
+}
+
+void RaftSimulation::process(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    for (bool again = true; again;) {
+        const RaftOutput output = node.raft->takeOutput();
+        again = output.needsSync();
+        send(index, output.messages);
+        const bool crashes = again && chance() < crashInSyncShare;
+        if (again && !save(node, output, crashes)) {
+            if (crashes) {
+                crash(index);
+            } else {
+                node.raft->syncFailed(clockOf(node));
+            }
+            return;
+        }
+        const RaftReleased released = node.raft->synced(clockOf(node));
+        send(index, released.messages);
+        release(node, released);
+    }
+    checkLeaders(index);
+    checkContact(index);
+    compact(node);
+}
+
+bool RaftSimulation::save(Node &node, const RaftOutput &output, bool crash)
+{
+    // A crash leaves the first of the writes, and of the entries, that were to be synced.
+    const std::size_t writes = crash ? pick(3) : 3;
+    if (node.diskFull) {
+        return false;
+    }
+    if (writes > 0 && output.hardState) {
+        node.hardState = *output.hardState;
+    }
+    if (writes > 1 && output.snapshot) {
+        node.snapshot = output.snapshot;
+        std::erase_if(node.entries, [&](const LogEntry &entry) {
+            return entry.index <= output.snapshot->lastIndex;
+        });
+    }
+    const std::size_t count = writes > 2            ? output.entries.size()
+            : writes > 1 && !output.entries.empty() ? pick(output.entries.size())
+                                                    : 0;
+    if (count > 0) {
+        std::erase_if(node.entries, [&](const LogEntry &entry) {
+            return entry.index >= output.entries.front().index;
+        });
+        node.entries.insert(node.entries.end(), output.entries.begin(),
+                            output.entries.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    return !crash;
+}
+
+void RaftSimulation::release(Node &node, const RaftReleased &released)
+{
+    if (released.restored) {
+        if (released.restored->lastIndex <= node.appliedIndex) {
+            violated(node.name + " restored a snapshot that is not newer");
+        }
+        std::string expected;
+        node.applied.clear();
+        for (const auto &[index, entry] : m_committed) {
+            if (index <= released.restored->lastIndex) {
+                node.applied.push_back(entry.payload);
+                expected += entry.payload + ",";
+            }
+        }
+        if (released.restored->state != expected) {
+            violated(node.name + " got another state by snapshot than was committed");
+        }
+        node.appliedIndex = released.restored->lastIndex;
+    }
+    for (const LogEntry &entry : released.committed) {
+        applyEntry(node, entry);
+    }
+    for (const ConfirmedRead &read : released.reads) {
+        const auto found = node.reads.find(read.id);
+        if (found != node.reads.end() && read.index) {
+            ++m_confirmedReads;
+            if (*read.index < found->second) {
+                violated(node.name + " confirmed a read at " + std::to_string(*read.index)
+                         + " that missed entry " + std::to_string(found->second));
+            }
+        }
+        node.reads.erase(read.id);
+    }
+}
+
+void RaftSimulation::applyEntry(Node &node, const LogEntry &entry)
+{
+    if (entry.index != node.appliedIndex + 1) {
+        violated(node.name + " applied entry " + std::to_string(entry.index) + " after "
+                 + std::to_string(node.appliedIndex));
+    }
+    const auto [known, added] = m_committed.emplace(entry.index, entry);
+    if (!added && known->second != entry) {
+        violated(node.name + " committed another entry " + std::to_string(entry.index) + ": term "
+                 + std::to_string(entry.term) + " and term " + std::to_string(known->second.term));
+    }
+    if (added) {
+        m_commitTimes.emplace_back(m_now, entry.index);
+    }
+    node.appliedIndex = entry.index;
+    node.applied.push_back(entry.payload);
+}
+
+void RaftSimulation::compact(Node &node)
+{
+    const std::uint64_t last = node.snapshot ? node.snapshot->lastIndex : 0;
+    if (compactEntries == 0 || node.appliedIndex < last + compactEntries) {
+        return;
+    }
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->lastIndex = node.appliedIndex;
+    snapshot->lastTerm = node.raft->log().termAt(node.appliedIndex).value_or(0);
+    snapshot->voters = node.raft->log().votersAt(node.appliedIndex);
+    for (const std::string &value : node.applied) {
+        snapshot->state += value + ",";
+    }
+    std::erase_if(node.entries,
+                  [&](const LogEntry &entry) { return entry.index <= node.appliedIndex; });
+    node.snapshot = snapshot;
+    node.raft->setSnapshot(snapshot, node.appliedIndex - std::min<std::uint64_t>(5, pick(6)));
+}
+
+void RaftSimulation::send(std::size_t from, const std::vector<RaftMessage> &messages)
+{
+    for (const RaftMessage &message : messages) {
+        const std::size_t to = indexOf(message.to.name);
+        std::size_t bytes = message.data.size();
+        for (const LogEntry &entry : message.entries) {
+            bytes += entry.payload.size();
+        }
+        if (bytes > batchBytes && message.entries.size() != 1) {
+            violated("a message of " + std::to_string(bytes) + " bytes");
+        }
+        if (m_cut.contains({from, to}) || chance() < network.dropShare) {
+            continue;
+        }
+        // The message passes the wire format on its way.
+        const auto decoded = decodeRaftMessage(encodeRaftMessage(message));
+        const std::size_t copies = chance() < network.duplicateShare ? 2 : 1;
+        for (std::size_t copy = 0; copy < copies; ++copy) {
+            const auto delay = std::uniform_int_distribution<std::int64_t>(
+                    network.minDelayMs, network.maxDelayMs)(m_random);
+            m_deliveries.emplace(m_now + delay, Delivery{to, valueOf(decoded)});
+        }
+    }
+}
+
+std::size_t RaftSimulation::indexOf(const std::string &name) const
+{
+    return static_cast<std::size_t>(name.front() - 'a');
+}
+
+std::optional<std::size_t> RaftSimulation::leader() const
+{
+    std::optional<std::size_t> result;
+    for (std::size_t index = 0; index < size(); ++index) {
+        if (isUp(index) && raft(index).role() == RaftRole::Leader
+            && (!result || raft(index).term() > raft(*result).term())) {
+            result = index;
+        }
+    }
+    return result;
+}
+
+bool RaftSimulation::isCommitted(const std::string &value) const
+{
+    return std::any_of(m_committed.begin(), m_committed.end(),
+                       [&](const auto &item) { return item.second.payload == value; });
+}
+
+std::size_t RaftSimulation::waitForLeader(std::int64_t limit)
+{
+    runUntil("a leader", limit, [&] {
+        const auto found = leader();
+        return found && !isFrozen(*found) && raft(*found).contact(clockOf(m_nodes[*found]));
+    });
+    return *leader();
+}
+
+void RaftSimulation::settle()
+{
+    const std::string value = "settled-" + std::to_string(++m_settled);
+    std::optional<LogPosition> position;
+    runUntil("a state that is equal on all nodes", 60000, [&] {
+        if (m_now % 500 == 0) {
+            if (const auto found = leader()) {
+                position = propose(*found, value);
+            }
+        }
+        if (!position) {
+            return false;
+        }
+        for (std::size_t index = 0; index < size(); ++index) {
+            if (!isUp(index)) {
+                continue;
+            }
+            const std::vector<std::string> &values = applied(index);
+            if (values != applied(*leader())
+                || std::find(values.begin(), values.end(), value) == values.end()) {
+                return false;
+            }
+        }
+        return true;
+    });
+    checkLogs();
+}
+
+bool RaftSimulation::allAdmitted() const
+{
+    for (const Node &node : m_nodes) {
+        if (!node.raft || node.raft->log().votersIndex() > node.appliedIndex
+            || node.raft->voters().size() != size()) {
+            return false;
+        }
+        for (const Node &other : m_nodes) {
+            const VoterId id{other.name, other.name + "-" + std::to_string(other.disk)};
+            const auto &voters = node.raft->voters();
+            if (std::find(voters.begin(), voters.end(), id) == voters.end()) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+void RaftSimulation::checkLeaders(std::size_t index)
+{
+    const Node &node = m_nodes[index];
+    if (node.raft->role() != RaftRole::Leader) {
+        return;
+    }
+    const std::string id = node.name + "-" + std::to_string(node.disk);
+    const auto [known, added] = m_leaders.emplace(node.raft->term(), id);
+    if (!added && known->second != id) {
+        violated("two leaders of term " + std::to_string(node.raft->term()) + ": " + known->second
+                 + " and " + id);
+    }
+}
+
+void RaftSimulation::checkContact(std::size_t index)
+{
+    const Node &node = m_nodes[index];
+    const auto contact = node.raft->contact(clockOf(node));
+    if (!contact) {
+        return;
+    }
+    const std::int64_t at = contact->at - node.clockOffset;
+    if (at > m_now) {
+        violated(node.name + " dated a contact with a quorum in the future");
+    }
+    const auto behind = std::partition_point(m_commitTimes.begin(), m_commitTimes.end(),
+                                             [&](const auto &item) { return item.first < at; });
+    if (behind != m_commitTimes.begin() && std::prev(behind)->second > contact->commit) {
+        violated(node.name + " has a contact that does not cover entry "
+                 + std::to_string(std::prev(behind)->second));
+    }
+}
+
+void RaftSimulation::checkLogs() const
+{
+    for (std::size_t left = 0; left < size(); ++left) {
+        for (std::size_t right = left + 1; right < size(); ++right) {
+            if (isUp(left) && isUp(right) && !logsMatch(raft(left).log(), raft(right).log())) {
+                violated("the logs of " + m_nodes[left].name + " and " + m_nodes[right].name
+                         + " do not match");
+            }
+        }
+    }
+}
+
+void RaftSimulation::violated(const std::string &what) const
+{
+    throw std::runtime_error("seed " + std::to_string(m_seed) + ", at "
+                             + std::to_string(m_now - 1000000) + " ms: " + what);
+}
+
+} // namespace dandelionloom::test
