Controller: Grant and give back drains as the wave planner says

Cause: a wave was accepted and nothing moved.

Ruled out: gateways that send nothing to proving or failed instances. A proving instance that gets no work proves nothing, and a failed instance whose endpoint announces itself is newer knowledge than the record.

Change: the leader asks the planner each pass, records releases and grants, and every entry instance can explain why a target waits.

--- a/Source/Model/Fleet.h
+++ b/Source/Model/Fleet.h
@@ -14,12 +14,21 @@
 /// Name of the pool that holds instances no service needs now.
 inline constexpr const char *sparePool = "spare";
 
-/// Life of an instance in its pool. Only InService takes new work. Every phase but InService
-/// counts against the availability budget of the pool's plans.
+/// Life of an instance in its pool, see takesNewWork(). Every phase but InService counts against
+/// the availability budget of the pool's plans.
 enum class InstancePhase { InService, Draining, Drained, Rebooting, Proving, Failed };
 inline constexpr EnumNames<InstancePhase, 6> instancePhaseNames{
         {"in-service", "draining", "drained", "rebooting", "proving", "failed"}};
 
+/// True if gateways may send new work to an instance in this phase. A proving instance has to serve
+/// to prove itself. A failed one whose endpoint announces itself is back already: the leases of
+/// the gateways are newer than the agreed record.
+inline bool takesNewWork(InstancePhase phase)
+{
+    return phase == InstancePhase::InService || phase == InstancePhase::Proving
+            || phase == InstancePhase::Failed;
+}
+
 /// What the platform says of an instance.
 enum class PlatformInstanceState { Running, Draining, Drained, Rebooting };
 inline constexpr EnumNames<PlatformInstanceState, 4> platformInstanceStateNames{
--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -229,7 +229,13 @@
 
     std::function<std::vector<WaveExplanation>(const std::string &)> waveExplanations() const
     {
-        return [](const std::string &) { return std::vector<WaveExplanation>{}; };
+        return [this](const std::string &wave) {
+            std::vector<WaveExplanation> explanations;
+            for (const WaveTargetStatus &target : controller.explainWave(wave)) {
+                explanations.push_back({target.instance, target.phase, target.reason});
+            }
+            return explanations;
+        };
     }
 
     std::unique_ptr<JsonDecisionLog> log;
--- a/Source/Runtime/Controller.cpp
+++ b/Source/Runtime/Controller.cpp
@@ -72,6 +72,8 @@
         return;
     }
     if (!m_leading) {
+        const std::lock_guard lock(m_waitingMutex);
+        m_waitingFor.clear();
         m_observations.clear();
         m_leading = true;
         m_leadingSince = nowMs;
@@ -86,14 +88,14 @@
     }
     const auto fleet = m_ports.log.state().fleet();
     observe(*fleet, nowMs);
-    planWaves(*fleet, *m_ports.log.state().lists());
+    stepWaves(*fleet, nowMs);
     const auto granted = m_ports.log.state().fleet();
     for (const auto &[id, record] : granted->instances) {
         advance(record, *granted, valueOf(progress), nowMs);
     }
 }
 
-void Controller::observe(const Fleet &fleet, SteadyTimeMs nowMs)
+std::set<std::string> Controller::servingInstances(const Fleet &fleet, SteadyTimeMs nowMs) const
 {
     std::set<std::string> serving;
     for (const EndpointRecord &endpoint : m_ports.endpoints()) {
@@ -104,6 +106,12 @@
             serving.insert(announced.instance);
         }
     }
+    return serving;
+}
+
+void Controller::observe(const Fleet &fleet, SteadyTimeMs nowMs)
+{
+    const std::set<std::string> serving = servingInstances(fleet, nowMs);
     std::erase_if(m_observations,
                   [&](const auto &item) { return !fleet.instances.contains(item.first); });
     for (const auto &[id, record] : fleet.instances) {
@@ -117,10 +125,106 @@
     }
 }
 
-void Controller::planWaves(const Fleet &fleet, const Lists &lists)
+WaveObservations Controller::waveObservations(const Fleet &fleet, SteadyTimeMs nowMs) const
+{
+    WaveObservations observations;
+    const std::set<std::string> serving = servingInstances(fleet, nowMs);
+    for (const auto &[id, record] : fleet.instances) {
+        if (record.phase == InstancePhase::InService && record.pool != sparePool
+            && !serving.contains(id)) {
+            observations.unavailable.insert(id);
+        }
+    }
+    const std::lock_guard lock(m_waitingMutex);
+    observations.waitingFor = m_waitingFor;
+    return observations;
+}
+
+void Controller::stepWaves(const Fleet &fleet, SteadyTimeMs nowMs)
 {
-    (void)fleet;
-    (void)lists;
+    const WavePlan plan = planWaves(fleet, *m_ports.log.state().lists(),
+                                    waveObservations(fleet, nowMs), m_options.waves, wallTimeNow());
+    releaseDrains(plan);
+    grantDrains(plan);
+}
+
+void Controller::releaseDrains(const WavePlan &plan)
+{
+    for (const WaveRelease &release : plan.releases) {
+        const auto result = m_ports.log.propose(
+                ReleaseDrain{release.instance, release.expectedEpoch}, proposeTimeout);
+        Decision decision;
+        decision.kind = DecisionKind::Drain;
+        decision.instance = release.instance;
+        decision.pool = release.pool;
+        decision.wave = release.holder;
+        decision.reason = "released: " + std::string(waveReasonNames.name(release.reason));
+        m_ports.decisions.write(decision);
+        if (!isOk(result)) {
+            return;
+        }
+    }
+}
+
+void Controller::grantDrains(const WavePlan &plan)
+{
+    for (const WaveGrant &grant : plan.grants) {
+        const auto result = m_ports.log.propose(GrantDrain{grant.instance,
+                                                           grant.expectedEpoch,
+                                                           grant.wave,
+                                                           {},
+                                                           grant.observedUnavailable},
+                                                proposeTimeout);
+        if (!isOk(result)) {
+            return;
+        }
+        const bool granted = valueOf(result).status == CommandStatus::Applied;
+        Decision decision;
+        decision.kind = DecisionKind::Drain;
+        decision.instance = grant.instance;
+        decision.pool = grant.pool;
+        decision.wave = grant.wave;
+        decision.reason = granted ? "granted: " + std::string(waveReasonNames.name(grant.reason))
+                                  : "not granted: " + valueOf(result).message;
+        decision.listsRevision = m_ports.log.state().lists()->revision;
+        m_ports.decisions.write(decision);
+    }
+}
+
+std::vector<WaveTargetStatus> Controller::explainWave(const std::string &wave) const
+{
+    const auto fleet = m_ports.log.state().fleet();
+    const auto found = fleet->waves.find(wave);
+    if (found == fleet->waves.end()) {
+        return {};
+    }
+    const WavePlan plan =
+            planWaves(*fleet, *m_ports.log.state().lists(),
+                      waveObservations(*fleet, steadyTimeNow()), m_options.waves, wallTimeNow());
+    std::map<std::string, std::string> reasons;
+    for (const WaveWait &waiting : plan.waits) {
+        if (waiting.wave == wave) {
+            reasons[waiting.instance] = std::string(waveReasonNames.name(waiting.reason)) + ": "
+                    + describeWait(waiting, plan);
+        }
+    }
+    for (const WaveGrant &grant : plan.grants) {
+        if (grant.wave == wave) {
+            reasons[grant.instance] = "next: " + std::string(waveReasonNames.name(grant.reason));
+        }
+    }
+    const std::set<std::string> finished(found->second.finished.begin(),
+                                         found->second.finished.end());
+    std::vector<WaveTargetStatus> targets;
+    for (const std::string &target : found->second.targets) {
+        const auto record = fleet->instances.find(target);
+        if (finished.contains(target) || record == fleet->instances.end()) {
+            continue;
+        }
+        targets.push_back({target, std::string(instancePhaseNames.name(record->second.phase)),
+                           reasons[target]});
+    }
+    return targets;
 }
 
 void Controller::advance(const InstanceRecord &record, const Fleet &fleet,
@@ -139,6 +243,7 @@
     }
     const LifecycleFacts facts = factsOf(record, fleet, gateways, nowMs);
     const LifecycleStep step = nextLifecycleStep(facts, m_options.lifecycle);
+    noteWaiting(record.id, step.reason);
     if (step.reason != observation.lastReason) {
         observation.lastReason = step.reason;
         logStep(record, step);
@@ -149,6 +254,26 @@
     perform(record, step, facts.drainLimitMs);
 }
 
+void Controller::noteWaiting(const std::string &instance, LifecycleReason reason)
+{
+    const std::lock_guard lock(m_waitingMutex);
+    switch (reason) {
+    case LifecycleReason::WaitingForGateways:
+        m_waitingFor[instance] = WaitingFor::Gateways;
+        return;
+    case LifecycleReason::WaitingForRunningWork:
+    case LifecycleReason::DrainLimitPassed:
+        m_waitingFor[instance] = WaitingFor::RunningWork;
+        return;
+    case LifecycleReason::PlatformSilent:
+    case LifecycleReason::WaitingForReboot:
+        m_waitingFor[instance] = WaitingFor::Platform;
+        return;
+    default:
+        m_waitingFor.erase(instance);
+    }
+}
+
 LifecycleFacts Controller::factsOf(const InstanceRecord &record, const Fleet &fleet,
                                    const std::vector<ReplicaProgress> &gateways, SteadyTimeMs nowMs)
 {
--- a/Source/Runtime/Controller.h
+++ b/Source/Runtime/Controller.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Decisions/Lifecycle.h"
+#include "Decisions/Waves.h"
 #include "Model/Endpoint.h"
 #include "Ports/DecisionLog.h"
 #include "Ports/MetricSink.h"
@@ -27,6 +28,15 @@
     /// stopped working from older lists.
     Milliseconds listsLease{10000};
     LifecycleLimits lifecycle;
+    WaveLimits waves;
+};
+
+/// Where one target of a wave is, and why it makes no step now.
+struct WaveTargetStatus
+{
+    std::string instance;
+    std::string phase;
+    std::string reason;
 };
 
 /// Everything the controller works with; all references outlive it.
@@ -56,6 +66,10 @@
     /// One pass. Called by the thread, and by tests.
     void runOnce(SteadyTimeMs nowMs);
 
+    /// State of all targets of a wave that have not finished, from this entry instance's view.
+    /// Works on every entry instance; the leader also tells what a drain waits for. Thread-safe.
+    std::vector<WaveTargetStatus> explainWave(const std::string &wave) const;
+
 private:
     /// What this leader has observed of an instance since it leads.
     struct Observation
@@ -70,8 +84,12 @@
     };
 
     void run();
+    std::set<std::string> servingInstances(const Fleet &fleet, SteadyTimeMs nowMs) const;
     void observe(const Fleet &fleet, SteadyTimeMs nowMs);
-    void planWaves(const Fleet &fleet, const Lists &lists);
+    WaveObservations waveObservations(const Fleet &fleet, SteadyTimeMs nowMs) const;
+    void stepWaves(const Fleet &fleet, SteadyTimeMs nowMs);
+    void releaseDrains(const WavePlan &plan);
+    void grantDrains(const WavePlan &plan);
     void advance(const InstanceRecord &record, const Fleet &fleet,
                  const std::vector<ReplicaProgress> &gateways, SteadyTimeMs nowMs);
     LifecycleFacts factsOf(const InstanceRecord &record, const Fleet &fleet,
@@ -81,6 +99,7 @@
     void perform(const InstanceRecord &record, const LifecycleStep &step,
                  std::int64_t drainLimitMs);
     void propose(const InstanceRecord &record, const LifecycleStep &step, CommandBody body);
+    void noteWaiting(const std::string &instance, LifecycleReason reason);
     void logStep(const InstanceRecord &record, const LifecycleStep &step);
 
     ControllerPorts m_ports;
@@ -89,6 +108,9 @@
     bool m_leading = false;
     SteadyTimeMs m_leadingSince = 0;
 
+    mutable std::mutex m_waitingMutex;
+    std::map<std::string, WaitingFor> m_waitingFor;
+
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_stopping = false;
--- a/Source/Runtime/FirstComeQueue.cpp
+++ b/Source/Runtime/FirstComeQueue.cpp
@@ -14,8 +14,7 @@
 {
     const auto found = fleet.instances.find(announcement.instance);
     return found != fleet.instances.end()
-            && (found->second.pool != announcement.service
-                || found->second.phase != InstancePhase::InService);
+            && (found->second.pool != announcement.service || !takesNewWork(found->second.phase));
 }
 
 } // namespace
