--- a/Source/Adapters/Http/OperatorApi.cpp
+++ b/Source/Adapters/Http/OperatorApi.cpp
@@ -53,9 +53,9 @@
 } // namespace
 
 OperatorApi::OperatorApi(OperatorServices services, std::string instanceName,
-                         Milliseconds commandTimeout)
+                         Milliseconds commandTimeout, Milliseconds defaultDrainLimit)
     : m_services(std::move(services)), m_instanceName(std::move(instanceName)),
-      m_commandTimeout(commandTimeout)
+      m_commandTimeout(commandTimeout), m_defaultDrainLimit(defaultDrainLimit)
 { }
 
 bool OperatorApi::ready() const
--- a/Source/Adapters/Http/OperatorApi.h
+++ b/Source/Adapters/Http/OperatorApi.h
@@ -60,8 +60,10 @@
 class OperatorApi
 {
 public:
-    /// `instanceName` is shown in the status. A command waits up to `commandTimeout`.
-    OperatorApi(OperatorServices services, std::string instanceName, Milliseconds commandTimeout);
+    /// `instanceName` is shown in the status. A command waits up to `commandTimeout`. A wave that
+    /// names no drain limit has `defaultDrainLimit`.
+    OperatorApi(OperatorServices services, std::string instanceName, Milliseconds commandTimeout,
+                Milliseconds defaultDrainLimit);
 
     OperatorResponse handle(const OperatorRequest &request);
 
@@ -82,6 +84,7 @@
     OperatorServices m_services;
     const std::string m_instanceName;
     const Milliseconds m_commandTimeout;
+    const Milliseconds m_defaultDrainLimit;
 };
 
 } // namespace dandelionloom
--- a/Source/Adapters/Http/OperatorAuthentication.cpp
+++ b/Source/Adapters/Http/OperatorAuthentication.cpp
@@ -64,10 +64,7 @@
             continue;
         }
         for (const Entry &other : credentials.m_entries) {
-            if (other.name == entry.name) {
-                error.faults.push_back(place + "expected each name once, found '" + entry.name
-                                       + "' again");
-            } else if (other.credential == entry.credential) {
+            if (other.credential == entry.credential) {
                 error.faults.push_back(place + "expected a credential of its own, found that of '"
                                        + other.name + "'");
             }
--- a/Source/Adapters/Http/OperatorAuthentication.h
+++ b/Source/Adapters/Http/OperatorAuthentication.h
@@ -18,7 +18,8 @@
 class OperatorCredentials
 {
 public:
-    /// Reads lines "name credential"; empty lines and lines that start with '#' are skipped.
+    /// Reads lines "name credential"; empty lines and lines that start with '#' are skipped. A
+    /// name may have several credentials, so that they can be replaced without a gap.
     static Result<OperatorCredentials, CredentialFileError> read(const std::string &path);
     static Result<OperatorCredentials, CredentialFileError> parse(const std::string &text,
                                                                   const std::string &file);
--- a/Source/Adapters/Http/OperatorServer.cpp
+++ b/Source/Adapters/Http/OperatorServer.cpp
@@ -280,7 +280,8 @@
 
 OperatorServer::OperatorServer(OperatorServerOptions options, OperatorServices services)
     : m_options(std::move(options)), m_decisions(services.decisions),
-      m_api(std::move(services), m_options.instanceName, m_options.commandTimeout)
+      m_api(std::move(services), m_options.instanceName, m_options.commandTimeout,
+            m_options.defaultDrainLimit)
 { }
 
 OperatorServer::~OperatorServer() = default;
--- a/Source/Adapters/Http/OperatorServer.h
+++ b/Source/Adapters/Http/OperatorServer.h
@@ -23,6 +23,8 @@
     /// How long a command may take to be accepted and applied. It exceeds two elections of the
     /// default length, so that a change sent during an election is answered.
     Milliseconds commandTimeout{5000};
+    /// Drain limit of a wave that names none: timing.drain_limit_ms of the settings.
+    Milliseconds defaultDrainLimit{60000};
 };
 
 struct ListenError
--- a/Source/Adapters/Http/OperatorWaves.cpp
+++ b/Source/Adapters/Http/OperatorWaves.cpp
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr const char *wavesPath = "/v1/waves";
-constexpr std::uint32_t defaultDrainLimitMs = 60000;
 constexpr std::int64_t shortestDrainLimitMs = 1000;
 constexpr std::int64_t longestDrainLimitMs = 24LL * 60 * 60 * 1000;
 
@@ -35,7 +34,7 @@
     std::string id;
     std::vector<std::string> instances;
     std::map<std::string, std::string> filters;
-    std::uint32_t drainLimitMs = defaultDrainLimitMs;
+    std::optional<std::uint32_t> drainLimitMs;
     std::vector<std::string> faults;
 };
 
@@ -231,7 +230,8 @@
     StartWave start;
     start.change = {request.changeId, request.operatorName};
     start.wave = wave.id;
-    start.drainLimitMs = wave.drainLimitMs;
+    start.drainLimitMs =
+            wave.drainLimitMs.value_or(static_cast<std::uint32_t>(m_defaultDrainLimit.count()));
     // A resend must be the same command although the fleet has changed: the selection of an
     // existing wave is the one it was started with.
     const auto existing = fleet->waves.find(wave.id);
--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -127,15 +127,14 @@
           std::unique_ptr<LogStorage> openedStorage, Credentials callerCredentials,
           Credentials endpointCredentials, OperatorCredentials operatorCredentials,
           std::function<void(const std::string &)> onFatal)
-        : log(std::move(openedLog)), storage(std::move(openedStorage)),
-          identity{settings.instance.name, newIncarnation()}, store(settings.cluster.group),
-          transport(peerIdentity(settings), settings.listen.peers, peerAddresses(settings), {},
-                    *log, metrics),
+        : log(std::move(openedLog)),
+          storage(std::move(openedStorage)), identity{settings.instance.name, newIncarnation()},
+          store(settings.cluster.group), transport(peerIdentity(settings), settings.listen.peers,
+                                                   peerAddresses(settings), {}, *log, metrics),
           replica(replicaOptions(settings), storage.get(), transport, store, *log, metrics,
                   std::move(onFatal)),
-          table(EndpointTableOptions{.lease = settings.timing.endpointLease}),
-          client({}, metrics), queue(queueOptions(settings), table, store),
-          registrar({}, replica, *log),
+          table(EndpointTableOptions{.lease = settings.timing.endpointLease}), client({}, metrics),
+          queue(queueOptions(settings), table, store), registrar({}, replica, *log),
           intake(settings.instance.name, table, store, queue, client, registrar),
           settlements({}, replica, *log, metrics), claims({}, replica, settlements),
           runner(runnerOptions(settings), queue, client, *log, metrics),
@@ -152,8 +151,7 @@
                           std::move(operatorCredentials), settings.limits},
                          {replica, *log, endpointRecords(), waveExplanations(),
                           [this] { return metrics.render(); }})
-    {
-    }
+    { }
 
     PeerIdentity peerIdentity(const Settings &settings) const
     {
@@ -234,8 +232,8 @@
 EntryInstance::start(const Settings &settings, std::function<void(const std::string &)> onFatal)
 {
     StartError error;
-    auto log = JsonDecisionLog::open(settings.instance.name, settings.log.severity,
-                                     settings.log.file);
+    auto log =
+            JsonDecisionLog::open(settings.instance.name, settings.log.severity, settings.log.file);
     auto callers = Credentials::fromFile(settings.credentials.callersFile);
     auto endpoints = Credentials::fromFile(settings.credentials.endpointsFile);
     auto operators = OperatorCredentials::read(settings.credentials.operatorsFile);
--- a/Tests/Operators/OperatorFixture.h
+++ b/Tests/Operators/OperatorFixture.h
@@ -50,6 +50,7 @@
         options.credentials = takeValue(OperatorCredentials::parse(
                 "# operators\nalice alice-secret\nbob bob-secret\n", "operators"));
         options.limits = limits;
+        options.defaultDrainLimit = Milliseconds(90000);
         server = std::make_unique<OperatorServer>(
                 std::move(options),
                 OperatorServices{log, kept, [this] { return endpoints; },
--- a/Tests/Operators/OperatorListenerTest.cpp
+++ b/Tests/Operators/OperatorListenerTest.cpp
@@ -88,7 +88,6 @@
         const std::string words = ": expected 'name credential', found another number of words or "
                                   "a name that is not of letters, digits, '-', '_' or '.'\n";
         CPPUNIT_ASSERT_EQUAL(
-                "operators:2: expected each name once, found 'alice' again\n"
                 "operators:3: expected a credential of its own, found that of 'alice'\n"
                 "operators:5"
                         + words + "operators:6" + words + "operators:7" + words,
@@ -103,6 +102,11 @@
         const auto both = OperatorCredentials::parse("alice s1\nbob s2\n", "operators");
         CPPUNIT_ASSERT_EQUAL(std::string("bob"), *valueOf(both).operatorOf("bearer s2"));
         CPPUNIT_ASSERT(!valueOf(both).operatorOf("Bearer s3"));
+        section("a credential is replaced without a gap: both hold while both are listed", [&] {
+            const auto replaced = OperatorCredentials::parse("alice s1\nalice s2\n", "operators");
+            CPPUNIT_ASSERT_EQUAL(std::string("alice"), *valueOf(replaced).operatorOf("Bearer s1"));
+            CPPUNIT_ASSERT_EQUAL(std::string("alice"), *valueOf(replaced).operatorOf("Bearer s2"));
+        });
     }
 
     /// Guards against requests that use memory without bound.
--- a/Tests/Operators/OperatorServerTest.cpp
+++ b/Tests/Operators/OperatorServerTest.cpp
@@ -225,6 +225,7 @@
             CPPUNIT_ASSERT_EQUAL(
                     200, statusOf(post("/v1/waves", "w1", R"({"id":"w1","pool":"pricing"})")));
             CPPUNIT_ASSERT((targets("w1") == std::vector<std::string>{"i1", "i2"}));
+            CPPUNIT_ASSERT_EQUAL(90000U, fixture.log.state().fleet()->waves.at("w1").drainLimitMs);
             CPPUNIT_ASSERT_EQUAL(200,
                                  statusOf(post("/v1/waves", "w2",
                                                R"({"id":"w2","availability_zone":"zone-b",)"
