--- a/Tests/Scenarios/Support/cluster.lua
+++ b/Tests/Scenarios/Support/cluster.lua
@@ -167,6 +167,11 @@
         return nil
     end
     local own = answer.body:gsub('"instances"%s*:%s*%b[]', "")
+    local revision = tonumber(json_field(own, "lists_revision"))
+    -- No entry instance may ever show a lower revision than before, also across restarts.
+    check(not revision or revision >= (entry.shown_revision or 0) or json_field(own, "ready") ~= "true",
+        "%s went from revision %d back to %s", entry.name, entry.shown_revision or 0, tostring(revision))
+    entry.shown_revision = math.max(entry.shown_revision or 0, revision or 0)
     return {
         role = json_field(own, "role"),
         leader = json_field(own, "leader"),
