--- a/Source/Adapters/Http/EndpointSession.cpp
+++ b/Source/Adapters/Http/EndpointSession.cpp
@@ -193,7 +193,8 @@
         return maybeRun(AttemptFault::WrongAttemptId);
     }
     const AnswerFraming framing = framingOf(response, attempt.method);
-    if (!framing.valid) {
+    // An informational answer other than 100 is followed by the final one, which isn't awaited.
+    if (!framing.valid || response.getStatus() < Poco::Net::HTTPResponse::HTTP_OK) {
         return maybeRun(AttemptFault::BadAnswer);
     }
     ByteReader reader([&](char *buffer, int size) {
--- a/Source/Adapters/Http/HttpEndpointClient.cpp
+++ b/Source/Adapters/Http/HttpEndpointClient.cpp
@@ -5,12 +5,12 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <iterator>
 
 namespace dandelionloom {
 
-HttpEndpointClient::HttpEndpointClient(const EndpointClientOptions &options, MetricSink &metrics)
-    : m_options(options), m_metrics(metrics)
-{ }
+HttpEndpointClient::HttpEndpointClient(const EndpointClientOptions &options)
+    : m_options(options) { }
 
 HttpEndpointClient::Shard &HttpEndpointClient::shardOf(const std::string &address)
 {
@@ -28,10 +28,6 @@
         session.reset();
     }
     release(attempt.address, std::move(session));
-    if (isDroppedAnswer(result.fault)) {
-        m_metrics.count("dandelionloom_dropped_answers_total",
-                        "reason=\"" + std::string(attemptFaultNames.name(result.fault)) + "\"", 1);
-    }
     return result;
 }
 
@@ -117,4 +113,25 @@
     }
 }
 
+void HttpEndpointClient::closeIdle()
+{
+    std::vector<std::unique_ptr<EndpointSession>> closing;
+    const SteadyTimeMs oldest = steadyTimeNow() - m_options.idleTime.count();
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (auto item = shard.pools.begin(); item != shard.pools.end();) {
+            Pool &pool = item->second;
+            // Connections are used from the back, so those at the front are idle longest.
+            const auto kept =
+                    std::find_if(pool.idle.begin(), pool.idle.end(),
+                                 [&](const auto &idle) { return idle->idleSince > oldest; });
+            pool.open -= static_cast<std::size_t>(kept - pool.idle.begin());
+            std::move(pool.idle.begin(), kept, std::back_inserter(closing));
+            pool.idle.erase(pool.idle.begin(), kept);
+            item = pool.open == 0 ? shard.pools.erase(item) : std::next(item);
+        }
+        shard.released.notify_all();
+    }
+}
+
 } // namespace dandelionloom
--- a/Source/Adapters/Http/HttpEndpointClient.h
+++ b/Source/Adapters/Http/HttpEndpointClient.h
@@ -11,7 +11,6 @@
 
 #include "Adapters/Http/EndpointSession.h"
 #include "Ports/EndpointClient.h"
-#include "Ports/MetricSink.h"
 
 namespace dandelionloom {
 
@@ -33,10 +32,11 @@
 class HttpEndpointClient : public EndpointClient
 {
 public:
-    HttpEndpointClient(const EndpointClientOptions &options, MetricSink &metrics);
+    explicit HttpEndpointClient(const EndpointClientOptions &options);
 
     AttemptResult run(const EndpointAttempt &attempt) override;
     void forget(const std::string &address) override;
+    void closeIdle() override;
 
 private:
     struct Pool
@@ -60,7 +60,6 @@
     AttemptResult runOn(const EndpointAttempt &attempt, std::unique_ptr<EndpointSession> &session);
 
     const EndpointClientOptions m_options;
-    MetricSink &m_metrics;
     std::array<Shard, shardCount> m_shards;
 };
 
--- a/Source/Adapters/Http/HttpHead.cpp
+++ b/Source/Adapters/Http/HttpHead.cpp
@@ -155,10 +155,8 @@
         }
         head.expectsContinue = true;
     }
-    for (const auto &[name, value] : head.headers) {
-        if (equalHeaderNames(name, "Connection") && equalHeaderNames(value, "close")) {
-            head.keepAlive = false;
-        }
+    if (hasConnectionOption(head.headers, "close")) {
+        head.keepAlive = false;
     }
     return std::nullopt;
 }
--- a/Source/Model/HttpMessage.cpp
+++ b/Source/Model/HttpMessage.cpp
@@ -76,6 +76,11 @@
     return std::nullopt;
 }
 
+bool hasConnectionOption(const HttpHeaders &headers, std::string_view option)
+{
+    return containsName(connectionOptions(headers), option);
+}
+
 void removeHeader(HttpHeaders &headers, std::string_view name)
 {
     std::erase_if(headers, [&](const auto &item) { return equalHeaderNames(item.first, name); });
--- a/Source/Model/HttpMessage.h
+++ b/Source/Model/HttpMessage.h
@@ -17,6 +17,9 @@
 /// Value of the first field with the name.
 std::optional<std::string> headerValue(const HttpHeaders &headers, std::string_view name);
 
+/// True if a `Connection` field lists the option.
+bool hasConnectionOption(const HttpHeaders &headers, std::string_view option);
+
 void removeHeader(HttpHeaders &headers, std::string_view name);
 
 /// The fields that a proxy may pass on: without the hop-by-hop fields of RFC 9110 section 7.6.1
--- a/Source/Ports/EndpointClient.h
+++ b/Source/Ports/EndpointClient.h
@@ -81,6 +81,8 @@
     virtual AttemptResult run(const EndpointAttempt &attempt) = 0;
     /// Closes idle connections to an address that takes no more work.
     virtual void forget(const std::string &address) = 0;
+    /// Closes connections that were idle for too long. To be called about once a second.
+    virtual void closeIdle() = 0;
 };
 
 } // namespace dandelionloom
--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -158,7 +158,7 @@
                                                    peerAddresses(settings), {}, *log, metrics),
           replica(replicaOptions(settings), storage.get(), transport, store, *log, metrics,
                   std::move(onFatal)),
-          table(EndpointTableOptions{.lease = settings.timing.endpointLease}), client({}, metrics),
+          table(EndpointTableOptions{.lease = settings.timing.endpointLease}), client({}),
           queue(queueOptions(settings), table, store), registrar({}, replica, *log),
           intake(settings.instance.name, table, store, queue, client, registrar),
           forwarder(intake, transport, peerNames(settings),
--- a/Source/Runtime/AnnouncementIntake.cpp
+++ b/Source/Runtime/AnnouncementIntake.cpp
@@ -37,6 +37,7 @@
 void AnnouncementIntake::expire()
 {
     m_table.expire(steadyTimeNow());
+    m_client.closeIdle();
 }
 
 } // namespace dandelionloom
--- a/Source/Runtime/AnnouncementIntake.h
+++ b/Source/Runtime/AnnouncementIntake.h
@@ -20,7 +20,7 @@
                        WorkQueue &queue, EndpointClient &client, InstanceRegistrar &registrar);
 
     AnnouncementAnswer announce(const Announcement &announcement) override;
-    /// Ends leases. To be called about once a second.
+    /// Ends leases and closes idle connections. To be called about once a second.
     void expire();
 
 private:
--- a/Tests/Gateway/GatewayStack.cpp
+++ b/Tests/Gateway/GatewayStack.cpp
@@ -86,7 +86,7 @@
 
 GatewayStack::GatewayStack(ReplicatedLog &log, const std::string &name, std::uint64_t incarnation,
                            const HttpLimits &callerLimits, const ClaimBatcherOptions &claimOptions)
-    : m_client(EndpointClientOptions{}, metrics),
+    : m_client(EndpointClientOptions{}),
       m_queue(FirstComeQueueOptions{"zone-a", 7, {}, {}}, table, log.state()),
       m_registrar(InstanceRegistrarOptions{}, log, decisions),
       m_intake(name, table, log.state(), m_queue, m_client, m_registrar),
--- a/Tests/StandIns/standInEndpoint/main.cpp
+++ b/Tests/StandIns/standInEndpoint/main.cpp
@@ -138,6 +138,8 @@
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closed its connection is an error of the call and not the end of the process.
+    std::signal(SIGPIPE, SIG_IGN);
 
     EndpointSettings settings;
     settings.address = parsed["address"].as<std::string>();
