--- a/Tests/Gateway/FakeLog.h
+++ b/Tests/Gateway/FakeLog.h
@@ -3,8 +3,10 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -20,7 +22,8 @@
 {
 public:
     /// Says what happens to a command instead of its plain application.
-    enum class Fate { Apply, NotAccepted, LostBefore, LostAfter };
+    /// Late: no answer now, and applied behind the next command that is applied.
+    enum class Fate { Apply, NotAccepted, LostBefore, LostAfter, Late };
     using FateOf = std::function<Fate(const CommandBody &)>;
 
     Result<CommandOutcome, LogError> propose(CommandBody body, Milliseconds) override
@@ -39,9 +42,17 @@
         if (fate == Fate::LostBefore) {
             return LogError{LogErrorKind::Unknown, "no answer"};
         }
+        // Models the time to a quorum and back.
+        std::this_thread::sleep_for(Milliseconds(commandMs));
         const std::lock_guard lock(m_applyMutex);
-        CommandOutcome outcome = m_store.apply(m_store.appliedIndex() + 1,
-                                               Command{"region-1", wallTimeNow(), std::move(body)});
+        if (fate == Fate::Late) {
+            m_late.push_back(std::move(body));
+            return LogError{LogErrorKind::Unknown, "no answer"};
+        }
+        CommandOutcome outcome = apply(std::move(body));
+        for (CommandBody &late : std::exchange(m_late, {})) {
+            apply(std::move(late));
+        }
         if (fate == Fate::LostAfter) {
             return LogError{LogErrorKind::Unknown, "no answer"};
         }
@@ -104,10 +115,19 @@
 
     std::atomic<std::int64_t> quorumContactAgeMs = 0;
     std::atomic<bool> ready = true;
+    /// Duration of a command in milliseconds.
+    std::atomic<int> commandMs = 0;
 
 private:
+    CommandOutcome apply(CommandBody body)
+    {
+        return m_store.apply(m_store.appliedIndex() + 1,
+                             Command{"region-1", wallTimeNow(), std::move(body)});
+    }
+
     std::mutex m_mutex;
     std::mutex m_applyMutex;
+    std::vector<CommandBody> m_late;
     std::condition_variable m_changed;
     FateOf m_fateOf;
     bool m_held = false;
