--- a/Source/Decisions/BudgetLedger.cpp
+++ b/Source/Decisions/BudgetLedger.cpp
@@ -67,8 +67,7 @@
             continue;
         }
         PoolLedger &ledger = found->second;
-        if (ledger.maxUnavailablePlan.empty()
-            || plan.maxUnavailableInstances < ledger.maxUnavailable) {
+        if (!ledger.hasPlan() || plan.maxUnavailableInstances < ledger.maxUnavailable) {
             ledger.maxUnavailable = plan.maxUnavailableInstances;
             ledger.maxUnavailablePlan = id;
         }
@@ -78,7 +77,7 @@
         }
     }
     for (auto &[pool, ledger] : book.pools) {
-        if (ledger.maxUnavailablePlan.empty()) {
+        if (!ledger.hasPlan()) {
             const double share = ledger.members * book.options.shareWithoutPlans;
             ledger.maxUnavailable = std::max(1U, static_cast<std::uint32_t>(std::floor(share)));
         }
--- a/Source/Decisions/BudgetLedger.h
+++ b/Source/Decisions/BudgetLedger.h
@@ -64,7 +64,14 @@
         return failed + observedUnavailable + draining + rebooting + proving + moving + granted;
     }
     std::uint32_t available() const { return members - unavailable(); }
-    bool isOverspent() const { return unavailable() > maxUnavailable || available() < minHealthy; }
+    bool hasPlan() const { return !maxUnavailablePlan.empty(); }
+    /// True if a plan is broken, so that planned steps must be given back. The share of a pool
+    /// without plans only bounds new drains: giving back a move out of the spare pool would take
+    /// the instance from the pool that needs it.
+    bool isOverspent() const
+    {
+        return hasPlan() && (unavailable() > maxUnavailable || available() < minHealthy);
+    }
 };
 
 struct LedgerOptions
--- a/Tests/Decisions/WavesTest.cpp
+++ b/Tests/Decisions/WavesTest.cpp
@@ -2,7 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <chrono>
+#include <ctime>
 
 #include "Decisions/FleetFixture.h"
 #include "Support/Section.h"
@@ -332,11 +332,12 @@
             targets.push_back(id);
         }
         fixture.startWave("w1", targets);
-        const auto start = std::chrono::steady_clock::now();
+        // Processor time, since the machine may run other builds at the same time.
+        const std::clock_t start = std::clock();
         const WavePlan plan = fixture.plan();
-        const auto elapsed = std::chrono::steady_clock::now() - start;
+        const std::clock_t elapsed = std::clock() - start;
         CPPUNIT_ASSERT_EQUAL(std::size_t(64 * 30), plan.grants.size());
-        CPPUNIT_ASSERT(elapsed < std::chrono::seconds(1));
+        CPPUNIT_ASSERT(elapsed < CLOCKS_PER_SEC);
     }
 };
 
