Decisions: Place jobs by observed use and judge workers and leases

Cause: jobs had no placement; declared sizes are far off, so placing by them leaves workers idle or overloaded.

Ruled out: looking at every worker for each job (the product of both; the rooms are kept ordered by free processors, accelerators and reclaimable room, and at most 64 workers are tried for a job); reusing the room of a job that is only being stopped (two tasks would share it); judging workers before jobs (three broken jobs would quarantine a sound worker).

Change: placeJobs (one round for cancellations, refusals, throttles, checkpoints and starts), judgeStarts (quarantine, bounded share), mayRestart (lease with safety margin for late delivery, clock drift and stop time).

Conclusion: a job gets one decision with its reason in every round.

--- /dev/null
+++ b/Source/Decisions/Jobs.cpp
@@ -0,0 +1,78 @@
+#include "Decisions/Jobs.h"
+
+#include <algorithm>
+
+namespace dandelionloom {
+
+namespace {
+
+/// Sums of estimates differ by rounding; a job must not be refused for that.
+constexpr double roundingProcessors = 1e-6;
+constexpr double roundingBytes = 1;
+
+} // namespace
+
+bool fits(const Resources &need, const Resources &room)
+{
+    return need.processors <= room.processors + roundingProcessors
+            && need.memoryBytes <= room.memoryBytes + roundingBytes
+            && need.accelerators <= room.accelerators;
+}
+
+Resources operator+(const Resources &left, const Resources &right)
+{
+    return {left.processors + right.processors, left.memoryBytes + right.memoryBytes,
+            left.accelerators + right.accelerators};
+}
+
+Resources operator-(const Resources &left, const Resources &right)
+{
+    const std::uint32_t accelerators =
+            left.accelerators > right.accelerators ? left.accelerators - right.accelerators : 0;
+    return {left.processors - right.processors, left.memoryBytes - right.memoryBytes, accelerators};
+}
+
+UseEstimate estimateUse(const JobFacts &job, const std::map<std::string, KindProfile> &profiles,
+                        const UseLimits &limits, SteadyTimeMs nowMs)
+{
+    UseEstimate estimate{job.declared, UseSource::Declared};
+    const auto profile = profiles.find(job.kind);
+    if (profile != profiles.end() && profile->second.runs >= limits.trustedRuns) {
+        estimate.use.processors = profile->second.use.processors;
+        estimate.use.memoryBytes = profile->second.use.memoryBytes;
+        estimate.source = UseSource::KindReports;
+    }
+    if (!job.usage) {
+        return estimate;
+    }
+    const bool settled = job.state == JobState::Waiting
+            || job.usage->takenAtMs - job.startedAtMs >= limits.settleMs;
+    if (!settled) {
+        return estimate;
+    }
+    // A waiting job was checkpointed: what it used last is what it needs again.
+    const std::int64_t aheadMs = job.state == JobState::Waiting
+            ? 0
+            : std::max<std::int64_t>(0, nowMs - job.usage->takenAtMs) + limits.projectMs;
+    const double growth = std::max(0.0, job.usage->memoryGrowthPerSecond);
+    estimate.use.processors = job.usage->processors;
+    estimate.use.memoryBytes =
+            job.usage->memoryBytes + growth * static_cast<double>(aheadMs) / 1000.0;
+    estimate.source = UseSource::OwnReports;
+    return estimate;
+}
+
+bool isStraggler(const JobFacts &job, const std::map<std::string, KindProfile> &profiles,
+                 const UseLimits &limits, double factor, SteadyTimeMs nowMs)
+{
+    const auto profile = profiles.find(job.kind);
+    if (profile == profiles.end() || profile->second.runs < limits.trustedRuns
+        || profile->second.medianRunMs <= 0) {
+        return false;
+    }
+    const std::int64_t runningMs = job.state == JobState::Waiting ? 0 : nowMs - job.startedAtMs;
+    return static_cast<double>(job.ranBeforeMs + runningMs)
+            > factor * static_cast<double>(profile->second.medianRunMs);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Decisions/Jobs.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Model/EnumNames.h"
+#include "Model/Lists.h"
+#include "Model/Time.h"
+
+namespace dandelionloom {
+
+struct Resources
+{
+    double processors = 0;
+    double memoryBytes = 0;
+    std::uint32_t accelerators = 0;
+
+    bool operator==(const Resources &) const = default;
+};
+
+/// True if `need` fits into `room` in every dimension.
+bool fits(const Resources &need, const Resources &room);
+Resources operator+(const Resources &left, const Resources &right);
+Resources operator-(const Resources &left, const Resources &right);
+
+enum class JobState { Waiting, Running, Checkpointing, Stopping };
+inline constexpr EnumNames<JobState, 4> jobStateNames{
+        {"waiting", "running", "checkpointing", "stopping"}};
+
+/// What the platform last reported of a running job. It is as old as `takenAtMs` says.
+struct JobUsage
+{
+    double processors = 0;
+    double memoryBytes = 0;
+    /// Growth between the last two reports; may be negative.
+    double memoryGrowthPerSecond = 0;
+    SteadyTimeMs takenAtMs = 0;
+};
+
+struct JobFacts
+{
+    std::string id;
+    std::string plan;
+    std::string pool;
+    /// Jobs of one kind (for example one program of one customer) share what was observed.
+    std::string kind;
+    Urgency urgency = Urgency::Normal;
+    Resources declared;
+    JobState state = JobState::Waiting;
+    bool cancelled = false;
+    bool checkpointable = false;
+    /// Worker of a job that isn't waiting.
+    std::string worker;
+    SteadyTimeMs submittedAtMs = 0;
+    SteadyTimeMs startedAtMs = 0;
+    /// Run time before the last checkpoint.
+    std::int64_t ranBeforeMs = 0;
+    std::optional<JobUsage> usage;
+    /// Share of its processors that a running job may use now.
+    double throttle = 1;
+    /// Workers on which the job failed.
+    std::vector<std::string> failedOn;
+    /// The lease of an earlier task may still be valid on a worker, see mayRestart.
+    bool leaseOpen = false;
+};
+
+struct WorkerFacts
+{
+    std::string id;
+    std::string pool;
+    std::string rack;
+    Resources capacity;
+    std::uint32_t slots = 8;
+    /// False for workers that are draining, failed or otherwise take no new work.
+    bool inService = true;
+    /// When the worker was quarantined; empty if it isn't.
+    std::optional<SteadyTimeMs> quarantinedAtMs;
+};
+
+/// Outcome of one start of a task. A task that fails soon after its start counts as failed.
+struct StartRecord
+{
+    std::string job;
+    std::string worker;
+    bool succeeded = false;
+    SteadyTimeMs atMs = 0;
+};
+
+/// What was observed of all finished and running jobs of a kind.
+struct KindProfile
+{
+    std::uint32_t runs = 0;
+    /// 90th percentile of the peak use.
+    Resources use;
+    std::int64_t medianRunMs = 0;
+};
+
+struct UseLimits
+{
+    /// Runs of a kind from which its observed use is trusted over the declaration.
+    std::uint32_t trustedRuns = 3;
+    /// A job's own reports count once it has run this long; before, it may still be loading.
+    std::int64_t settleMs = 10000;
+    /// Growth is projected over the age of the report and this time, until the next pass acts.
+    std::int64_t projectMs = 5000;
+};
+
+enum class UseSource { OwnReports, KindReports, Declared };
+inline constexpr EnumNames<UseSource, 3> useSourceNames{
+        {"own-reports", "kind-reports", "declared"}};
+
+struct UseEstimate
+{
+    Resources use;
+    UseSource source = UseSource::Declared;
+};
+
+/// What a job is expected to use now. Accelerators are whole devices and count as declared.
+UseEstimate estimateUse(const JobFacts &job, const std::map<std::string, KindProfile> &profiles,
+                        const UseLimits &limits, SteadyTimeMs nowMs);
+
+/// True if a job has run `factor` times longer than the median of its kind.
+bool isStraggler(const JobFacts &job, const std::map<std::string, KindProfile> &profiles,
+                 const UseLimits &limits, double factor, SteadyTimeMs nowMs);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Decisions/Placement.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Decisions/Jobs.h"
+#include "Decisions/WorkerHealth.h"
+#include "Model/EnumNames.h"
+#include "Model/Lists.h"
+#include "Model/Time.h"
+
+namespace dandelionloom {
+
+struct PlacementLimits
+{
+    UseLimits use;
+    WorkerHealthLimits health;
+    /// Share of a worker's processors and memory that is left free for jobs that grow between two
+    /// usage reports.
+    double headroom = 0.1;
+    /// Share of a worker at which its jobs are about to suffer, and at which they are safe again.
+    double pressure = 0.9;
+    double relief = 0.7;
+    /// Smallest share of its processors that a job is throttled to.
+    double smallestThrottle = 0.1;
+    /// A job is a straggler from this many times the median run time of its kind.
+    double stragglerFactor = 5;
+    /// Share of a pool's processors that stragglers may hold.
+    double stragglerShare = 0.2;
+    /// Workers looked at for one job, from the tightest fit and again from the emptiest.
+    std::uint32_t workersTried = 32;
+};
+
+enum class JobAction {
+    /// Start a waiting job on `worker`.
+    Start,
+    /// Tell the submitter that the job will not run, and why.
+    Refuse,
+    /// Forget a waiting job; it has not run.
+    Drop,
+    /// Stop a running job.
+    Stop,
+    /// Checkpoint and stop a running job, which then waits again.
+    Checkpoint,
+    /// Let a running job use `throttle` of its processors from now on.
+    Throttle,
+    /// Leave a waiting job waiting.
+    Wait
+};
+inline constexpr EnumNames<JobAction, 7> jobActionNames{
+        {"start", "refuse", "drop", "stop", "checkpoint", "throttle", "wait"}};
+
+enum class JobReason {
+    // Start
+    PlacedByOwnUse,
+    PlacedByKindUse,
+    PlacedByDeclaration,
+    // Refuse
+    NoWorkerLargeEnough,
+    NoPool,
+    AllowanceTooSmall,
+    FailsEverywhere,
+    // Drop and Stop
+    Cancelled,
+    // Checkpoint and Throttle
+    MakesRoomForUrgent,
+    OutgrewMemory,
+    OutgrewProcessors,
+    StragglerShare,
+    PressureEnded,
+    // Wait
+    NoRoom,
+    AllowanceSpent,
+    LeaseMayBeValid,
+    WaitsForCheckpoint,
+    StragglersHoldShare
+};
+inline constexpr EnumNames<JobReason, 18> jobReasonNames{
+        {"placed-by-own-use", "placed-by-kind-use", "placed-by-declaration",
+         "no-worker-large-enough", "no-pool", "allowance-too-small", "fails-everywhere",
+         "cancelled", "makes-room-for-urgent", "outgrew-memory", "outgrew-processors",
+         "straggler-share", "pressure-ended", "no-room", "allowance-spent", "lease-may-be-valid",
+         "waits-for-checkpoint", "stragglers-hold-share"}};
+
+struct JobDecision
+{
+    std::string job;
+    JobAction action = JobAction::Wait;
+    JobReason reason = JobReason::NoRoom;
+    std::string worker;
+    /// Expected use, for Start and Wait.
+    Resources expected;
+    /// For Throttle: share of its processors that the job may use.
+    double throttle = 1;
+    /// For Checkpoint: the urgent job that the room is for.
+    std::string forJob;
+};
+
+struct PlacementFacts
+{
+    std::vector<JobFacts> jobs;
+    std::vector<WorkerFacts> workers;
+    std::map<std::string, KindProfile> profiles;
+    std::vector<StartRecord> starts;
+    /// By plan id. A plan without one may use no accelerators.
+    std::map<std::string, Allowance> allowances;
+};
+
+struct PlacementPlan
+{
+    /// One decision for each waiting job, and one for each running job that changes.
+    std::vector<JobDecision> decisions;
+    HealthVerdicts health;
+};
+
+/// Decides one round for all jobs: every cancellation, every refusal, running jobs that outgrow
+/// their expectation or run too long, and then the waiting jobs, urgent first. Room that a stopped
+/// or checkpointed job gives up is used only when the platform has confirmed its end. Costs
+/// n log n in jobs, workers and starts.
+PlacementPlan placeJobs(const PlacementFacts &facts, const PlacementLimits &limits,
+                        SteadyTimeMs nowMs);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Tests/Decisions/WorkerHealthTest.cpp
@@ -0,0 +1,179 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+
+#include "Decisions/TaskLeases.h"
+#include "Decisions/WorkerHealth.h"
+#include "Support/Section.h"
+
+using namespace dandelionloom;
+using dandelionloom::test::section;
+
+namespace {
+
+constexpr SteadyTimeMs now = 10000000;
+
+std::vector<WorkerFacts> workersOf(int count)
+{
+    std::vector<WorkerFacts> workers(static_cast<std::size_t>(count));
+    for (int index = 0; index < count; ++index) {
+        workers[static_cast<std::size_t>(index)].id = "w" + std::to_string(index);
+        workers[static_cast<std::size_t>(index)].pool = "risk";
+    }
+    return workers;
+}
+
+std::string verdictOn(const HealthVerdicts &verdicts, const std::string &worker)
+{
+    for (const WorkerVerdict &verdict : verdicts.workers) {
+        if (verdict.worker == worker) {
+            return std::string(workerReasonNames.name(verdict.reason));
+        }
+    }
+    return "none";
+}
+
+} // namespace
+
+class WorkerHealthTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WorkerHealthTest);
+    CPPUNIT_TEST(workersAndJobs);
+    CPPUNIT_TEST(boundedShare);
+    CPPUNIT_TEST(quarantineEnds);
+    CPPUNIT_TEST(leases);
+    CPPUNIT_TEST(leasesOverSeeds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against blaming workers for a job that fails everywhere, and a job for a worker that
+    /// fails everything.
+    void workersAndJobs()
+    {
+        const auto workers = workersOf(20);
+        std::vector<StartRecord> starts;
+        for (const std::string job : {"a", "b", "c"}) {
+            starts.push_back({job, "w0", false, now});
+            starts.push_back({job, "w1", true, now});
+        }
+        section("three jobs fail on one worker and run on another", [&] {
+            const HealthVerdicts verdicts = judgeStarts(starts, workers, {}, now);
+            CPPUNIT_ASSERT_EQUAL(std::string("fails-everything"), verdictOn(verdicts, "w0"));
+            CPPUNIT_ASSERT(verdicts.quarantined.contains("w0"));
+            CPPUNIT_ASSERT(verdicts.failingJobs.empty());
+        });
+        section("one success on it, and it is kept", [&] {
+            auto mixed = starts;
+            mixed.push_back({"d", "w0", true, now});
+            CPPUNIT_ASSERT(judgeStarts(mixed, workers, {}, now).quarantined.empty());
+        });
+        section("old failures don't count", [&] {
+            CPPUNIT_ASSERT(judgeStarts(starts, workers, {}, now + 700000).quarantined.empty());
+        });
+        section("three broken jobs on every worker are three failing jobs and no worker", [&] {
+            std::vector<StartRecord> broken;
+            for (int index = 2; index < 6; ++index) {
+                const std::string worker = "w" + std::to_string(index);
+                for (const std::string job : {"x", "y", "z"}) {
+                    broken.push_back({job, worker, false, now});
+                }
+                if (index < 5) {
+                    broken.push_back({"sound", worker, true, now});
+                }
+            }
+            const HealthVerdicts verdicts = judgeStarts(broken, workers, {}, now);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(3), verdicts.failingJobs.size());
+            CPPUNIT_ASSERT(verdicts.quarantined.empty());
+        });
+    }
+
+    /// Guards against a fault of all jobs (a broken network) that empties the pool.
+    void boundedShare()
+    {
+        std::vector<StartRecord> starts;
+        for (int worker = 0; worker < 20; ++worker) {
+            for (int job = 0; job < 3; ++job) {
+                starts.push_back({std::to_string(worker) + "-" + std::to_string(job),
+                                  "w" + std::to_string(worker), false, now});
+            }
+        }
+        const HealthVerdicts verdicts = judgeStarts(starts, workersOf(20), {}, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), verdicts.quarantined.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("quarantine-full"), verdictOn(verdicts, "w19"));
+    }
+
+    /// Guards against a repaired worker that stays out for ever, and against old failures that
+    /// send it back.
+    void quarantineEnds()
+    {
+        auto workers = workersOf(20);
+        workers[0].quarantinedAtMs = now;
+        std::vector<StartRecord> starts;
+        for (const std::string job : {"a", "b", "c"}) {
+            starts.push_back({job, "w0", false, now - 1});
+        }
+        WorkerHealthLimits limits;
+        limits.windowMs = 10000000;
+        CPPUNIT_ASSERT(judgeStarts(starts, workers, limits, now + 1000).quarantined.contains("w0"));
+        const SteadyTimeMs later = now + limits.quarantineMs;
+        const HealthVerdicts verdicts = judgeStarts(starts, workers, limits, later);
+        CPPUNIT_ASSERT_EQUAL(std::string("quarantine-ended"), verdictOn(verdicts, "w0"));
+        CPPUNIT_ASSERT(verdicts.quarantined.empty());
+        section("new failures send it back", [&] {
+            for (const std::string job : {"a", "b", "c"}) {
+                starts.push_back({job, "w0", false, later - 1});
+            }
+            CPPUNIT_ASSERT(judgeStarts(starts, workers, limits, later).quarantined.contains("w0"));
+        });
+    }
+
+    /// Guards against a restart while the first run may still be going on.
+    void leases()
+    {
+        const LeaseRules rules{10000, 5000, 0.01, 2000};
+        TaskLease lease;
+        lease.lastSentAtMs = now;
+        section("not before delivery, lease, stop and clock drift have passed", [&] {
+            const LeaseDecision early = mayRestart(lease, rules, now + 17000);
+            CPPUNIT_ASSERT(!early.mayRestart);
+            CPPUNIT_ASSERT(early.reason == LeaseReason::LeaseMayBeValid);
+            CPPUNIT_ASSERT_EQUAL(SteadyTimeMs(now + 17340), early.retryAtMs);
+            CPPUNIT_ASSERT(mayRestart(lease, rules, early.retryAtMs).mayRestart);
+        });
+        section("an earlier leader may have renewed until it stopped to lead", [&] {
+            lease.earlierLeaderUntilMs = now + 3000;
+            const LeaseDecision decision = mayRestart(lease, rules, now + 17340);
+            CPPUNIT_ASSERT(decision.reason == LeaseReason::EarlierLeaderMayHaveRenewed);
+        });
+        section("a confirmed end needs no wait", [&] {
+            lease.endConfirmed = true;
+            CPPUNIT_ASSERT(mayRestart(lease, rules, now).mayRestart);
+        });
+    }
+
+    /// Guards against any delivery time, clock rate and time to stop within the rules for which a
+    /// task runs twice at once.
+    void leasesOverSeeds()
+    {
+        const LeaseRules rules;
+        std::mt19937_64 random(1);
+        for (int trial = 0; trial < 10000; ++trial) {
+            const auto share = [&] { return static_cast<double>(random() % 1001) / 1000; };
+            TaskLease lease;
+            lease.lastSentAtMs = now;
+            const LeaseDecision decision = mayRestart(lease, rules, now);
+            // Both clocks may be off by the bound, in opposite directions.
+            const double leaderRate = 1 + rules.clockDrift * (2 * share() - 1);
+            const double workerRate = 1 + rules.clockDrift * (2 * share() - 1);
+            const double received = share() * static_cast<double>(rules.deliveryMs);
+            const double stops = received + static_cast<double>(stopTaskAt(0, rules)) / workerRate
+                    + share() * static_cast<double>(rules.stopMs);
+            const double restarts = static_cast<double>(decision.retryAtMs - now) / leaderRate;
+            CPPUNIT_ASSERT(restarts >= stops);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerHealthTest);
