--- a/Tests/Scenarios/Support/cluster.lua
+++ b/Tests/Scenarios/Support/cluster.lua
@@ -66,6 +66,7 @@
     write_file(work_folder .. "/operators", "operator-1 operator-secret-1\noperator-2 operator-secret-2\n")
     write_file(work_folder .. "/endpoints", "endpoints endpoint-secret-0001\n")
     
+    write_file(work_folder .. "/platform", "platform platform-secret-0001\n")
     write_file(work_folder .. "/peers", "peers peer-secret-0001\n")
     write_file(work_folder .. "/callers", table.concat(options.callers or {
         "counter-quotes caller-secret-quotes",
@@ -128,6 +129,7 @@
     if self.options.platform then
         table.insert(lines, "[platform]")
         table.insert(lines, 'url = "http://' .. address(self.platform_port) .. '"')
+        table.insert(lines, 'credential_file = "' .. work_folder .. '/platform"')
     end
     table.insert(lines, "[timing]")
     table.insert(lines, self.options.timing or "")
