Tests: Use one TemporaryFolder

Tests/Disk/SimulatedDisk.h and Tests/Support/TemporaryFolder.h each defined dandelionloom::test::TemporaryFolder with another layout. The linker kept one constructor, and CommandLineTest crashed in TemporaryFolder::write() with the whole test program linked. Renaming one was ruled out, as both do the same.

The disk tests use the shared class. dandelionloomTests: 126 passed, 0 failed.

--- a/Tests/Disk/SimulatedDisk.cpp
+++ b/Tests/Disk/SimulatedDisk.cpp
@@ -13,22 +13,6 @@
 
 namespace dandelionloom::test {
 
-TemporaryFolder::TemporaryFolder()
-{
-    std::string pattern =
-            (std::filesystem::temp_directory_path() / "dandelionloom-disk-XXXXXX").string();
-    if (::mkdtemp(pattern.data()) == nullptr) {
-        throw std::runtime_error("no temporary folder");
-    }
-    m_path = pattern;
-}
-
-TemporaryFolder::~TemporaryFolder()
-{
-    std::error_code ignored;
-    std::filesystem::remove_all(m_path, ignored);
-}
-
 std::string contentOf(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
--- a/Tests/Disk/SimulatedDisk.h
+++ b/Tests/Disk/SimulatedDisk.h
@@ -8,24 +8,10 @@
 #include <vector>
 
 #include "Adapters/Disk/DiskLogStorage.h"
+#include "Support/TemporaryFolder.h"
 
 namespace dandelionloom::test {
 
-/// A folder below the system's temporary folder, removed at the end.
-class TemporaryFolder
-{
-public:
-    TemporaryFolder();
-    ~TemporaryFolder();
-    TemporaryFolder(const TemporaryFolder &) = delete;
-    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
-
-    const std::string &path() const { return m_path; }
-
-private:
-    std::string m_path;
-};
-
 std::string contentOf(const std::string &path);
 void setContent(const std::string &path, const std::string &content);
 /// Names of the files in a folder, sorted.
