Endpoints: Spread endpoints between entry instances by changes and digests

Cause: passing on every renewal grows with endpoints times instances. Ruled out: renewing copies one by one (2,000 endpoints renewed every 10 s are 200 messages a second to each peer), and the time of an announcement to decide between two owners (clocks differ). Each take-over counts an ownership number up instead; of equal numbers the higher name holds, so the order of messages makes no difference. Also ruled out: a tombstone when a copy's lease ends. The owner alone knows whether an endpoint is gone, and after a partition the copies would never have come back. Change: EndpointGossip sends changes within 200 ms, leaving at once and again every 500 ms until it is acknowledged, and a digest every 5 s that renews the copies for 12 s (two digests may be lost). A differing digest fetches the owner's list, 500 records an answer. Tombstones stay for the 24 h of EndpointTable, the time in which any sender may repeat itself. EndpointTable drops copies without a tombstone, merges copies, and lets a later ownership correct an ended lease. A gateway that is cut off from an owner drops its copies after 12 s, so the 5 s bound on new work for a leaving endpoint rests there on the endpoint's own refusal.

--- a/Source/Model/Endpoint.h
+++ b/Source/Model/Endpoint.h
@@ -40,6 +40,22 @@
     std::string owner;
     /// End of the lease on this process's monotonic clock.
     SteadyTimeMs leaseEndsAt = 0;
+    /// Grows each time another entry instance takes over the incarnation; of equal numbers the
+    /// higher owner name holds. So all instances agree on the owner in any order of messages.
+    std::uint64_t ownership = 0;
+    /// Digest of all but the lease, equal on all entry instances.
+    std::uint64_t contentHash = 0;
+};
+
+/// A record as its owner sends it to the other entry instances.
+struct EndpointCopy
+{
+    Announcement announcement;
+    std::uint64_t ownership = 0;
+    /// With state Gone: the owner's lease ended, but the endpoint didn't say so itself.
+    bool leaseEnded = false;
+
+    MSGPACK_DEFINE_ARRAY(announcement, ownership, leaseEnded)
 };
 
 } // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/EndpointGossipReceive.cpp
@@ -0,0 +1,154 @@
+// The part of EndpointGossip that takes what peers send.
+#include <algorithm>
+
+#include "Runtime/EndpointGossip.h"
+#include "Runtime/EndpointGossipMessages.h"
+
+namespace dandelionloom {
+
+namespace {
+
+const PeerError unreadable{PeerErrorKind::Refused, "the endpoint message is not readable"};
+
+} // namespace
+
+void EndpointGossip::handleDelta(const std::string &from, const std::string &body,
+                                 const PeerTransport::Reply &reply)
+{
+    const std::optional<EndpointDeltaMessage> message = decodeGossip<EndpointDeltaMessage>(body);
+    if (!message) {
+        reply(unreadable);
+        return;
+    }
+    if (isCurrent(from, message->ownerIncarnation)) {
+        apply(from, message->changes);
+    }
+    reply(std::string());
+}
+
+bool EndpointGossip::isCurrent(const std::string &owner, std::uint64_t incarnation)
+{
+    const std::lock_guard lock(m_mutex);
+    std::uint64_t &highest = m_ownerIncarnations[owner];
+    highest = std::max(highest, incarnation);
+    return incarnation == highest;
+}
+
+void EndpointGossip::apply(const std::string &from, const std::vector<EndpointCopy> &copies)
+{
+    const SteadyTimeMs now = m_options.clock();
+    std::set<std::string> services;
+    for (const EndpointCopy &copy : copies) {
+        if (m_table.merge(copy, from, now + m_options.copyLease.count(), now)) {
+            services.insert(copy.announcement.service);
+        }
+    }
+    for (const std::string &service : services) {
+        m_changed(service);
+    }
+}
+
+void EndpointGossip::handleDigest(const std::string &from, const std::string &body,
+                                  const PeerTransport::Reply &reply)
+{
+    const std::optional<EndpointDigestMessage> message = decodeGossip<EndpointDigestMessage>(body);
+    if (!message) {
+        reply(unreadable);
+        return;
+    }
+    reply(std::string());
+    if (!isCurrent(from, message->ownerIncarnation)) {
+        return;
+    }
+    const OwnedSummary expected{message->count, message->hash};
+    if (m_table.summaryOf(from) == expected) {
+        m_table.renewCopies(from, m_options.clock() + m_options.copyLease.count());
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_fetches.try_emplace(from, Fetch{}).second) {
+            return;
+        }
+    }
+    m_metrics.count("dandelionloom_endpoint_fetches_total", "", 1);
+    fetchNext(from);
+}
+
+void EndpointGossip::handleFetch(const std::string &body, const PeerTransport::Reply &reply) const
+{
+    const std::optional<EndpointFetchRequest> request = decodeGossip<EndpointFetchRequest>(body);
+    if (!request) {
+        reply(unreadable);
+        return;
+    }
+    EndpointFetchAnswer answer;
+    answer.ownerIncarnation = m_options.incarnation;
+    for (const auto &record : m_table.ownedBy(m_options.self)) {
+        if (record->announcement.instance <= request->after) {
+            continue;
+        }
+        if (answer.records.size() == m_options.fetchRecords) {
+            answer.last = false;
+            break;
+        }
+        answer.records.push_back({record->announcement, record->ownership, false});
+    }
+    reply(encodeGossip(answer));
+}
+
+void EndpointGossip::fetchNext(const std::string &owner)
+{
+    std::string after;
+    {
+        const std::lock_guard lock(m_mutex);
+        after = m_fetches.at(owner).after;
+    }
+    m_transport.call(owner, PeerMessageKind::EndpointFetch,
+                     encodeGossip(EndpointFetchRequest{after}), m_options.callTimeout,
+                     [this, owner](const PeerResult &result) { takeChunk(owner, result); });
+}
+
+void EndpointGossip::takeChunk(const std::string &owner, const PeerResult &result)
+{
+    const std::optional<EndpointFetchAnswer> answer =
+            isOk(result) ? decodeGossip<EndpointFetchAnswer>(valueOf(result)) : std::nullopt;
+    // The next digest starts another fetch.
+    if (!answer || !isCurrent(owner, answer->ownerIncarnation)
+        || (!answer->last && answer->records.empty())) {
+        endFetch(owner);
+        return;
+    }
+    apply(owner, answer->records);
+    std::set<std::string> kept;
+    {
+        const std::lock_guard lock(m_mutex);
+        Fetch &fetch = m_fetches.at(owner);
+        const bool restarted =
+                !fetch.after.empty() && fetch.ownerIncarnation != answer->ownerIncarnation;
+        fetch.ownerIncarnation = answer->ownerIncarnation;
+        for (const EndpointCopy &copy : answer->records) {
+            fetch.instances.insert(copy.announcement.instance);
+            fetch.after = copy.announcement.instance;
+        }
+        if (restarted) {
+            m_fetches.erase(owner);
+            return;
+        }
+        kept = fetch.instances;
+    }
+    if (!answer->last) {
+        fetchNext(owner);
+        return;
+    }
+    m_table.disown(owner, kept);
+    endFetch(owner);
+}
+
+void EndpointGossip::endFetch(const std::string &owner)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fetches.erase(owner);
+}
+
+} // namespace dandelionloom
--- a/Source/Runtime/EndpointTable.cpp
+++ b/Source/Runtime/EndpointTable.cpp
@@ -38,12 +38,20 @@
         remove(found->second.service, announcement.instance);
     }
     Incarnation &incarnation = shard.incarnations[announcement.instance];
-    incarnation = {announcement.incarnation, announcement.state, announcement.service, now};
+    const std::uint64_t ownership = ownershipFor(announcement, owner, incarnation);
+    incarnation = {announcement.incarnation,
+                   announcement.state,
+                   announcement.service,
+                   now,
+                   false,
+                   false,
+                   owner,
+                   ownership};
     if (announcement.state == EndpointState::Gone) {
         remove(announcement.service, announcement.instance);
         return AnnounceVerdict::MarkedLeaving;
     }
-    store(announcement, owner, now);
+    store(announcement, owner, ownership, now + m_options.lease.count());
     if (announcement.state == EndpointState::Leaving) {
         return AnnounceVerdict::MarkedLeaving;
     }
@@ -65,7 +73,7 @@
     const std::lock_guard lock(shard.mutex);
     for (auto item = shard.incarnations.begin(); item != shard.incarnations.end();) {
         auto &[instance, incarnation] = *item;
-        if (incarnation.state == EndpointState::Gone) {
+        if (incarnation.state == EndpointState::Gone || incarnation.dropped) {
             const bool old = now - incarnation.goneSince >= m_options.tombstoneRetention.count();
             item = old ? shard.incarnations.erase(item) : std::next(item);
             continue;
@@ -75,13 +83,20 @@
         Service &service = services.services[incarnation.service];
         const auto record = service.records.find(instance);
         if (record == service.records.end() || record->second->leaseEndsAt <= now) {
+            incarnation.goneSince = now;
+            const bool copy = record != service.records.end() && !m_options.self.empty()
+                    && record->second->owner != m_options.self;
             if (record != service.records.end()) {
                 service.records.erase(record);
                 service.list.reset();
             }
-            incarnation.state = EndpointState::Gone;
-            incarnation.goneSince = now;
-            gone.push_back(instance);
+            if (copy) {
+                incarnation.dropped = true;
+            } else {
+                incarnation.state = EndpointState::Gone;
+                incarnation.leaseEnded = true;
+                gone.push_back(instance);
+            }
         }
         ++item;
     }
@@ -134,14 +149,7 @@
         }
         service = found->second.service;
     }
-    const ServiceShard &shard = serviceShard(service);
-    const std::lock_guard lock(shard.mutex);
-    const auto found = shard.services.find(service);
-    if (found == shard.services.end()) {
-        return nullptr;
-    }
-    const auto record = found->second.records.find(instance);
-    return record == found->second.records.end() ? nullptr : record->second;
+    return recordOf(service, instance);
 }
 
 EndpointTable::InstanceShard &EndpointTable::instanceShard(const std::string &instance)
@@ -164,18 +172,6 @@
     return m_serviceShards[std::hash<std::string>{}(service) % shardCount];
 }
 
-void EndpointTable::store(const Announcement &announcement, const std::string &owner,
-                          SteadyTimeMs now)
-{
-    auto record = std::make_shared<const EndpointRecord>(
-            EndpointRecord{announcement, owner, now + m_options.lease.count()});
-    ServiceShard &shard = serviceShard(announcement.service);
-    const std::lock_guard lock(shard.mutex);
-    Service &service = shard.services[announcement.service];
-    service.records[announcement.instance] = std::move(record);
-    service.list.reset();
-}
-
 void EndpointTable::remove(const std::string &service, const std::string &instance)
 {
     ServiceShard &shard = serviceShard(service);
--- a/Source/Runtime/EndpointTable.h
+++ b/Source/Runtime/EndpointTable.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,19 @@
     Milliseconds lease{30000};
     /// How long a gone incarnation is remembered. A day, as for all records a sender may repeat.
     Milliseconds tombstoneRetention{24LL * 60 * 60 * 1000};
+    /// Name of this entry instance. A record of another owner is a copy: when its lease ends it is
+    /// dropped without a tombstone, as only the owner knows whether the endpoint is gone. Empty:
+    /// no record is a copy.
+    std::string self{};
+};
+
+/// What one owner's records add up to.
+struct OwnedSummary
+{
+    std::uint64_t count = 0;
+    std::uint64_t hash = 0;
+
+    bool operator==(const OwnedSummary &) const = default;
 };
 
 using EndpointList = std::shared_ptr<const std::vector<std::shared_ptr<const EndpointRecord>>>;
@@ -71,6 +85,20 @@
     std::vector<std::shared_ptr<const EndpointRecord>> all() const;
     std::shared_ptr<const EndpointRecord> find(const std::string &instance) const;
 
+    /// Takes a record that `owner` sent. Gives false if it changed nothing. The order in which
+    /// copies arrive makes no difference to the outcome.
+    bool merge(const EndpointCopy &copy, const std::string &owner, SteadyTimeMs leaseEndsAt,
+               SteadyTimeMs now);
+    /// Records of an owner, by instance name.
+    std::vector<std::shared_ptr<const EndpointRecord>> ownedBy(const std::string &owner) const;
+    OwnedSummary summaryOf(const std::string &owner) const;
+    /// Extends the leases of an owner's records.
+    void renewCopies(const std::string &owner, SteadyTimeMs leaseEndsAt);
+    /// Lets all of an owner's records but the listed ones run out, unless another owner has them.
+    void disown(const std::string &owner, const std::set<std::string> &kept);
+    /// True if the incarnation is known to be gone.
+    bool isGone(const std::string &instance, std::uint64_t incarnation) const;
+
     Milliseconds lease() const { return m_options.lease; }
 
 private:
@@ -81,6 +109,13 @@
         EndpointState state = EndpointState::Serving;
         std::string service;
         SteadyTimeMs goneSince = 0;
+        /// The copy's lease ended; the owner may still renew it.
+        bool dropped = false;
+        /// Gone as the lease ended, which an owner that holds a later lease may correct.
+        bool leaseEnded = false;
+        /// Last owner, for the time without a record.
+        std::string owner;
+        std::uint64_t ownership = 0;
     };
     struct InstanceShard
     {
@@ -104,7 +139,16 @@
     const InstanceShard &instanceShard(const std::string &instance) const;
     ServiceShard &serviceShard(const std::string &service);
     const ServiceShard &serviceShard(const std::string &service) const;
-    void store(const Announcement &announcement, const std::string &owner, SteadyTimeMs now);
+    void store(const Announcement &announcement, const std::string &owner, std::uint64_t ownership,
+               SteadyTimeMs leaseEndsAt);
+    std::shared_ptr<const EndpointRecord> recordOf(const std::string &service,
+                                                   const std::string &instance) const;
+    /// Number of the ownership that an announcement to `owner` begins or continues.
+    std::uint64_t ownershipFor(const Announcement &announcement, const std::string &owner,
+                               const Incarnation &known) const;
+    /// Changes the records of an owner; the function may return null to keep one as it is.
+    template <typename Change>
+    void changeOwned(const std::string &owner, const Change &change);
     void remove(const std::string &service, const std::string &instance);
     void expireShard(InstanceShard &shard, SteadyTimeMs now, std::vector<std::string> &gone);
 
--- /dev/null
+++ b/Source/Runtime/EndpointTableCopies.cpp
@@ -0,0 +1,206 @@
+// The part of EndpointTable that keeps copies of records in agreement between entry instances.
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <msgpack.hpp>
+#include <xxhash.h>
+
+#include "Runtime/EndpointTable.h"
+
+namespace dandelionloom {
+
+namespace {
+
+std::uint64_t hashOf(const Announcement &announcement, std::uint64_t ownership)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, announcement);
+    msgpack::pack(buffer, ownership);
+    return XXH64(buffer.data(), buffer.size(), 0);
+}
+
+} // namespace
+
+void EndpointTable::store(const Announcement &announcement, const std::string &owner,
+                          std::uint64_t ownership, SteadyTimeMs leaseEndsAt)
+{
+    auto record = std::make_shared<const EndpointRecord>(EndpointRecord{
+            announcement, owner, leaseEndsAt, ownership, hashOf(announcement, ownership)});
+    ServiceShard &shard = serviceShard(announcement.service);
+    const std::lock_guard lock(shard.mutex);
+    Service &service = shard.services[announcement.service];
+    service.records[announcement.instance] = std::move(record);
+    service.list.reset();
+}
+
+std::shared_ptr<const EndpointRecord> EndpointTable::recordOf(const std::string &service,
+                                                              const std::string &instance) const
+{
+    const ServiceShard &shard = serviceShard(service);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.services.find(service);
+    if (found == shard.services.end()) {
+        return nullptr;
+    }
+    const auto record = found->second.records.find(instance);
+    return record == found->second.records.end() ? nullptr : record->second;
+}
+
+std::uint64_t EndpointTable::ownershipFor(const Announcement &announcement,
+                                          const std::string &owner, const Incarnation &known) const
+{
+    if (known.number != announcement.incarnation || known.service != announcement.service) {
+        return 1;
+    }
+    const auto record = recordOf(announcement.service, announcement.instance);
+    const std::string &lastOwner = record ? record->owner : known.owner;
+    const std::uint64_t last = record ? record->ownership : known.ownership;
+    return lastOwner == owner ? std::max<std::uint64_t>(last, 1) : last + 1;
+}
+
+bool EndpointTable::merge(const EndpointCopy &copy, const std::string &owner,
+                          SteadyTimeMs leaseEndsAt, SteadyTimeMs now)
+{
+    Announcement announcement = copy.announcement;
+    InstanceShard &shard = instanceShard(announcement.instance);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.incarnations.find(announcement.instance);
+    const bool known = found != shard.incarnations.end();
+    if (known && announcement.incarnation < found->second.number) {
+        return false;
+    }
+    const bool repeated = known && announcement.incarnation == found->second.number;
+    std::string holder = owner;
+    std::uint64_t ownership = copy.ownership;
+    if (repeated) {
+        const Incarnation &last = found->second;
+        const auto record = recordOf(last.service, announcement.instance);
+        const bool newer = std::tie(copy.ownership, owner)
+                > std::tie(record ? record->ownership : last.ownership,
+                           record ? record->owner : last.owner);
+        if (last.service != announcement.service) {
+            return false;
+        }
+        if (last.state == EndpointState::Gone
+            && (!last.leaseEnded || !newer || announcement.state == EndpointState::Gone)) {
+            return false;
+        }
+        // The end of a lease counts for the ownership that it belongs to and for no other.
+        const bool sameOwnership = (record ? record->ownership : last.ownership) == copy.ownership
+                && (record ? record->owner : last.owner) == owner;
+        if (copy.leaseEnded && !sameOwnership) {
+            return false;
+        }
+        if (!newer && !sameOwnership) {
+            if (announcement.state <= last.state) {
+                return false;
+            }
+            // A late message of an earlier owner still tells that the incarnation is leaving.
+            holder = record ? record->owner : last.owner;
+            ownership = record ? record->ownership : last.ownership;
+            leaseEndsAt = record ? record->leaseEndsAt : now;
+        }
+        if (last.state == EndpointState::Leaving && announcement.state == EndpointState::Serving) {
+            announcement.state = EndpointState::Leaving;
+        }
+    }
+    const auto before = known ? recordOf(found->second.service, announcement.instance) : nullptr;
+    if (known && found->second.service != announcement.service) {
+        remove(found->second.service, announcement.instance);
+    }
+    Incarnation &incarnation = shard.incarnations[announcement.instance];
+    incarnation = {announcement.incarnation,
+                   announcement.state,
+                   announcement.service,
+                   now,
+                   false,
+                   copy.leaseEnded,
+                   holder,
+                   ownership};
+    if (announcement.state == EndpointState::Gone) {
+        remove(announcement.service, announcement.instance);
+        return true;
+    }
+    store(announcement, holder, ownership, leaseEndsAt);
+    return !before || before->owner != holder
+            || before->contentHash != hashOf(announcement, ownership);
+}
+
+std::vector<std::shared_ptr<const EndpointRecord>>
+EndpointTable::ownedBy(const std::string &owner) const
+{
+    std::vector<std::shared_ptr<const EndpointRecord>> records = all();
+    std::erase_if(records, [&](const auto &record) { return record->owner != owner; });
+    std::sort(records.begin(), records.end(), [](const auto &left, const auto &right) {
+        return left->announcement.instance < right->announcement.instance;
+    });
+    return records;
+}
+
+OwnedSummary EndpointTable::summaryOf(const std::string &owner) const
+{
+    OwnedSummary summary;
+    for (const ServiceShard &shard : m_serviceShards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &service : shard.services) {
+            for (const auto &item : service.second.records) {
+                if (item.second->owner == owner) {
+                    ++summary.count;
+                    summary.hash += item.second->contentHash;
+                }
+            }
+        }
+    }
+    return summary;
+}
+
+template <typename Change>
+void EndpointTable::changeOwned(const std::string &owner, const Change &change)
+{
+    for (ServiceShard &shard : m_serviceShards) {
+        const std::lock_guard lock(shard.mutex);
+        for (auto &[name, service] : shard.services) {
+            for (auto &[instance, record] : service.records) {
+                if (record->owner != owner) {
+                    continue;
+                }
+                EndpointRecord changed = *record;
+                if (change(changed)) {
+                    record = std::make_shared<const EndpointRecord>(std::move(changed));
+                    service.list.reset();
+                }
+            }
+        }
+    }
+}
+
+void EndpointTable::renewCopies(const std::string &owner, SteadyTimeMs leaseEndsAt)
+{
+    changeOwned(owner, [&](EndpointRecord &record) {
+        record.leaseEndsAt = leaseEndsAt;
+        return true;
+    });
+}
+
+void EndpointTable::disown(const std::string &owner, const std::set<std::string> &kept)
+{
+    changeOwned(owner, [&](EndpointRecord &record) {
+        if (kept.contains(record.announcement.instance)) {
+            return false;
+        }
+        record.owner.clear();
+        return true;
+    });
+}
+
+bool EndpointTable::isGone(const std::string &instance, std::uint64_t incarnation) const
+{
+    const InstanceShard &shard = instanceShard(instance);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.incarnations.find(instance);
+    return found != shard.incarnations.end() && found->second.number == incarnation
+            && found->second.state == EndpointState::Gone;
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Utilities/measureEndpointGossip/main.cpp
@@ -0,0 +1,212 @@
+// Measures the traffic that keeps the endpoint tables of 6 entry instances in agreement:
+// measureEndpointGossip ENDPOINTS BASE_PORT [SECONDS]
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Adapters/Peers/Http2PeerTransport.h"
+#include "Runtime/EndpointGossip.h"
+
+using namespace dandelionloom;
+
+namespace {
+
+constexpr std::size_t instanceCount = 6;
+constexpr int singleChanges = 20;
+constexpr int burstChanges = 50;
+/// Longer than the batch delay, so that each change travels alone.
+constexpr Milliseconds changeInterval{300};
+
+/// Sums the bytes that left the sockets.
+class ByteCount : public MetricSink
+{
+public:
+    void count(const std::string &name, const std::string &labels, double amount) override
+    {
+        if (name == "dandelionloom_peer_wire_bytes_total" && labels == "direction=\"sent\"") {
+            m_bytes += static_cast<std::uint64_t>(amount);
+        }
+    }
+    void gauge(const std::string &, const std::string &, double) override { }
+    void observe(const std::string &, const std::string &, double) override { }
+    std::uint64_t bytes() const { return m_bytes; }
+
+private:
+    std::atomic<std::uint64_t> m_bytes = 0;
+};
+
+class QuietLog : public DecisionLog
+{
+public:
+    void write(const Decision &) override { }
+    void event(LogSeverity severity, const std::string &, const std::string &message) override
+    {
+        if (severity == LogSeverity::Error) {
+            std::cerr << message << "\n";
+        }
+    }
+};
+
+std::string nameOf(std::size_t index)
+{
+    return "entry-" + std::to_string(index);
+}
+
+PeerIdentity identityOf(std::size_t index)
+{
+    return {"measure", "region-1", nameOf(index), "", 1, "measure"};
+}
+
+struct Instance : AnnouncementHandler
+{
+    Instance(std::size_t index, const std::vector<PeerAddress> &peers, ByteCount &bytes)
+        : name(nameOf(index)), table(EndpointTableOptions{.self = name}),
+          transport(identityOf(index), peers[index].address, peers, {}, log, bytes),
+          gossip(optionsOf(index), *this, table, transport, bytes, [](const std::string &) {})
+    { }
+    ~Instance() override
+    {
+        gossip.stop();
+        transport.stop();
+    }
+
+    static EndpointGossipOptions optionsOf(std::size_t index)
+    {
+        EndpointGossipOptions options;
+        options.self = nameOf(index);
+        options.incarnation = 1;
+        for (std::size_t other = 0; other < instanceCount; ++other) {
+            if (other != index) {
+                options.peers.push_back(nameOf(other));
+            }
+        }
+        return options;
+    }
+
+    AnnouncementAnswer announce(const Announcement &announcement) override
+    {
+        AnnouncementAnswer answer;
+        answer.accepted = isAccepted(table.announce(announcement, name, steadyTimeNow()));
+        return answer;
+    }
+
+    std::string name;
+    QuietLog log;
+    EndpointTable table;
+    Http2PeerTransport transport;
+    EndpointGossip gossip;
+};
+
+Announcement endpointOf(std::size_t index, int version)
+{
+    Announcement announcement;
+    announcement.instance = "worker-" + std::to_string(index);
+    announcement.address = "10.0." + std::to_string(index % 250) + ".17:" + std::to_string(version);
+    announcement.service = "service-" + std::to_string(index % 5);
+    announcement.rack = "rack-" + std::to_string(index / 4);
+    announcement.availabilityZone = "zone-" + std::to_string(index % 3);
+    announcement.incarnation = 1790000000000ULL + index;
+    return announcement;
+}
+
+using Instances = std::vector<std::unique_ptr<Instance>>;
+
+void announceAll(Instances &instances, std::size_t endpoints, int version)
+{
+    for (std::size_t index = 0; index < endpoints; ++index) {
+        instances[index % instanceCount]->gossip.announce(endpointOf(index, version));
+    }
+}
+
+bool waitForAll(const Instances &instances, std::size_t endpoints)
+{
+    const SteadyTimeMs limit = steadyTimeNow() + 30000;
+    for (const auto &instance : instances) {
+        while (instance->table.all().size() < endpoints) {
+            if (steadyTimeNow() > limit) {
+                return false;
+            }
+            std::this_thread::sleep_for(Milliseconds(50));
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    if (argumentCount < 3) {
+        std::cerr << "expected measureEndpointGossip ENDPOINTS BASE_PORT [SECONDS]\n";
+        return 2;
+    }
+    const std::size_t endpoints = std::strtoull(arguments[1], nullptr, 10);
+    const int basePort = std::atoi(arguments[2]);
+    const int seconds = argumentCount > 3 ? std::atoi(arguments[3]) : 25;
+    std::vector<PeerAddress> peers;
+    for (std::size_t index = 0; index < instanceCount; ++index) {
+        peers.push_back({nameOf(index), "zone-1",
+                         "127.0.0.1:" + std::to_string(basePort + static_cast<int>(index))});
+    }
+    ByteCount bytes;
+    Instances instances;
+    for (std::size_t index = 0; index < instanceCount; ++index) {
+        instances.push_back(std::make_unique<Instance>(index, peers, bytes));
+        const auto started = instances.back()->transport.start();
+        if (!isOk(started)) {
+            std::cerr << errorOf(started).message << "\n";
+            return 1;
+        }
+    }
+    for (const auto &instance : instances) {
+        instance->gossip.start();
+    }
+    announceAll(instances, endpoints, 9000);
+    if (!waitForAll(instances, endpoints)) {
+        std::cerr << "the tables never agreed\n";
+        return 1;
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(6));
+
+    const auto sentDuring = [&](const auto &work) {
+        const std::uint64_t before = bytes.bytes();
+        const SteadyTimeMs start = steadyTimeNow();
+        work();
+        const double elapsed = static_cast<double>(steadyTimeNow() - start) / 1000;
+        return std::pair(static_cast<double>(bytes.bytes() - before), elapsed);
+    };
+    const auto [restBytes, restSeconds] = sentDuring([&] {
+        for (int second = 0; second < seconds; ++second) {
+            if (second % 10 == 0) {
+                announceAll(instances, endpoints, 9000);
+            }
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+        }
+    });
+    const double restRate = restBytes / restSeconds;
+    std::cout << endpoints << " endpoints: at rest " << restRate / instanceCount
+              << " B/s sent by each instance";
+    const auto [singleBytes, singleSeconds] = sentDuring([&] {
+        for (int change = 0; change < singleChanges; ++change) {
+            instances[0]->gossip.announce(endpointOf(0, 10000 + change));
+            std::this_thread::sleep_for(changeInterval);
+        }
+    });
+    std::cout << "; single change " << (singleBytes - restRate * singleSeconds) / singleChanges
+              << " B in all";
+    const auto [burstBytes, burstSeconds] = sentDuring([&] {
+        for (int change = 0; change < burstChanges; ++change) {
+            const auto index = static_cast<std::size_t>(change);
+            instances[index % instanceCount]->gossip.announce(endpointOf(index % endpoints, 20000));
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(5));
+    });
+    std::cout << "; in a burst of " << burstChanges << " "
+              << (burstBytes - restRate * burstSeconds) / burstChanges << " B each\n";
+    return 0;
+}
