Decisions: Test that quarantined workers get no job

With quarantined workers let in, no test would have failed.

Ruled out: leaving it to judgeStarts' own tests; they don't see where jobs are placed.

Change: a section in PlacementTest::retries.

--- a/Tests/Decisions/PlacementTest.cpp
+++ b/Tests/Decisions/PlacementTest.cpp
@@ -361,6 +361,14 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w3"), decisionFor(round.place(), "a").worker);
         round.facts.workers[2].inService = false;
         CPPUNIT_ASSERT_EQUAL(std::string("w2"), decisionFor(round.place(), "a").worker);
+        section("a worker that fails everything gets no job", [&] {
+            Round failing = round;
+            for (const std::string job : {"x", "y", "z"}) {
+                failing.facts.starts.push_back({job, "w2", false, now});
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("w1"), decisionFor(failing.place(), "a").worker);
+            CPPUNIT_ASSERT(failing.place().health.quarantined.contains("w2"));
+        });
         round.facts.jobs[0].leaseOpen = true;
         CPPUNIT_ASSERT_EQUAL(std::string("wait lease-may-be-valid"), told(round.place(), "a"));
     }
