Tests: Restore the shared temporary folder

Cause: the disk tests and the operator tests each repaired the collision of their TemporaryFolder classes.

Ruled out: two classes with one job.

Change: Tests/Support/TemporaryFolder.h is back and both use it.

--- a/Tests/Operators/CommandLineTest.cpp
+++ b/Tests/Operators/CommandLineTest.cpp
@@ -5,11 +5,11 @@
 #include <sstream>
 
 #include "Operators/LossyRelay.h"
-#include "Operators/OperatorFiles.h"
 #include "Operators/OperatorFixture.h"
 #include "Program/OperatorClient.h"
 #include "Program/Program.h"
 #include "Support/Section.h"
+#include "Support/TemporaryFolder.h"
 
 using namespace dandelionloom;
 using namespace dandelionloom::test;
@@ -19,7 +19,7 @@
 /// Runs the program against servers with the credential of alice.
 struct Terminal
 {
-    OperatorFiles folder;
+    TemporaryFolder folder;
     std::vector<std::string> servers;
     std::string out;
     std::string err;
--- a/Tests/Operators/OperatorFiles.h
+++ b/Tests/Support/TemporaryFolder.h
@@ -9,11 +9,11 @@
 
 namespace dandelionloom::test {
 
-/// Files that an operator passes to the program, in a new folder that is removed at the end.
-class OperatorFiles
+/// A new folder that is removed with its content at the end.
+class TemporaryFolder
 {
 public:
-    OperatorFiles()
+    TemporaryFolder()
     {
         std::string pattern =
                 (std::filesystem::temp_directory_path() / "dandelionloom-test-XXXXXX").string();
@@ -23,14 +23,14 @@
         m_path = pattern;
     }
 
-    ~OperatorFiles()
+    ~TemporaryFolder()
     {
         std::error_code ignored;
         std::filesystem::remove_all(m_path, ignored);
     }
 
-    OperatorFiles(const OperatorFiles &) = delete;
-    OperatorFiles &operator=(const OperatorFiles &) = delete;
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
 
     /// Writes a file and returns its path.
     std::string write(const std::string &name, const std::string &text) const
