Gateway: Serve by admission, work class and demand, and spread endpoints by digests

Cause: the gateway granted slots in the order of arrival and passed every announcement on to every peer. Failing endpoints were chosen again.

Ruled out: fixed shares of allowances and slots (a plan whose callers all meet one gateway would get a sixth of its allowance); endpoint refusals that spend the retry budget (a full pool is no failure).

Change: FairQueue takes its decisions from Admission, RunTimes, Ejection and Routing and replaces the first-come queue; gateways tell each other their demand while they have any; EndpointGossip replaces the forwarder; while the lists lease has ended only endpoints of the own zone are used, within the zone's part of each allowance.

--- a/Source/Decisions/Admission.cpp
+++ b/Source/Decisions/Admission.cpp
@@ -196,8 +196,8 @@
     if (capacity.free == 0) {
         return std::nullopt;
     }
-    const bool longAllowed =
-            queue.longInFlight < longSlotLimit(queue, capacity.slots, nowMs, limits);
+    const bool longAllowed = !capacity.longBlocked
+            && queue.longInFlight < longSlotLimit(queue, capacity.slots, nowMs, limits);
     PlanQueue *best = nullptr;
     double bestStart = 0;
     for (auto &[name, plan] : queue.plans) {
@@ -227,6 +227,14 @@
     return request;
 }
 
+void putBack(ServiceQueue &queue, const WaitingRequest &request)
+{
+    finish(queue, request, -1);
+    queueOf(queue.plans[request.plan], request.workClass).push_front(request);
+    ++queue.waiting;
+    queue.shortWaiting += request.workClass == WorkClass::Short ? 1 : 0;
+}
+
 void finish(ServiceQueue &queue, const WaitingRequest &request, double runMs)
 {
     PlanQueue &plan = queue.plans[request.plan];
--- a/Source/Decisions/Admission.h
+++ b/Source/Decisions/Admission.h
@@ -39,6 +39,8 @@
 {
     std::uint32_t slots = 0;
     std::uint32_t free = 0;
+    /// No endpoint takes long work now, although slots are free.
+    bool longBlocked = false;
 };
 
 struct AdmissionLimits
@@ -144,6 +146,9 @@
                                        SteadyTimeMs nowMs, const AdmissionLimits &limits,
                                        std::vector<WaitingRequest> &expired);
 
+/// Puts a request that was just taken back in front of its queue, because no endpoint took it.
+void putBack(ServiceQueue &queue, const WaitingRequest &request);
+
 /// Gives back the slot of a started request and learns its run time. A request that was not run
 /// is given back with a negative run time and teaches nothing.
 void finish(ServiceQueue &queue, const WaitingRequest &request, double runMs);
--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -1,5 +1,6 @@
 #include "Program/EntryInstance.h"
 
+#include <algorithm>
 #include <fstream>
 #include <random>
 
@@ -15,13 +16,14 @@
 #include "Adapters/Logging/JsonDecisionLog.h"
 #include "Adapters/Metrics/PrometheusMetrics.h"
 #include "Adapters/Peers/Http2PeerTransport.h"
-#include "Runtime/AnnouncementForwarder.h"
 #include "Runtime/AnnouncementIntake.h"
 #include "Runtime/AttemptRunner.h"
 #include "Runtime/ClaimBatcher.h"
 #include "Runtime/Controller.h"
+#include "Runtime/DemandExchange.h"
+#include "Runtime/EndpointGossip.h"
 #include "Runtime/EndpointTable.h"
-#include "Runtime/FirstComeQueue.h"
+#include "Runtime/FairQueue.h"
 #include "Runtime/Gateway.h"
 #include "Runtime/InstanceRegistrar.h"
 #include "Runtime/KeyedRequests.h"
@@ -158,14 +160,12 @@
                                                    peerAddresses(settings), {}, *log, metrics),
           replica(replicaOptions(settings), storage.get(), transport, store, *log, metrics,
                   std::move(onFatal)),
-          table(EndpointTableOptions{.lease = settings.timing.endpointLease}), client({}),
-          queue(queueOptions(settings), table, store), registrar({}, replica, *log),
+          table(tableOptions(settings)), client({}), queue(queueOptions(settings), table, store),
+          registrar({}, replica, *log),
           intake(settings.instance.name, table, store, queue, client, registrar),
-          forwarder(intake, transport, peerNames(settings),
-                    [this](const Announcement &announcement, const std::string &owner) {
-                        table.announce(announcement, owner, steadyTimeNow());
-                        queue.endpointsChanged(announcement.service);
-                    }),
+          gossip(gossipOptions(settings), intake, table, transport, metrics,
+                 [this](const std::string &service) { queue.endpointsChanged(service); }),
+          demand(demandOptions(settings), transport, [this] { return queue.load(); }),
           settlements({}, replica, *log, metrics), claims({}, replica, settlements),
           runner(runnerOptions(settings), queue, client, *log, metrics),
           keyed(identity, gatewayGone(), claims, settlements, runner, *log),
@@ -176,7 +176,7 @@
           callerServer(settings.listen.callers, callerLimits(settings.limits),
                        std::move(callerCredentials), gateway),
           endpointServer(settings.listen.endpoints, endpointServerLimits(),
-                         std::move(endpointCredentials), forwarder),
+                         std::move(endpointCredentials), gossip),
           operatorServer({settings.listen.operators, settings.instance.name,
                           std::move(operatorCredentials), settings.limits},
                          {replica, *log, endpointRecords(), waveExplanations(),
@@ -194,18 +194,69 @@
         return self;
     }
 
-    static FirstComeQueueOptions queueOptions(const Settings &settings)
+    bool listsAreStale(const Settings &settings) const
     {
-        FirstComeQueueOptions options;
+        const LogStatus status = replica.status();
+        return !status.ready || status.quorumContactAgeMs < 0
+                || status.quorumContactAgeMs > settings.timing.listsLease.count();
+    }
+
+    FairQueueOptions queueOptions(const Settings &settings)
+    {
+        FairQueueOptions options;
         options.availabilityZone = settings.instance.availabilityZone;
         options.seed = std::random_device{}();
+        options.admission.queueLength = settings.limits.queueLength;
+        options.longShareOfEndpoint = settings.limits.longWorkPercent / 100.0;
+        options.allowanceShare = [this](const std::string &plan) {
+            return demand.allowanceShare(plan);
+        };
+        options.slotShare = [this](const Announcement &announcement) {
+            return demand.slotShare(announcement);
+        };
+        options.ownZoneOnly = [this, settings] { return listsAreStale(settings); };
+        return options;
+    }
+
+    EndpointGossipOptions gossipOptions(const Settings &settings) const
+    {
+        EndpointGossipOptions options;
+        options.self = identity.name;
+        options.incarnation = identity.incarnation;
+        options.peers = peerNames(settings);
+        options.digestInterval = settings.timing.digestInterval;
+        // Two digests may be lost before the copies of an owner end.
+        options.copyLease = 2 * settings.timing.digestInterval + Milliseconds(2000);
+        return options;
+    }
+
+    DemandExchangeOptions demandOptions(const Settings &settings) const
+    {
+        DemandExchangeOptions options;
+        options.self = identity.name;
+        options.peers = peerNames(settings);
+        const auto inZone = std::count_if(
+                settings.peers.begin(), settings.peers.end(), [&](const PeerSettings &peer) {
+                    return peer.availabilityZone == settings.instance.availabilityZone;
+                });
+        options.zonePart = static_cast<double>(inZone) / static_cast<double>(settings.peers.size());
+        options.listsAreStale = [this, settings] { return listsAreStale(settings); };
+        return options;
+    }
+
+    static EndpointTableOptions tableOptions(const Settings &settings)
+    {
+        EndpointTableOptions options;
+        options.self = settings.instance.name;
+        options.lease = settings.timing.endpointLease;
         return options;
     }
 
     static AttemptRunnerOptions runnerOptions(const Settings &settings)
     {
-        (void)settings;
-        return {};
+        AttemptRunnerOptions options;
+        options.budget.share = settings.limits.retryPercent / 100.0;
+        return options;
     }
 
     /// Another process of the same entry instance with a lower incarnation has ended.
@@ -247,10 +298,11 @@
     Replica replica;
     EndpointTable table;
     HttpEndpointClient client;
-    FirstComeQueue queue;
+    FairQueue queue;
     InstanceRegistrar registrar;
     AnnouncementIntake intake;
-    AnnouncementForwarder forwarder;
+    EndpointGossip gossip;
+    DemandExchange demand;
     SettleQueue settlements;
     ClaimBatcher claims;
     AttemptRunner runner;
@@ -312,6 +364,8 @@
         return StartError{{errorOf(transport).message}};
     }
     parts.replica.start();
+    parts.gossip.start();
+    parts.demand.start();
     parts.controller.start();
     const auto operatorServer = parts.operatorServer.start();
     if (!isOk(operatorServer)) {
@@ -342,6 +396,8 @@
     m_parts->endpointServer.stop();
     m_parts->operatorServer.stop();
     m_parts->controller.stop();
+    m_parts->demand.stop();
+    m_parts->gossip.stop();
     m_parts->replica.stop();
     m_parts->transport.stop();
 }
--- a/Source/Runtime/AttemptRunner.cpp
+++ b/Source/Runtime/AttemptRunner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Decisions/RunTimes.h"
+
 namespace dandelionloom {
 
 namespace {
@@ -20,20 +22,52 @@
     return decision;
 }
 
-/// Gives the slot back at the end of its scope.
+/// Refusals by full endpoints that one request takes before its caller is told not-run. They cost
+/// a round trip each and are no retries: nothing was started.
+constexpr std::uint32_t mostBusyRefusals = 20;
+
+AttemptJudgement judgementOf(const AttemptResult &result)
+{
+    constexpr int firstServerError = 500;
+    switch (result.verdict) {
+    case AttemptVerdict::Answered:
+        return result.answer.status >= firstServerError ? AttemptJudgement::ServerError
+                                                        : AttemptJudgement::Succeeded;
+    case AttemptVerdict::Refused:
+        return AttemptJudgement::RefusedBusy;
+    default:
+        return AttemptJudgement::TransportError;
+    }
+}
+
+/// Gives the slot back at the end of its scope, also when sending throws.
 class SlotHolder
 {
 public:
     SlotHolder(WorkQueue &queue, const Slot &slot) : m_queue(queue), m_slot(slot) { }
-    ~SlotHolder() { m_queue.release(m_slot); }
+    ~SlotHolder() { m_queue.release(m_slot, m_judgement); }
     SlotHolder(const SlotHolder &) = delete;
     SlotHolder &operator=(const SlotHolder &) = delete;
 
+    void judge(AttemptJudgement judgement) { m_judgement = judgement; }
+
 private:
     WorkQueue &m_queue;
     const Slot &m_slot;
+    AttemptJudgement m_judgement = AttemptJudgement::TransportError;
 };
 
+WorkItem workItemOf(const CheckedRequest &request)
+{
+    WorkItem item;
+    item.requestId = request.id;
+    item.plan = request.request.plan;
+    item.service = request.service;
+    item.kind = requestKind(request.request.method, request.request.target);
+    item.deadlineAt = request.deadlineAt;
+    return item;
+}
+
 } // namespace
 
 std::string metricLabels(const std::string &plan, const std::string &service)
@@ -48,15 +82,23 @@
 { }
 
 RequestEnd AttemptRunner::run(const CheckedRequest &request)
+{
+    std::vector<JudgedAttempt> attempts;
+    RequestEnd end = runAttempts(request, attempts);
+    if (!attempts.empty()) {
+        m_queue.requestEnded(request.service, attempts);
+    }
+    return end;
+}
+
+RequestEnd AttemptRunner::runAttempts(const CheckedRequest &request,
+                                      std::vector<JudgedAttempt> &attempts)
 {
     m_budget.addRequest();
     const HttpHeaders headers = forwardedHeaders(request.request);
-    WorkItem item;
-    item.requestId = request.id;
-    item.plan = request.request.plan;
-    item.service = request.service;
-    item.deadlineAt = request.deadlineAt;
+    WorkItem item = workItemOf(request);
     bool mayHaveRun = false;
+    std::uint32_t busyRefusals = 0;
     for (std::uint32_t number = 1;; ++number) {
         const SteadyTimeMs waitingSince = steadyTimeNow();
         const Result<Slot, SlotRefusal> granted = m_queue.acquire(item);
@@ -64,29 +106,34 @@
                           static_cast<double>(steadyTimeNow() - waitingSince)
                                   / millisecondsPerSecond);
         if (!isOk(granted)) {
-            const std::string reason(routingReasonNames.name(errorOf(granted).reason));
+            const std::string &reason = errorOf(granted).reason;
             m_log.write(decisionFor(request, DecisionKind::Shed, reason));
             return {mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason};
         }
         const Slot &slot = valueOf(granted);
         AttemptResult result;
         {
-            const SlotHolder holder(m_queue, slot);
+            SlotHolder holder(m_queue, slot);
             result = attempt(request, slot, number, headers);
+            holder.judge(judgementOf(result));
         }
+        attempts.push_back({slot.instance, judgementOf(result)});
         if (result.verdict == AttemptVerdict::Answered) {
             return {RequestOutcome::Done, {}, std::move(result.answer)};
         }
+        item.triedInstances.push_back(slot.instance);
+        item.triedRacks.push_back(slot.rack);
+        if (result.verdict == AttemptVerdict::Refused && ++busyRefusals < mostBusyRefusals) {
+            continue;
+        }
         const bool provablyNotRun = result.verdict != AttemptVerdict::MaybeRun;
         mayHaveRun = mayHaveRun || !provablyNotRun;
-        if (!decide(request, slot, number, provablyNotRun, result.fault)) {
+        if (!decide(request, slot, number - busyRefusals, provablyNotRun, result.fault)) {
             const std::string reason = result.verdict == AttemptVerdict::Refused
                     ? "refused-by-endpoint"
                     : std::string(attemptFaultNames.name(result.fault));
             return {mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, reason};
         }
-        item.triedInstances.push_back(slot.instance);
-        item.triedRacks.push_back(slot.rack);
     }
 }
 
--- a/Source/Runtime/AttemptRunner.h
+++ b/Source/Runtime/AttemptRunner.h
@@ -30,6 +30,7 @@
     RequestEnd run(const CheckedRequest &request);
 
 private:
+    RequestEnd runAttempts(const CheckedRequest &request, std::vector<JudgedAttempt> &attempts);
     AttemptResult attempt(const CheckedRequest &request, const Slot &slot, std::uint32_t number,
                           const HttpHeaders &headers);
     bool decide(const CheckedRequest &request, const Slot &slot, std::uint32_t attempts,
--- /dev/null
+++ b/Source/Runtime/DemandExchange.cpp
@@ -0,0 +1,149 @@
+#include "Runtime/DemandExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <msgpack.hpp>
+
+#include "Decisions/SlotShares.h"
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr Milliseconds sendTimeout{1000};
+
+/// Demand assumed of every gateway, so that an idle one can start its first request at once.
+constexpr double idleDemand = 0.5;
+
+double valueIn(const std::map<std::string, double> &values, const std::string &name)
+{
+    const auto found = values.find(name);
+    return found == values.end() ? 0 : found->second;
+}
+
+} // namespace
+
+DemandExchange::DemandExchange(DemandExchangeOptions options, PeerTransport &transport,
+                               std::function<GatewayLoad()> load)
+    : m_options(std::move(options)), m_transport(transport), m_load(std::move(load))
+{
+    m_transport.setHandler(
+            PeerMessageKind::GatewayDemand,
+            [this](const std::string &from, const std::string &body,
+                   const PeerTransport::Reply &reply) {
+                try {
+                    receive(from, body);
+                    reply(std::string());
+                } catch (const std::exception &exception) {
+                    reply(PeerError{PeerErrorKind::Refused,
+                                    std::string("demand is not readable: ") + exception.what()});
+                }
+            });
+}
+
+DemandExchange::~DemandExchange()
+{
+    stop();
+}
+
+void DemandExchange::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void DemandExchange::stop()
+{
+    {
+        const std::lock_guard lock(m_threadMutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void DemandExchange::run()
+{
+    std::unique_lock lock(m_threadMutex);
+    while (!m_wake.wait_for(lock, m_options.interval, [this] { return m_stopping; })) {
+        lock.unlock();
+        tick(steadyTimeNow());
+        lock.lock();
+    }
+}
+
+void DemandExchange::tick(SteadyTimeMs now)
+{
+    GatewayLoad load = m_load();
+    const bool hasDemand = !load.byPlan.empty();
+    bool send = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_own = load;
+        std::erase_if(m_reports, [&](const auto &item) {
+            return now - item.second.receivedAt > m_options.lifetime.count();
+        });
+        // One report after the end of the demand lets the others take over its part at once.
+        send = hasDemand || m_sentDemand;
+        m_sentDemand = hasDemand;
+    }
+    if (!send) {
+        return;
+    }
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(2);
+    packer.pack(load.byPlan);
+    packer.pack(load.byService);
+    for (const std::string &peer : m_options.peers) {
+        m_transport.call(peer, PeerMessageKind::GatewayDemand, {buffer.data(), buffer.size()},
+                         sendTimeout, [](const PeerResult &) {});
+    }
+}
+
+void DemandExchange::receive(const std::string &from, const std::string &body)
+{
+    const auto handle = msgpack::unpack(body.data(), body.size());
+    std::vector<std::map<std::string, double>> parts;
+    handle.get().convert(parts);
+    Report report;
+    report.load.byPlan = std::move(parts.at(0));
+    report.load.byService = std::move(parts.at(1));
+    report.receivedAt = steadyTimeNow();
+    const std::lock_guard lock(m_mutex);
+    m_reports[from] = std::move(report);
+}
+
+double DemandExchange::allowanceShare(const std::string &plan) const
+{
+    const std::lock_guard lock(m_mutex);
+    const double own = valueIn(m_own.byPlan, plan) + idleDemand;
+    double total = own + idleDemand * static_cast<double>(m_options.peers.size());
+    for (const auto &[gateway, report] : m_reports) {
+        total += valueIn(report.load.byPlan, plan);
+    }
+    const double share = own / total;
+    const bool stale = m_options.listsAreStale && m_options.listsAreStale();
+    return stale ? std::min(share, m_options.zonePart) : share;
+}
+
+std::uint32_t DemandExchange::slotShare(const Announcement &announcement) const
+{
+    std::vector<GatewayDemand> demands;
+    {
+        const std::lock_guard lock(m_mutex);
+        demands.push_back({m_options.self, valueIn(m_own.byService, announcement.service)});
+        for (const std::string &peer : m_options.peers) {
+            const auto report = m_reports.find(peer);
+            const double demand = report == m_reports.end()
+                    ? 0
+                    : valueIn(report->second.load.byService, announcement.service);
+            demands.push_back({peer, demand});
+        }
+    }
+    return divideSlots(announcement.instance, announcement.slots, demands).at(m_options.self);
+}
+
+} // namespace dandelionloom
--- a/Tests/Gateway/GatewayStack.cpp
+++ b/Tests/Gateway/GatewayStack.cpp
@@ -15,6 +15,14 @@
     return takeValue(Credentials::fromText(text, "test"));
 }
 
+FairQueueOptions queueOptions()
+{
+    FairQueueOptions options;
+    options.availabilityZone = "zone-a";
+    options.seed = 7;
+    return options;
+}
+
 } // namespace
 
 RawCaller::RawCaller(const std::string &address)
@@ -86,8 +94,7 @@
 
 GatewayStack::GatewayStack(ReplicatedLog &log, const std::string &name, std::uint64_t incarnation,
                            const HttpLimits &callerLimits, const ClaimBatcherOptions &claimOptions)
-    : m_client(EndpointClientOptions{}),
-      m_queue(FirstComeQueueOptions{"zone-a", 7, {}, {}}, table, log.state()),
+    : m_client(EndpointClientOptions{}), m_queue(queueOptions(), table, log.state()),
       m_registrar(InstanceRegistrarOptions{}, log, decisions),
       m_intake(name, table, log.state(), m_queue, m_client, m_registrar),
       m_settlements(SettleQueueOptions{}, log, decisions, metrics),
@@ -131,6 +138,16 @@
     change.change = {"c1", "operator-1"};
     change.plans = {plan};
     log.propose(change, Milliseconds(1000));
+    // Generous, so that tests of other rules are not refused by rate.
+    Allowance allowance;
+    allowance.plan = "quotes";
+    allowance.slots = 1000;
+    allowance.requestsPerSecond = 100000;
+    ApplyList allowances;
+    allowances.change = {"c2", "operator-1"};
+    allowances.kind = ListKind::Allowances;
+    allowances.allowances = {allowance};
+    log.propose(allowances, Milliseconds(1000));
 }
 
 } // namespace dandelionloom::test
--- a/Tests/Gateway/GatewayStack.h
+++ b/Tests/Gateway/GatewayStack.h
@@ -8,7 +8,7 @@
 #include "Adapters/Http/HttpEndpointClient.h"
 #include "Gateway/FakeLog.h"
 #include "Runtime/AnnouncementIntake.h"
-#include "Runtime/FirstComeQueue.h"
+#include "Runtime/FairQueue.h"
 #include "Runtime/Gateway.h"
 #include "StandIns/standInEndpoint/EndpointHttp.h"
 
@@ -89,7 +89,7 @@
 
 private:
     HttpEndpointClient m_client;
-    FirstComeQueue m_queue;
+    FairQueue m_queue;
     InstanceRegistrar m_registrar;
     AnnouncementIntake m_intake;
     SettleQueue m_settlements;
