Scenarios: Take a port range for each runner process

Cause: scenario 13 failed at its start with 'Address already in use: 127.0.0.1:21021' while other runners were at work on the machine.

Ruled out: leaving it to the probe of a port. It is released before the entry instance binds it, so two runners that start at one place meet.

Change: a runner binds the first port of a range of 400 as long as it runs and hands out the others, round after round.

--- a/Tests/Scenarios/LuaBindings.cpp
+++ b/Tests/Scenarios/LuaBindings.cpp
@@ -11,6 +11,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include <unistd.h>
+
 #include <lua.hpp>
 
 #include <Poco/Exception.h>
@@ -348,25 +350,57 @@
     });
 }
 
-/// Ports of the test's own range, below the system's ephemeral ports, that nobody listens on.
+/// A range of ports of this process alone, below the system's ephemeral ports. The first port of
+/// the range is kept bound, so that runners at work side by side take different ranges.
+struct PortRange
+{
+    static constexpr int first = 20000;
+    static constexpr int last = 32000;
+    static constexpr int size = 400;
+
+    PortRange()
+    {
+        constexpr int count = (last - first) / size;
+        for (int tried = 0; tried < count; ++tried) {
+            start = first + (getpid() + tried) % count * size;
+            try {
+                marker = Poco::Net::ServerSocket(addressOf(start));
+                next = start + 1;
+                return;
+            } catch (const Poco::Exception &) {
+                continue;
+            }
+        }
+        throw std::runtime_error("no free range of ports from 20000 to 32000");
+    }
+
+    static Poco::Net::SocketAddress addressOf(int port)
+    {
+        return Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port));
+    }
+
+    int start = 0;
+    int next = 0;
+    Poco::Net::ServerSocket marker;
+};
+
+/// A port that nobody listens on. Ports are used again once the range is through.
 int freePort(lua_State *lua)
 {
     return guarded(lua, [&] {
-        constexpr int firstPort = 20000;
-        constexpr int lastPort = 32000;
-        static int next = firstPort;
-        while (next < lastPort) {
-            const int port = next++;
+        static PortRange range;
+        for (int tried = 1; tried < PortRange::size; ++tried) {
+            const int port = range.next;
+            range.next = port + 1 < range.start + PortRange::size ? port + 1 : range.start + 1;
             try {
-                const Poco::Net::ServerSocket probe(
-                        Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port)));
+                const Poco::Net::ServerSocket probe(PortRange::addressOf(port));
                 lua_pushinteger(lua, port);
                 return 1;
             } catch (const Poco::Exception &) {
                 continue;
             }
         }
-        throw std::runtime_error("no free port from 20000 to 32000");
+        throw std::runtime_error("no free port in the range from " + std::to_string(range.start));
     });
 }
 
