--- a/Tests/Scenarios/Support/cluster.lua
+++ b/Tests/Scenarios/Support/cluster.lua
@@ -240,7 +240,7 @@
     return list
 end
 
---- Adds `count` stand-in endpoints of a service, spread over the zones, four to a rack.
+--- Adds `count` stand-in endpoints of a service, spread over the zones, `per_rack` (default 4) to a rack.
 --- Each announces itself to the entry instances of its own zone first.
 function cluster:add_endpoints(service, count, options)
     options = options or {}
@@ -252,7 +252,7 @@
             instance = service .. "-" .. number,
             service = service,
             zone = zone,
-            rack = zone .. "-rack-" .. service .. "-" .. math.floor((number - 1) / self.zones / 4) + 1,
+            rack = zone .. "-rack-" .. service .. "-" .. math.floor((number - 1) / self.zones / (options.per_rack or 4)) + 1,
             port = free_port(),
             incarnation = 1,
             run_ms = options.run_ms or 2,
@@ -272,6 +272,7 @@
         "--slots", tostring(endpoint.slots), "--rack", endpoint.rack, "--zone", endpoint.zone,
         "--incarnation", tostring(endpoint.incarnation), "--run-ms", tostring(endpoint.run_ms),
         "--credential-file", work_folder .. "/endpoints",
+        "--key-log", work_folder .. "/" .. endpoint.instance .. ".keys",
     }
     for _, target in ipairs(self:endpoint_addresses(endpoint.zone)) do
         table.insert(arguments, "--announce")
@@ -377,6 +378,148 @@
     return list
 end
 
+--- Kills processes of entry instances or endpoints without a chance to end well.
+function cluster:kill(list)
+    for _, item in ipairs(list) do
+        item.process:signal("kill")
+    end
+    for _, item in ipairs(list) do
+        item.process:wait()
+    end
+end
+
+--- Starts killed endpoints again. An endpoint counts its incarnation up, also while it runs.
+function cluster:repair(endpoints)
+    for _, endpoint in ipairs(endpoints) do
+        endpoint.incarnation = endpoint.incarnation + 1000
+        self:start_endpoint(endpoint)
+    end
+end
+
+--- Applies both lists and waits until they are in force. `plans` defaults to cluster.plans.
+function cluster:apply_lists(leader, plans)
+    local first = self:apply(leader, "plans", plans or cluster.plans)
+    check(first.status == 200, "plans: %d %s", first.status, first.body)
+    local second = self:apply(leader, "allowances", cluster.allowances)
+    check(second.status == 200, "allowances: %d %s", second.status, second.body)
+    self:wait_revision(2)
+end
+
+--- The instances as one entry instance sees them: {id = {pool, phase, epoch, zone}}. Fails if one is
+--- listed twice or without a pool; nil if the entry instance does not answer.
+function cluster:instances(entry)
+    local answer = self:operator_call(entry, "GET", "/v1/instances")
+    if answer.status ~= 200 then
+        return nil
+    end
+    local found = {}
+    for text in answer.body:sub(2):gmatch("%b{}") do
+        local id = json_field(text, "id")
+        check(not found[id], "%s lists instance %s twice", entry.name, id)
+        found[id] = {id = id, pool = json_field(text, "pool"), phase = json_field(text, "phase"),
+                     epoch = tonumber(json_field(text, "epoch")), rack = json_field(text, "rack"),
+                     zone = json_field(text, "availability_zone")}
+        check((found[id].pool or "") ~= "", "%s lists instance %s without a pool", entry.name, id)
+    end
+    return found
+end
+
+--- Waits until an entry instance lists `count` instances in service.
+function cluster:wait_in_service(entry, count, limit_ms)
+    wait_until(limit_ms or 15000, count .. " instances are in service", function()
+        return cluster.count_phases(self:instances(entry) or {}, {["in-service"] = true}) == count
+    end)
+end
+
+function cluster.count_phases(instances, phases)
+    local count = 0
+    for _, instance in pairs(instances) do
+        count = count + (phases[instance.phase] and 1 or 0)
+    end
+    return count
+end
+
+--- Instances that are not in service.
+function cluster.out_of_service(instances)
+    local count = 0
+    for _, instance in pairs(instances) do
+        count = count + (instance.phase ~= "in-service" and 1 or 0)
+    end
+    return count
+end
+
+--- Checks that all entry instances of `among` that answer give each instance one pool an epoch.
+function cluster:check_one_pool(among)
+    self.pool_at = self.pool_at or {}
+    for _, entry in ipairs(among or self.entries) do
+        for id, instance in pairs(self:instances(entry) or {}) do
+            local place = id .. "/" .. instance.epoch
+            local known = self.pool_at[place] or instance.pool
+            check(known == instance.pool, "%s: instance %s is in pool %s and in pool %s at epoch %d",
+                entry.name, id, known, instance.pool, instance.epoch)
+            self.pool_at[place] = known
+        end
+    end
+end
+
+function cluster:start_wave(entry, id, pool)
+    local body = string.format('{"id": "%s", "pool": "%s", "drain_limit_ms": 5000}', id, pool)
+    local answer = self:operator_call(entry, "POST", "/v1/waves", body,
+        {["Content-Type"] = "application/json", ["Dandelionloom-Change-Id"] = id .. "-" .. seed})
+    check(answer.status == 200 or answer.status == 201, "start of %s: %d %s", id, answer.status, answer.body)
+end
+
+function cluster:wave_finished(entry)
+    local answer = self:operator_call(entry, "GET", "/v1/waves")
+    return answer.status == 200 and answer.body:find('"state"%s*:%s*"finished"') ~= nil
+end
+
+--- How often the endpoints ran each idempotency key, also before they were killed: {key = runs}.
+function cluster:key_runs()
+    local counts = {}
+    for _, endpoint in ipairs(self.endpoints) do
+        for key in read_file(work_folder .. "/" .. endpoint.instance .. ".keys"):gmatch("[^\n]+") do
+            counts[key] = (counts[key] or 0) + 1
+        end
+    end
+    return counts
+end
+
+function cluster:check_keys_once()
+    for key, runs in pairs(self:key_runs()) do
+        check(runs == 1, "key %s ran %d times", key, runs)
+    end
+end
+
+--- Entry instances in and outside an availability zone.
+function cluster:split_zone(zone)
+    local inside, outside = {}, {}
+    for _, entry in ipairs(self.entries) do
+        table.insert(entry.zone == zone and inside or outside, entry)
+    end
+    return inside, outside
+end
+
+--- Number of requests of a load by outcome.
+function cluster.outcomes(load)
+    local counts = {}
+    for _, request in ipairs(load:requests()) do
+        counts[request.outcome] = (counts[request.outcome] or 0) + 1
+    end
+    return counts
+end
+
+--- Background callers of a plan. Options as load_callers; `addresses` defaults to all entry instances.
+function cluster:load(secret, method, path, options)
+    options = options or {}
+    options.addresses = options.addresses or self:caller_addresses()
+    options.seed = seed
+    options.request = {method = method, path = path, timeout_ms = options.timeout_ms or 8000,
+                       headers = options.headers or {}}
+    options.request.headers["Authorization"] = "Bearer " .. secret
+    return load_callers(options)
+end
+
 cluster.plans = [=[
 [[plan]]
 id = "counter-quotes"
--- a/Tests/StandIns/standInEndpoint/EndpointHttp.h
+++ b/Tests/StandIns/standInEndpoint/EndpointHttp.h
@@ -33,8 +33,8 @@
 
     /// `admin` serves the admin paths that this class doesn't know; it may be empty.
     explicit EndpointHttp(EndpointSettings settings, Admin admin = {})
-        : m_settings(std::move(settings)), m_admin(std::move(admin)), m_work(m_settings.slots),
-          m_threads(2, mostConnections)
+        : m_settings(std::move(settings)), m_admin(std::move(admin)),
+          m_work(m_settings.slots, m_settings.keyLog), m_threads(2, mostConnections)
     {
         start();
     }
--- a/Tests/StandIns/standInEndpoint/EndpointWork.h
+++ b/Tests/StandIns/standInEndpoint/EndpointWork.h
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <sstream>
 #include <string>
 
@@ -24,13 +26,20 @@
     int slots = 8;
     int runMs = 0;
     std::uint64_t incarnation = 1;
+    /// File that gets the key of each keyed run, so that the count outlives a killed process.
+    std::string keyLog;
 };
 
 /// Counts and slots of a stand-in endpoint.
 class EndpointWork
 {
 public:
-    explicit EndpointWork(int slots) : m_slots(slots) { }
+    explicit EndpointWork(int slots, const std::string &keyLog = {}) : m_slots(slots)
+    {
+        if (!keyLog.empty()) {
+            m_keyLog.open(keyLog, std::ios::app);
+        }
+    }
 
     /// Takes a slot; false if all are in use.
     bool begin()
@@ -59,10 +68,25 @@
         ++m_runs[request];
         if (!key.empty()) {
             ++m_keys[key];
+            m_keyLog << key << std::endl;
+        }
+        if (m_leavingSince) {
+            m_startsAfterLeaving[request] = millisecondsSince(*m_leavingSince);
         }
         m_changed.notify_all();
     }
 
+    /// Records the start times of requests from now on, or ends that.
+    void setLeaving(bool leaving)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_startsAfterLeaving.clear();
+        m_leavingSince.reset();
+        if (leaving) {
+            m_leavingSince = std::chrono::steady_clock::now();
+        }
+    }
+
     void countRefused()
     {
         const std::lock_guard lock(m_mutex);
@@ -150,7 +174,13 @@
         for (const auto &[key, count] : m_keys) {
             keys.set(key, count);
         }
+        Poco::JSON::Object starts;
+        for (const auto &[request, milliseconds] : m_startsAfterLeaving) {
+            starts.set(request, milliseconds);
+        }
         Poco::JSON::Object object;
+        object.set("leaving_for_ms", m_leavingSince ? millisecondsSince(*m_leavingSince) : -1);
+        object.set("starts_after_leaving_ms", starts);
         object.set("total", m_total);
         object.set("refused", m_refused);
         object.set("most_in_flight", m_mostInFlight);
@@ -162,7 +192,16 @@
     }
 
 private:
+    static std::int64_t millisecondsSince(std::chrono::steady_clock::time_point start)
+    {
+        using namespace std::chrono;
+        return duration_cast<milliseconds>(steady_clock::now() - start).count();
+    }
+
     const int m_slots;
+    std::ofstream m_keyLog;
+    std::optional<std::chrono::steady_clock::time_point> m_leavingSince;
+    std::map<std::string, std::int64_t> m_startsAfterLeaving;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     int m_inFlight = 0;
--- a/Tests/StandIns/standInEndpoint/main.cpp
+++ b/Tests/StandIns/standInEndpoint/main.cpp
@@ -66,8 +66,10 @@
     std::string administer(const std::string &path, int downMs)
     {
         if (path == "/admin/leave") {
+            m_http.work().setLeaving(true);
             m_announcer->leave();
         } else if (path == "/admin/stay") {
+            m_http.work().setLeaving(false);
             m_announcer->serveAgain();
         } else if (path == "/admin/restart") {
             restart(std::chrono::milliseconds(downMs));
@@ -94,6 +96,7 @@
         m_restart = std::thread([this, downTime] {
             m_http.stop();
             std::this_thread::sleep_for(downTime);
+            m_http.work().setLeaving(false);
             m_http.start();
             m_announcer->serveAgain();
             m_restarting = false;
@@ -130,6 +133,8 @@
             "zone", "availability zone", cxxopts::value<std::string>()->default_value("zone-a"))(
             "incarnation", "incarnation; the wall time by default",
             cxxopts::value<std::uint64_t>()->default_value("0"))(
+            "key-log", "file that gets the key of each keyed run",
+            cxxopts::value<std::string>()->default_value(""))(
             "run-ms", "run time of a request", cxxopts::value<int>()->default_value("0"));
     const auto parsed = options.parse(argumentCount, arguments);
 
@@ -146,6 +151,7 @@
     settings.slots = parsed["slots"].as<int>();
     settings.rack = parsed["rack"].as<std::string>();
     settings.availabilityZone = parsed["zone"].as<std::string>();
+    settings.keyLog = parsed["key-log"].as<std::string>();
     settings.runMs = parsed["run-ms"].as<int>();
     settings.incarnation = parsed["incarnation"].as<std::uint64_t>();
     if (settings.incarnation == 0) {
