Operators: Refuse a negative length and an unknown method at once

A negative Content-Length got 413 with 'expected a body of at most ... bytes, found -5', and a request of an unknown method without a length got no answer: POCO reads its body up to the close, so it held a thread until the read timed out.

--- a/Source/Adapters/Http/OperatorServer.cpp
+++ b/Source/Adapters/Http/OperatorServer.cpp
@@ -83,13 +83,20 @@
     if (chunked && request.hasContentLength()) {
         return errorResponse(400, "expected Content-Length or Transfer-Encoding, found both");
     }
-    const bool hasBody = request.getMethod() == "PUT" || request.getMethod() == "POST";
-    if (hasBody && !chunked && !request.hasContentLength()) {
+    // POCO reads a body without a length up to the close, except for these methods. Such a request
+    // would hold a thread until its sender ends or the read times out.
+    const std::string &method = request.getMethod();
+    const bool mayHaveBody = method != "GET" && method != "HEAD" && method != "DELETE";
+    if (mayHaveBody && !chunked && !request.hasContentLength()) {
         return errorResponse(411, "expected a header Content-Length, found none");
     }
+    if (request.hasContentLength() && request.getContentLength64() < 0) {
+        return errorResponse(400,
+                             "expected a header Content-Length of at least 0, found "
+                                     + request.get("Content-Length"));
+    }
     if (request.hasContentLength()
-        && (request.getContentLength64() < 0
-            || static_cast<std::uint64_t>(request.getContentLength64()) > limits.bodyBytes)) {
+        && static_cast<std::uint64_t>(request.getContentLength64()) > limits.bodyBytes) {
         return errorResponse(413,
                              "expected a body of at most " + std::to_string(limits.bodyBytes)
                                      + " bytes, found " + request.get("Content-Length"));
--- a/Tests/Operators/OperatorListenerTest.cpp
+++ b/Tests/Operators/OperatorListenerTest.cpp
@@ -133,6 +133,10 @@
                     statusOf(send(putHead + authorized + "Transfer-Encoding: chunked\r\n\r\nc00\r\n"
                                   + std::string(0xc00, 'x') + "\r\n0\r\n\r\n")));
             CPPUNIT_ASSERT_EQUAL(411, statusOf(send(putHead + authorized + "\r\n")));
+            CPPUNIT_ASSERT_EQUAL(
+                    411, statusOf(send("BREW /v1/plans HTTP/1.1\r\n" + authorized + "\r\n")));
+            CPPUNIT_ASSERT_EQUAL(
+                    400, statusOf(send(putHead + authorized + "Content-Length: -5\r\n\r\n")));
             CPPUNIT_ASSERT_EQUAL(400,
                                  statusOf(send(putHead + authorized
                                                + "Content-Length: 3\r\nTransfer-Encoding: "
