Controller: Size the pools and move instances between them

Cause: capacity and moves were decided by tested functions that nothing called; a pool below its plan's minimum got no instance.

Ruled out: planning on the leader's own demand alone (a gateway sees only its callers); the gateways' reports are summed.

Change: PoolPlanner keeps an hour of demand windows and the move history; each pass asks for the planned moves after the wave grants, on the ledger that these left. The stand-in endpoint serves the pool that the answer to its announcement names, as a new incarnation.

--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -117,6 +117,9 @@
     options.listsLease = settings.timing.listsLease;
     options.lifecycle.provingMs = settings.timing.proving.count();
     options.lifecycle.failureDelayMs = 2 * settings.timing.endpointLease.count();
+    options.pools.weights = {settings.weights.buffer, settings.weights.shortWait,
+                             settings.weights.rollOutTime, settings.weights.moves};
+    options.pools.capacity.drainMs = settings.timing.drainLimit.count();
     return options;
 }
 
@@ -172,7 +175,8 @@
           keyed(identity, gatewayGone(), claims, settlements, runner, *log),
           gateway({identity, settings.timing.listsLease}, replica, runner, keyed, *log, metrics),
           platform(makePlatform(settings)),
-          controller({replica, platform.get(), endpointRecords(), *log, metrics},
+          controller({replica, platform.get(), endpointRecords(),
+                      [this] { return demand.regionDemand(); }, *log, metrics},
                      controllerOptions(settings)),
           callerServer(settings.listen.callers, callerLimits(settings.limits),
                        std::move(callerCredentials), gateway),
--- a/Source/Runtime/Controller.cpp
+++ b/Source/Runtime/Controller.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 Controller::Controller(ControllerPorts ports, ControllerOptions options)
-    : m_ports(std::move(ports)), m_options(options)
+    : m_ports(std::move(ports)), m_options(options), m_planner(options.pools)
 { }
 
 Controller::~Controller()
@@ -142,10 +142,46 @@
 
 void Controller::stepWaves(const Fleet &fleet, SteadyTimeMs nowMs)
 {
-    const WavePlan plan = planWaves(fleet, *m_ports.log.state().lists(),
-                                    waveObservations(fleet, nowMs), m_options.waves, wallTimeNow());
+    const auto lists = m_ports.log.state().lists();
+    const WaveObservations observations = waveObservations(fleet, nowMs);
+    const WavePlan plan = planWaves(fleet, *lists, observations, m_options.waves, wallTimeNow());
     releaseDrains(plan);
     grantDrains(plan);
+    if (m_ports.demand) {
+        m_planner.observeDemand(m_ports.demand(), nowMs);
+    }
+    stepMoves(fleet, *lists, plan, observations);
+}
+
+void Controller::stepMoves(const Fleet &fleet, const Lists &lists, const WavePlan &waves,
+                           const WaveObservations &observations)
+{
+    const MovePlan plan = m_planner.plan(fleet, lists, waves, observations, wallTimeNow());
+    for (const PlannedMove &move : plan.moves) {
+        const auto result =
+                m_ports.log.propose(GrantDrain{move.instance, move.expectedEpoch, moveHolder,
+                                               move.to, move.observedUnavailable},
+                                    proposeTimeout);
+        if (!isOk(result)) {
+            return;
+        }
+        const bool granted = valueOf(result).status == CommandStatus::Applied;
+        Decision decision;
+        decision.kind = DecisionKind::Move;
+        decision.instance = move.instance;
+        decision.pool = move.to;
+        decision.reason = granted ? "granted: " + std::string(moveReasonNames.name(move.reason))
+                                  : "not granted: " + valueOf(result).message;
+        decision.listsRevision = lists.revision;
+        m_ports.decisions.write(decision);
+        m_ports.metrics.count("dandelionloom_moves_total", "pool=\"" + move.to + "\"",
+                              granted ? 1 : 0);
+    }
+    m_ports.metrics.gauge("dandelionloom_buffer_instances", {}, m_planner.capacity().buffer);
+    for (const auto &[pool, capacity] : m_planner.capacity().pools) {
+        m_ports.metrics.gauge("dandelionloom_pool_size", "pool=\"" + pool + "\"",
+                              capacity.instances);
+    }
 }
 
 void Controller::releaseDrains(const WavePlan &plan)
--- a/Source/Runtime/Controller.h
+++ b/Source/Runtime/Controller.h
@@ -17,6 +17,7 @@
 #include "Ports/MetricSink.h"
 #include "Ports/Platform.h"
 #include "Ports/ReplicatedLog.h"
+#include "Runtime/PoolPlanner.h"
 
 namespace dandelionloom {
 
@@ -29,6 +30,7 @@
     Milliseconds listsLease{10000};
     LifecycleLimits lifecycle;
     WaveLimits waves;
+    PoolPlannerOptions pools;
 };
 
 /// Where one target of a wave is, and why it makes no step now.
@@ -46,6 +48,8 @@
     /// Null without a platform: waves and moves then wait.
     Platform *platform = nullptr;
     std::function<std::vector<EndpointRecord>()> endpoints;
+    /// Slots in use or waited for at all gateways, by service.
+    std::function<std::map<std::string, double>()> demand;
     DecisionLog &decisions;
     MetricSink &metrics;
 };
@@ -88,6 +92,8 @@
     void observe(const Fleet &fleet, SteadyTimeMs nowMs);
     WaveObservations waveObservations(const Fleet &fleet, SteadyTimeMs nowMs) const;
     void stepWaves(const Fleet &fleet, SteadyTimeMs nowMs);
+    void stepMoves(const Fleet &fleet, const Lists &lists, const WavePlan &waves,
+                   const WaveObservations &observations);
     void releaseDrains(const WavePlan &plan);
     void grantDrains(const WavePlan &plan);
     void advance(const InstanceRecord &record, const Fleet &fleet,
@@ -105,6 +111,7 @@
     ControllerPorts m_ports;
     const ControllerOptions m_options;
     std::map<std::string, Observation> m_observations;
+    PoolPlanner m_planner;
     bool m_leading = false;
     SteadyTimeMs m_leadingSince = 0;
 
--- a/Source/Runtime/DemandExchange.cpp
+++ b/Source/Runtime/DemandExchange.cpp
@@ -129,6 +129,18 @@
     return stale ? std::min(share, m_options.zonePart) : share;
 }
 
+std::map<std::string, double> DemandExchange::regionDemand() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, double> demand = m_own.byService;
+    for (const auto &[gateway, report] : m_reports) {
+        for (const auto &[service, slots] : report.load.byService) {
+            demand[service] += slots;
+        }
+    }
+    return demand;
+}
+
 std::uint32_t DemandExchange::slotShare(const Announcement &announcement) const
 {
     std::vector<GatewayDemand> demands;
--- a/Source/Runtime/DemandExchange.h
+++ b/Source/Runtime/DemandExchange.h
@@ -54,6 +54,9 @@
     /// Slots of an endpoint that are this gateway's by demand.
     std::uint32_t slotShare(const Announcement &announcement) const;
 
+    /// Demand of all gateways by service.
+    std::map<std::string, double> regionDemand() const;
+
 private:
     struct Report
     {
--- /dev/null
+++ b/Source/Runtime/PoolPlanner.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "Decisions/Capacity.h"
+#include "Decisions/Moves.h"
+#include "Decisions/Waves.h"
+#include "Model/Time.h"
+
+namespace dandelionloom {
+
+struct PoolPlannerOptions
+{
+    DeploymentWeights weights;
+    CapacityLimits capacity;
+    /// Length of one demand window, and how many are kept: an hour of minutes.
+    std::int64_t windowMs = 60000;
+    std::size_t windowsKept = 60;
+};
+
+/// Sizes the pools and plans moves from what the controller observes. Used by one thread. A new
+/// leader starts without demand windows and move history, which only delays moves.
+class PoolPlanner
+{
+public:
+    explicit PoolPlanner(PoolPlannerOptions options);
+
+    /// Adds the slots in use or waited for, by service, at one moment.
+    void observeDemand(const std::map<std::string, double> &slots, SteadyTimeMs nowMs);
+
+    /// The capacity plan and the moves of this pass. `waves` is the wave plan of the same pass.
+    MovePlan plan(const Fleet &fleet, const Lists &lists, const WavePlan &waves,
+                  const WaveObservations &observations, WallTimeMs nowMs);
+
+    const CapacityPlan &capacity() const { return m_capacity; }
+
+private:
+    void closeWindow(std::int64_t lengthMs);
+
+    const PoolPlannerOptions m_options;
+    std::map<std::string, std::deque<DemandWindow>> m_windows;
+    /// Sum and peak of the samples of the open window, by service.
+    std::map<std::string, DemandWindow> m_open;
+    std::uint32_t m_samples = 0;
+    std::size_t m_closedWindows = 0;
+    SteadyTimeMs m_windowStart = 0;
+    MoveHistory m_history;
+    CapacityPlan m_capacity;
+};
+
+} // namespace dandelionloom
--- a/Tests/StandIns/standInEndpoint/Announcer.h
+++ b/Tests/StandIns/standInEndpoint/Announcer.h
@@ -110,6 +110,8 @@
     {
         int status = 0;
         int leaseMs = 0;
+        /// Pool that the instance belongs to by the agreed record.
+        std::string pool;
     };
 
     std::chrono::milliseconds take(const Answer &answer)
@@ -117,6 +119,12 @@
         if (answer.status == Poco::Net::HTTPResponse::HTTP_OK) {
             m_taken = true;
             m_changed.notify_all();
+            if (!m_leaving && !answer.pool.empty() && answer.pool != m_settings.service) {
+                // The instance was moved: it serves its new pool, as a new incarnation.
+                m_settings.service = answer.pool;
+                ++m_settings.incarnation;
+                return retryInterval;
+            }
             return std::max(std::chrono::milliseconds(answer.leaseMs / 3), retryInterval);
         }
         if (answer.status == Poco::Net::HTTPResponse::HTTP_CONFLICT && !m_leaving) {
@@ -172,11 +180,12 @@
             HTTPResponse response;
             std::string text;
             Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-            Answer answer{response.getStatus(), 0};
+            Answer answer{response.getStatus(), 0, {}};
             if (answer.status == HTTPResponse::HTTP_OK) {
                 const auto object =
                         Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
                 answer.leaseMs = object->getValue<int>("lease_ms");
+                answer.pool = object->optValue<std::string>("pool", "");
             }
             return answer;
         } catch (const Poco::Exception &) {
