--- a/Source/Decisions/RunTimes.cpp
+++ b/Source/Decisions/RunTimes.cpp
@@ -66,7 +66,7 @@
 
 std::string requestKind(const std::string &method, const std::string &path)
 {
-    std::string kind = method;
+    std::string kind = method + " ";
     int segments = 0;
     bool numberWritten = false;
     for (const char character : path.substr(0, path.find('?'))) {
