Scenarios: Resend what may have run before what did not

Change: every request without an answer or with an unknown outcome is resent, then at most 60 of those told not-run.

--- a/Tests/Scenarios/16-two-failures-twice.lua
+++ b/Tests/Scenarios/16-two-failures-twice.lua
@@ -185,18 +185,32 @@
     check(gets:foreign_answers() + posts:foreign_answers() == 0, "foreign answers")
     local runs = c:key_runs()
     local resent = 0
+    local function resend(request)
+        resent = resent + 1
+        local answer = c:call(c.entries[resent % 6 + 1], "caller-secret-quotes", "/pricing/settle",
+            {method = "POST", key = request.key, body = "request " .. request.key})
+        local outcome = answer.headers["dandelionloom-outcome"]
+        check(outcome == "done" or outcome == "unknown", "%s: outcome %s of the resend: %s", request.key,
+            tostring(outcome), answer.body)
+    end
+    -- Requests that may have run come first: only their resend could run a second time.
+    local maybe_run, not_run = {}, {}
     for _, request in ipairs(posts:requests()) do
         local key = request.key
         check(request.outcome ~= "done" or runs[key] == 1, "%s: done, but %d runs", key, runs[key] or 0)
         check(request.outcome ~= "not-run" or not runs[key], "%s: not run, but an endpoint ran it", key)
-        if request.outcome ~= "done" and resent < 60 then
-            resent = resent + 1
-            local answer = c:call(c.entries[resent % 6 + 1], "caller-secret-quotes", "/pricing/settle",
-                {method = "POST", key = key, body = "request " .. key})
-            local outcome = answer.headers["dandelionloom-outcome"]
-            check(outcome == "done" or outcome == "unknown", "%s: outcome %s of the resend: %s", key, tostring(outcome), answer.body)
+        if request.outcome == "not-run" then
+            table.insert(not_run, request)
+        elseif request.outcome ~= "done" then
+            table.insert(maybe_run, request)
         end
     end
+    for _, request in ipairs(maybe_run) do
+        resend(request)
+    end
+    for position = 1, math.min(60, #not_run) do
+        resend(not_run[position])
+    end
     c:check_keys_once()
     local outcomes = cluster.outcomes(posts)
     print(string.format("  keyed: %d done, %d unknown, %d not run, %d no answer; %d changes accepted, %d resent", outcomes.done or 0,
