Controller: Export roll-out time; demo kills any one process

Cause: three of the four quantities were exported, roll-out time was not, and the demo killed the leader only.

--- a/Source/Runtime/Controller.cpp
+++ b/Source/Runtime/Controller.cpp
@@ -151,6 +151,20 @@
         m_planner.observeDemand(m_ports.demand(), nowMs);
     }
     stepMoves(fleet, *lists, plan, observations);
+    reportRollOut(fleet);
+}
+
+void Controller::reportRollOut(const Fleet &fleet)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    for (const auto &[id, wave] : fleet.waves) {
+        const WallTimeMs end = wave.endedAtMs > 0 ? wave.endedAtMs : wallTimeNow();
+        const std::string labels = "wave=\"" + id + "\"";
+        m_ports.metrics.gauge("dandelionloom_wave_roll_out_seconds", labels,
+                              static_cast<double>(end - wave.startedAtMs) / millisecondsPerSecond);
+        m_ports.metrics.gauge("dandelionloom_wave_finished_targets", labels,
+                              static_cast<double>(wave.finished.size()));
+    }
 }
 
 void Controller::stepMoves(const Fleet &fleet, const Lists &lists, const WavePlan &waves,
--- a/Source/Runtime/Controller.h
+++ b/Source/Runtime/Controller.h
@@ -94,6 +94,7 @@
     void stepWaves(const Fleet &fleet, SteadyTimeMs nowMs);
     void stepMoves(const Fleet &fleet, const Lists &lists, const WavePlan &waves,
                    const WaveObservations &observations);
+    void reportRollOut(const Fleet &fleet);
     void releaseDrains(const WavePlan &plan);
     void grantDrains(const WavePlan &plan);
     void advance(const InstanceRecord &record, const Fleet &fleet,
--- a/Utilities/demo.lua
+++ b/Utilities/demo.lua
@@ -45,10 +45,11 @@
 check(started.status < 300, "wave: %d %s", started.status, started.body)
 say("a maintenance wave for %s is accepted", rack)
 
-leader.process:signal("kill")
-leader.process:wait()
-local killed = leader
-say("%s, the leader, is killed with SIGKILL", killed.name)
+-- DEMO_KILL=N kills entry instance N in place of the leader.
+local killed = c.entries[tonumber(os.getenv("DEMO_KILL") or "")] or leader
+killed.process:signal("kill")
+killed.process:wait()
+say("%s%s is killed with SIGKILL", killed.name, killed == leader and ", the leader," or "")
 leader = c:wait_leader(15000, c:others(killed))
 say("%s leads now", leader.name)
 c:start(killed)
@@ -84,6 +85,7 @@
 end
 summary("quotes", quotes)
 summary("settlements", settlements)
+c:wait_revision(2)
 
 local twice, ran = 0, 0
 for _, runs in pairs(c:key_runs()) do
