Gateway: Log requests that are refused before they are queued

Change: a shed line for each request refused by readiness or by its checks.

Conclusion: each refusal by readiness or checks has its reason in the log.

--- a/Source/Runtime/Gateway.cpp
+++ b/Source/Runtime/Gateway.cpp
@@ -39,13 +39,14 @@
     const std::string plan = request.plan;
     const ListsAge age = listsAge();
     if (age == ListsAge::NeverReady) {
-        count(plan, noService, RequestOutcome::NotRun);
-        return answerFrom({RequestOutcome::NotRun, "lists-never-confirmed"}, id, age);
+        const RequestEnd refused{RequestOutcome::NotRun, "lists-never-confirmed"};
+        noteRefused(id, plan, refused);
+        return answerFrom(refused, id, age);
     }
     Result<CheckedRequest, RequestEnd> checked =
             checkRequest(std::move(request), id, *m_log.state().lists());
     if (!isOk(checked)) {
-        count(plan, noService, RequestOutcome::NotRun);
+        noteRefused(id, plan, errorOf(checked));
         return answerFrom(errorOf(checked), id, age);
     }
     const CheckedRequest &wanted = valueOf(checked);
@@ -61,6 +62,18 @@
     return answerFrom(std::move(end), id, age);
 }
 
+void Gateway::noteRefused(const std::string &id, const std::string &plan, const RequestEnd &end)
+{
+    count(plan, noService, RequestOutcome::NotRun);
+    Decision decision;
+    decision.kind = DecisionKind::Shed;
+    decision.request = id;
+    decision.plan = plan;
+    decision.reason = end.reason;
+    decision.listsRevision = m_log.state().lists()->revision;
+    m_decisions.write(decision);
+}
+
 HttpAnswer Gateway::refuse(int status, const std::string &reason)
 {
     m_metrics.count("dandelionloom_bad_requests_total", "reason=\"" + reason + "\"", 1);
--- a/Source/Runtime/Gateway.h
+++ b/Source/Runtime/Gateway.h
@@ -38,6 +38,7 @@
 
     ListsAge listsAge();
     std::string newRequestId();
+    void noteRefused(const std::string &id, const std::string &plan, const RequestEnd &end);
     RequestEnd run(const CheckedRequest &request, ListsAge age);
     HttpAnswer answerFrom(RequestEnd end, const std::string &id, ListsAge age) const;
     void count(const std::string &plan, const std::string &service, RequestOutcome outcome);
