--- a/Source/Adapters/Peers/Http2PeerTransport.cpp
+++ b/Source/Adapters/Peers/Http2PeerTransport.cpp
@@ -59,11 +59,12 @@
     m_port = portOf(localAddress(valueOf(listener)));
     const PeerContext context{m_self, m_options, m_log, m_traffic};
     m_server = std::make_unique<PeerServer>(m_serverLoop, context, m_handlers);
-    std::uint64_t seed = m_options.seed;
+    m_nextSeed = m_options.seed;
     for (const PeerAddress &peer : m_peers) {
         if (peer.name != m_self.name) {
             m_clients.emplace(peer.name,
-                              std::make_unique<PeerClient>(*m_clientLoop, context, peer, seed++));
+                              std::make_unique<PeerClient>(*m_clientLoop, context, peer,
+                                                           m_nextSeed++));
         }
     }
     m_server->start(valueOf(listener));
@@ -81,15 +82,26 @@
 void Http2PeerTransport::call(const std::string &peer, PeerMessageKind kind, std::string body,
                               Milliseconds timeout, Reply reply)
 {
-    const auto found = m_clients.find(peer);
-    PeerClient *client = found == m_clients.end() ? nullptr : found->second.get();
-    m_clientLoop->post([client, peer, kind, timeout, body = std::move(body),
+    m_clientLoop->post([this, peer, kind, timeout, body = std::move(body),
                         reply = std::move(reply)]() mutable {
-        if (client == nullptr) {
+        const auto found = m_clients.find(peer);
+        if (found == m_clients.end()) {
             reply(PeerError{PeerErrorKind::NotSent, "unknown peer " + peer});
             return;
         }
-        client->call(kind, std::move(body), timeout, std::move(reply));
+        found->second->call(kind, std::move(body), timeout, std::move(reply));
+    });
+}
+
+void Http2PeerTransport::addPeer(PeerAddress peer)
+{
+    m_clientLoop->post([this, peer = std::move(peer)] {
+        if (peer.name == m_self.name || m_clients.contains(peer.name) || m_stopped) {
+            return;
+        }
+        const PeerContext context{m_self, m_options, m_log, m_traffic};
+        m_clients.emplace(peer.name, std::make_unique<PeerClient>(*m_clientLoop, context, peer,
+                                                                  m_nextSeed++));
     });
 }
 
--- a/Source/Adapters/Peers/Http2PeerTransport.h
+++ b/Source/Adapters/Peers/Http2PeerTransport.h
@@ -42,6 +42,10 @@
     void call(const std::string &peer, PeerMessageKind kind, std::string body, Milliseconds timeout,
               Reply reply) override;
 
+    /// Makes an instance callable that the constructor was not told of. A name that is known keeps
+    /// its address. Call after start().
+    void addPeer(PeerAddress peer);
+
     /// Closes all connections and answers all calls. After it no handler runs, and calls are
     /// answered as not sent. Not from a thread of the transport. The destructor calls it.
     void stop();
@@ -59,7 +63,9 @@
     std::shared_ptr<EventLoop> m_serverLoop;
     std::shared_ptr<EventLoop> m_clientLoop;
     std::unique_ptr<PeerServer> m_server;
+    /// After start() used on the client loop's thread only.
     std::map<std::string, std::unique_ptr<PeerClient>> m_clients;
+    std::uint64_t m_nextSeed = 0;
     std::uint16_t m_port = 0;
     bool m_started = false;
     bool m_stopped = false;
--- a/Source/Consensus/Raft.cpp
+++ b/Source/Consensus/Raft.cpp
@@ -49,6 +49,11 @@
         if (now >= m_electionDeadline) {
             startPreVote(now);
         }
+        // A voter that was replaced while it was away learns of that only from a leader, and the
+        // leader sends nothing to an instance that it doesn't know as waiting.
+        if (m_options.targetVoters > 0 && m_role == RaftRole::PreCandidate && now >= m_nextProbe) {
+            probe(now);
+        }
         return;
     }
     if (now >= m_nextProbe && (m_leader.name.empty() || !leaderIsFresh(now))) {
@@ -99,6 +104,16 @@
     return LogPosition{m_log.lastIndex(), m_term};
 }
 
+void Raft::addProbeTarget(const std::string &name)
+{
+    const auto isKnown = [&name](const std::vector<std::string> &names) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    if (name != m_options.self.name && !isKnown(m_options.voterNames) && !isKnown(m_probeTargets)) {
+        m_probeTargets.push_back(name);
+    }
+}
+
 std::optional<std::uint64_t> Raft::startRead(SteadyTimeMs now)
 {
     if (m_role != RaftRole::Leader || !committedInTerm()) {
--- a/Source/Consensus/Raft.h
+++ b/Source/Consensus/Raft.h
@@ -21,6 +21,14 @@
     /// Names that may be voters. The first in alphabetical order founds a new cluster once all
     /// of them have answered that they know none.
     std::vector<std::string> voterNames;
+    /// False on an instance that joins a cluster which exists: it never founds one.
+    bool mayFound = true;
+    /// Number of voters that the leader keeps by admitting any instance that probes it and by
+    /// replacing voters that are silent. 0: only `voterNames` are admitted, and none is replaced.
+    std::size_t targetVoters = 0;
+    /// Silence after which a voter is replaced by an instance that is ready. Three seconds let a
+    /// process restart and an instance that is suspended for a moment keep their vote.
+    std::int64_t voterReplaceMs = 3000;
     std::int64_t heartbeatMs = 150;
     std::int64_t electionMinMs = 600;
     std::int64_t electionMaxMs = 1200;
@@ -96,6 +104,9 @@
     /// `compactTo`. Later entries stay in memory for voters that are a little behind.
     void setSnapshot(std::shared_ptr<const Snapshot> snapshot, std::uint64_t compactTo);
 
+    /// Adds an instance that probes are sent to. Has no effect on a name that is known.
+    void addProbeTarget(const std::string &name);
+
     // Outputs.
     RaftOutput takeOutput();
     RaftReleased synced(SteadyTimeMs now);
@@ -171,6 +182,9 @@
     void onProbeAnswer(const RaftMessage &message, SteadyTimeMs now);
     void foundCluster(SteadyTimeMs now);
     void changeVoters(SteadyTimeMs now);
+    bool mayBecomeVoter(const std::string &name) const;
+    /// The voter to remove so that a ready learner can take its place; none if all answer.
+    std::optional<VoterId> silentVoter(SteadyTimeMs now) const;
     void dropSilentLearners(SteadyTimeMs now);
 
     // Leader.
@@ -204,6 +218,8 @@
     std::uint64_t nextRequest() { return ++m_lastRequest; }
 
     const RaftOptions m_options;
+    /// Names that probes are sent to besides RaftOptions::voterNames.
+    std::vector<std::string> m_probeTargets;
     std::mt19937_64 m_random;
 
     std::uint64_t m_term = 0;
--- a/Source/Consensus/RaftMembership.cpp
+++ b/Source/Consensus/RaftMembership.cpp
@@ -22,7 +22,9 @@
 {
     m_nextProbe = now + probeIntervalMs;
     foundCluster(now);
-    for (const std::string &name : m_options.voterNames) {
+    std::vector<std::string> targets = m_options.voterNames;
+    targets.insert(targets.end(), m_probeTargets.begin(), m_probeTargets.end());
+    for (const std::string &name : targets) {
         if (name == m_options.self.name) {
             continue;
         }
@@ -38,10 +40,8 @@
     RaftMessage reply = answer(RaftMessageKind::ProbeAnswer, request);
     reply.accepted = !voters().empty();
     m_messagesAfterSync.push_back(std::move(reply));
-    const bool mayVote =
-            std::find(m_options.voterNames.begin(), m_options.voterNames.end(), request.from.name)
-            != m_options.voterNames.end();
-    if (m_role != RaftRole::Leader || !mayVote || request.from.name == m_options.self.name
+    if (m_role != RaftRole::Leader || !mayBecomeVoter(request.from.name)
+        || request.from.name == m_options.self.name
         || isVoter(request.from)) {
         return;
     }
@@ -57,6 +57,13 @@
     }
 }
 
+bool Raft::mayBecomeVoter(const std::string &name) const
+{
+    return m_options.targetVoters > 0
+            || std::find(m_options.voterNames.begin(), m_options.voterNames.end(), name)
+            != m_options.voterNames.end();
+}
+
 void Raft::onProbeAnswer(const RaftMessage &reply, SteadyTimeMs now)
 {
     m_probeResults[reply.from.name] = {reply.from, reply.term, reply.accepted};
@@ -68,7 +75,7 @@
     const std::vector<std::string> &names = m_options.voterNames;
     // Only one name may found, and only while all others know no voters. A founder that lost its
     // disk later finds another that does, because a commit needs one.
-    if (!voters().empty() || m_log.lastIndex() != 0 || names.empty()
+    if (!m_options.mayFound || !voters().empty() || m_log.lastIndex() != 0 || names.empty()
         || *std::min_element(names.begin(), names.end()) != m_options.self.name) {
         return;
     }
@@ -110,8 +117,16 @@
                 std::find_if(next.begin(), next.end(),
                              [&name = id.name](const auto &voter) { return voter.name == name; });
         if (old == next.end()) {
-            next.push_back(id);
-            std::sort(next.begin(), next.end());
+            if (m_options.targetVoters > 0 && next.size() >= m_options.targetVoters) {
+                const std::optional<VoterId> silent = silentVoter(now);
+                if (!silent) {
+                    continue;
+                }
+                std::erase(next, *silent);
+            } else {
+                next.push_back(id);
+                std::sort(next.begin(), next.end());
+            }
         } else {
             // The old identity is removed first and the new one added by a second change, so
             // that the quorums of each step overlap. While the old one answers it stays.
@@ -127,6 +142,18 @@
     }
 }
 
+std::optional<VoterId> Raft::silentVoter(SteadyTimeMs now) const
+{
+    for (const VoterId &voter : voters()) {
+        const auto peer = m_peers.find(voter);
+        if (voter != m_options.self && peer != m_peers.end()
+            && now - peer->second.heardAt >= m_options.voterReplaceMs) {
+            return voter;
+        }
+    }
+    return std::nullopt;
+}
+
 void Raft::dropSilentLearners(SteadyTimeMs now)
 {
     std::erase_if(m_peers, [&](const auto &item) {
--- a/Source/Model/Time.h
+++ b/Source/Model/Time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace dandelionloom {
 
@@ -19,10 +20,15 @@
     return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
 }
 
+/// CLOCK_BOOTTIME: a lease must also run out while the machine is suspended, and CLOCK_MONOTONIC,
+/// which std::chrono::steady_clock reads, stands still then.
 inline SteadyTimeMs steadyTimeNow()
 {
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    constexpr std::int64_t nanosecondsPerMillisecond = 1000000;
+    return now.tv_sec * millisecondsPerSecond + now.tv_nsec / nanosecondsPerMillisecond;
 }
 
 } // namespace dandelionloom
--- a/Source/Ports/PeerTransport.h
+++ b/Source/Ports/PeerTransport.h
@@ -24,11 +24,18 @@
     EndpointDelta,
     EndpointDigest,
     EndpointFetch,
-    GatewayDemand
+    GatewayDemand,
+    /// One message of the job journal's consensus; the answer is the reply.
+    JournalMessage,
+    /// A call of a client, a worker or an operator that the leader of the journal answers.
+    JobCall,
+    /// Asks a control instance who leads the journal and who keeps it.
+    Locate
 };
-inline constexpr EnumNames<PeerMessageKind, 13> peerMessageKindNames{
+inline constexpr EnumNames<PeerMessageKind, 16> peerMessageKindNames{
         {"hello", "pre-vote", "vote", "append", "snapshot-chunk", "feed", "propose", "read-index",
-         "progress", "endpoint-delta", "endpoint-digest", "endpoint-fetch", "gateway-demand"}};
+         "progress", "endpoint-delta", "endpoint-digest", "endpoint-fetch", "gateway-demand",
+         "journal-message", "job-call", "locate"}};
 
 enum class PeerErrorKind {
     /// No byte of the message was sent.
--- /dev/null
+++ b/Source/Program/ControlInstance.cpp
@@ -0,0 +1,227 @@
+#include "Program/ControlInstance.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr Milliseconds tickInterval{100};
+
+/// Two segments and a snapshot fit a disk of 128 MB many times over.
+constexpr std::uint64_t segmentBytes = 4U << 20U;
+
+HttpLimits controlLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections = 1500;
+    limits.maxBodyBytes = 4 * 1024 * 1024;
+    limits.headTime = Milliseconds(3000);
+    limits.keepAliveTime = Milliseconds(30000);
+    return limits;
+}
+
+} // namespace
+
+ControlInstance::ControlInstance(ControlSettings settings, JobProtocol &protocol,
+                                 JsonLineLog &log,
+                                 std::function<void(const std::string &)> fatal)
+    : m_settings(std::move(settings)), m_protocol(protocol), m_log(log), m_fatal(std::move(fatal))
+{ }
+
+ControlInstance::~ControlInstance()
+{
+    if (m_journal) {
+        m_journal->stop();
+    }
+    if (m_transport) {
+        m_transport->stop();
+    }
+    m_loop.stop();
+}
+
+JournalEvents ControlInstance::journalEvents()
+{
+    JournalEvents events;
+    events.committed = [this](std::vector<LogEntry> entries) {
+        m_loop.post([this, entries = std::move(entries)] { m_service->onCommitted(entries); });
+    };
+    events.restored = [this](std::uint64_t index, std::string state) {
+        m_loop.post([this, index, state = std::move(state)] {
+            m_service->onRestored(index, state);
+        });
+    };
+    events.status = [this](const JournalStatus &status) {
+        m_loop.post([this, status] { onStatus(status); });
+    };
+    events.snapshotWanted = [this] {
+        m_loop.post([this] { m_service->onSnapshotWanted(); });
+    };
+    events.failed = m_fatal;
+    return events;
+}
+
+void ControlInstance::onStatus(const JournalStatus &status)
+{
+    m_service->onStatus(status);
+    for (const std::string &voter : status.voters) {
+        addPeer(voter);
+    }
+    m_leader->learnLeader(status.leader);
+    m_protocol.setLeader(status.leader);
+}
+
+void ControlInstance::addPeer(const std::string &name)
+{
+    if (name == m_settings.peers.name) {
+        return;
+    }
+    m_leader->addControlInstance(name);
+    m_journal->addPeer(name);
+}
+
+Result<Done, StartError> ControlInstance::start(const OutgoingCallsFactory &factory)
+{
+    const PeerSettings &peers = m_settings.peers;
+    m_transport = std::make_unique<Http2PeerTransport>(
+            peerIdentity(peers), peers.name + ":" + std::to_string(peers.ownPort),
+            std::vector<PeerAddress>{}, peerTransportOptions(), m_log, m_metrics);
+    m_outgoing = factory(m_loop);
+    m_service =
+            std::make_unique<JobService>(m_loop, m_settings.service, m_log, m_metrics,
+                                         *m_outgoing.workers, *m_outgoing.instances);
+    DiskLogOptions disk;
+    disk.folder = m_settings.dataFolder;
+    disk.clusterId = "dandelionloom";
+    disk.group = "jobs";
+    disk.segmentBytes = segmentBytes;
+    m_storage = std::make_unique<DiskLogStorage>(std::move(disk));
+    JournalOptions journal;
+    journal.name = peers.name;
+    journal.founders = peers.controlInstances;
+    journal.mayFound = m_settings.firstStart;
+    journal.seed = std::hash<std::string>{}(peers.name);
+    m_journal = std::make_unique<ReplicatedJournal>(journal, *m_storage, *m_transport, m_log,
+                                                    journalEvents());
+    m_service->setJournal(*m_journal);
+    m_leader = std::make_unique<LeaderClient>(
+            m_loop, *m_transport, m_log, [this](const std::string &name) {
+                m_transport->addPeer(controlAddress(m_settings.peers, name));
+            });
+    const auto opened = m_journal->open();
+    if (!isOk(opened)) {
+        return StartError{errorOf(opened).message};
+    }
+    setPeerHandlers();
+    const auto started = m_transport->start();
+    if (!isOk(started)) {
+        return StartError{errorOf(started).message};
+    }
+    m_server = std::make_unique<EventedHttpServer>(
+            m_loop, controlLimits(),
+            [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                handle(request, respond);
+            });
+    m_metricsServer =
+            std::make_unique<EventedHttpServer>(m_loop, controlLimits(), metricsHandler(m_metrics));
+    for (const auto &[server, address] :
+         {std::pair{m_server.get(), m_settings.controlAddress},
+          std::pair{m_metricsServer.get(), m_settings.metricsAddress}}) {
+        const auto listening = server->listen(address);
+        if (!isOk(listening)) {
+            return StartError{errorOf(listening).message};
+        }
+    }
+    for (const std::string &name : peers.controlInstances) {
+        addPeer(name);
+    }
+    m_loop.start();
+    m_loop.post([this] {
+        m_service->start();
+        tick();
+    });
+    m_journal->start();
+    m_log.line(LogSeverity::Info, "start",
+               {{"role", "control"}, {"address", m_settings.controlAddress}});
+    return Done{};
+}
+
+void ControlInstance::setPeerHandlers()
+{
+    m_transport->setHandler(
+            PeerMessageKind::JobCall,
+            [this](const std::string &from, std::string body, PeerTransport::Reply reply) {
+                m_loop.post([this, from, body = std::move(body), reply = std::move(reply)] {
+                    const auto call = unpackMessage<JobCall>(body);
+                    if (!isOk(call)) {
+                        m_log.event(LogSeverity::Warning, "calls", "unreadable call from " + from);
+                        reply(packMessage(answerOf(JobCallOutcome::Invalid, "unreadable-call")));
+                        return;
+                    }
+                    m_service->handle(valueOf(call), [reply](const JobCallAnswer &answer) {
+                        reply(packMessage(answer));
+                    });
+                });
+            });
+    m_transport->setHandler(PeerMessageKind::Locate, [this](const std::string &,
+                                                            const std::string &,
+                                                            PeerTransport::Reply reply) {
+        m_loop.post([this, reply = std::move(reply)] { reply(packMessage(m_service->locate())); });
+    });
+}
+
+void ControlInstance::addControlInstances(const std::vector<std::string> &names)
+{
+    m_loop.post([this, names] {
+        for (const std::string &name : names) {
+            addPeer(name);
+        }
+    });
+}
+
+void ControlInstance::handle(const HttpRequest &request, const EventedHttpServer::Respond &respond)
+{
+    auto decoded = m_protocol.decode(request);
+    if (const auto *answer = std::get_if<HttpAnswer>(&decoded)) {
+        m_log.line(LogSeverity::Info, "refused",
+                   {{"path", request.path},
+                    {"status", answer->status},
+                    {"reason", answer->body}});
+        respond(*answer);
+        return;
+    }
+    auto &timed = std::get<TimedJobCall>(decoded);
+    timed.call.requestId = m_settings.peers.name + "/" + std::to_string(++m_requests);
+    const JobReply reply = [this, respond, call = timed.call](const JobCallAnswer &answer) {
+        respond(m_protocol.encode(call, answer));
+    };
+    if (m_service->leads()) {
+        m_service->handle(timed.call, reply);
+        return;
+    }
+    m_leader->call(timed.call, steadyTimeNow() + timed.waitMs, reply);
+}
+
+void ControlInstance::tick()
+{
+    m_log.flush();
+    m_loop.startTimer(tickInterval, [this] { tick(); });
+}
+
+void ControlInstance::stop()
+{
+    m_log.line(LogSeverity::Info, "stop", {{"role", "control"}});
+    const SteadyTimeMs begin = steadyTimeNow();
+    m_loop.runAndWait([this] { m_server->drain(); });
+    std::size_t pending = 1;
+    while (pending > 0 && steadyTimeNow() - begin < m_settings.stopMs) {
+        m_loop.runAndWait([&] { pending = m_server->pendingRequests(); });
+        if (pending > 0) {
+            std::this_thread::sleep_for(tickInterval);
+        }
+    }
+    m_loop.runAndWait([this] { m_log.flush(); });
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Program/ControlInstance.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Adapters/Disk/DiskLogStorage.h"
+#include "Program/GatewayInstance.h"
+#include "Runtime/JobService.h"
+
+namespace dandelionloom {
+
+struct ControlSettings
+{
+    PeerSettings peers;
+    /// Where workers and operators call.
+    std::string controlAddress;
+    std::string metricsAddress;
+    std::string dataFolder;
+    /// Size of the disk; the log is compacted long before it is full.
+    std::uint64_t diskBytes = 0;
+    /// True only on the first start of the whole system.
+    bool firstStart = false;
+    JobServiceOptions service;
+    std::int64_t stopMs = 0;
+};
+
+/// Makes the outgoing calls on the instance's event loop.
+struct OutgoingCalls
+{
+    std::unique_ptr<WorkerCalls> workers;
+    std::unique_ptr<InstanceCalls> instances;
+};
+using OutgoingCallsFactory = std::function<OutgoingCalls(EventLoop &loop)>;
+
+/// A process with a disk: keeps the job journal, answers workers and operators, and schedules
+/// while it leads.
+class ControlInstance
+{
+public:
+    ControlInstance(ControlSettings settings, JobProtocol &protocol, JsonLineLog &log,
+                    std::function<void(const std::string &)> fatal);
+    ~ControlInstance();
+    ControlInstance(const ControlInstance &) = delete;
+    ControlInstance &operator=(const ControlInstance &) = delete;
+
+    Result<Done, StartError> start(const OutgoingCallsFactory &factory);
+    void addControlInstances(const std::vector<std::string> &names);
+    void stop();
+
+private:
+    void setPeerHandlers();
+    JournalEvents journalEvents();
+    void handle(const HttpRequest &request, const EventedHttpServer::Respond &respond);
+    void addPeer(const std::string &name);
+    void onStatus(const JournalStatus &status);
+    void tick();
+
+    const ControlSettings m_settings;
+    JobProtocol &m_protocol;
+    JsonLineLog &m_log;
+    const std::function<void(const std::string &)> m_fatal;
+    PrometheusMetrics m_metrics;
+    EventLoop m_loop;
+    std::unique_ptr<Http2PeerTransport> m_transport;
+    std::unique_ptr<DiskLogStorage> m_storage;
+    OutgoingCalls m_outgoing;
+    std::unique_ptr<JobService> m_service;
+    std::unique_ptr<ReplicatedJournal> m_journal;
+    std::unique_ptr<LeaderClient> m_leader;
+    std::unique_ptr<EventedHttpServer> m_server;
+    std::unique_ptr<EventedHttpServer> m_metricsServer;
+    std::uint64_t m_requests = 0;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Program/GatewayInstance.cpp
@@ -0,0 +1,216 @@
+#include "Program/GatewayInstance.h"
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+
+namespace dandelionloom {
+
+namespace {
+
+constexpr Milliseconds tickInterval{100};
+
+/// A stop reports itself unready this long before it refuses connections: the balancer asks once a
+/// second and believes the second miss.
+constexpr std::int64_t unreadyMs = 2500;
+
+/// What the answer needs on its way back to the client.
+constexpr std::int64_t answerMarginMs = 40;
+
+HttpLimits clientLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections = 1500;
+    limits.maxBodyBytes = 512 * 1024;
+    limits.headTime = Milliseconds(3000);
+    limits.keepAliveTime = Milliseconds(30000);
+    return limits;
+}
+
+} // namespace
+
+PeerTransportOptions peerTransportOptions()
+{
+    PeerTransportOptions options;
+    options.connectTimeout = Milliseconds(500);
+    options.helloTimeout = Milliseconds(800);
+    // A connection that went silent must be replaced before an election timeout of 0.6 s has
+    // passed twice.
+    options.silenceLimit = Milliseconds(700);
+    options.backOffMin = Milliseconds(30);
+    options.backOffMax = Milliseconds(200);
+    options.maxPendingBytes = 8U << 20U;
+    options.maxBufferedBytes = 8U << 20U;
+    return options;
+}
+
+PeerIdentity peerIdentity(const PeerSettings &settings)
+{
+    PeerIdentity identity;
+    identity.clusterId = "dandelionloom";
+    identity.group = "jobs";
+    identity.name = settings.name;
+    // The platform's network separates deployments; it gives processes no secret to share.
+    identity.credential = "none";
+    return identity;
+}
+
+PeerAddress controlAddress(const PeerSettings &settings, const std::string &name)
+{
+    return {name, {}, name + ":" + std::to_string(settings.controlPort)};
+}
+
+EventedHttpServer::Handler metricsHandler(const PrometheusMetrics &metrics)
+{
+    return [&metrics](const HttpRequest &, const EventedHttpServer::Respond &respond) {
+        respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()});
+    };
+}
+
+GatewayInstance::GatewayInstance(GatewaySettings settings, JobProtocol &protocol,
+                                 JsonLineLog &log)
+    : m_settings(std::move(settings)), m_protocol(protocol), m_log(log)
+{ }
+
+GatewayInstance::~GatewayInstance()
+{
+    if (m_transport) {
+        m_transport->stop();
+    }
+    m_loop.stop();
+}
+
+Result<Done, StartError> GatewayInstance::start()
+{
+    const PeerSettings &peers = m_settings.peers;
+    m_transport = std::make_unique<Http2PeerTransport>(
+            peerIdentity(peers), peers.name + ":" + std::to_string(peers.ownPort),
+            std::vector<PeerAddress>{}, peerTransportOptions(), m_log, m_metrics);
+    const auto started = m_transport->start();
+    if (!isOk(started)) {
+        return StartError{errorOf(started).message};
+    }
+    m_leader = std::make_unique<LeaderClient>(
+            m_loop, *m_transport, m_log, [this](const std::string &name) {
+                m_transport->addPeer(controlAddress(m_settings.peers, name));
+            });
+    m_clients = std::make_unique<EventedHttpServer>(
+            m_loop, clientLimits(),
+            [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                handle(request, respond);
+            });
+    m_ready = std::make_unique<EventedHttpServer>(
+            m_loop, clientLimits(),
+            [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                const bool ready = !m_stopping && m_leader->isReady(steadyTimeNow());
+                respond({request.path != m_settings.readyPath ? 404
+                                 : ready                      ? 200
+                                                              : 503,
+                         {},
+                         {}});
+            });
+    m_metricsServer =
+            std::make_unique<EventedHttpServer>(m_loop, clientLimits(), metricsHandler(m_metrics));
+    const std::vector<std::pair<EventedHttpServer *, std::string>> listeners = {
+            {m_clients.get(), m_settings.clientAddress},
+            {m_ready.get(), m_settings.readyAddress},
+            {m_metricsServer.get(), m_settings.metricsAddress}};
+    for (const auto &[server, address] : listeners) {
+        const auto listening = server->listen(address);
+        if (!isOk(listening)) {
+            return StartError{errorOf(listening).message};
+        }
+    }
+    for (const std::string &name : peers.controlInstances) {
+        m_leader->addControlInstance(name);
+    }
+    m_loop.start();
+    m_loop.post([this] {
+        m_leader->start();
+        tick();
+    });
+    m_log.line(LogSeverity::Info, "start",
+               {{"role", "gateway"}, {"clients", m_settings.clientAddress}});
+    return Done{};
+}
+
+void GatewayInstance::addControlInstances(const std::vector<std::string> &names)
+{
+    m_loop.post([this, names] {
+        for (const std::string &name : names) {
+            m_leader->addControlInstance(name);
+        }
+    });
+}
+
+void GatewayInstance::tick()
+{
+    m_log.flush();
+    m_loop.startTimer(tickInterval, [this] { tick(); });
+}
+
+void GatewayInstance::handle(const HttpRequest &request, const EventedHttpServer::Respond &respond)
+{
+    auto decoded = m_protocol.decode(request);
+    if (const auto *answer = std::get_if<HttpAnswer>(&decoded)) {
+        m_log.line(LogSeverity::Info, "refused",
+                   {{"path", request.path},
+                    {"status", answer->status},
+                    {"reason", answer->body}});
+        respond(*answer);
+        return;
+    }
+    auto &timed = std::get<TimedJobCall>(decoded);
+    timed.call.requestId = m_settings.peers.name + "/" + std::to_string(++m_requests);
+    const SteadyTimeMs now = steadyTimeNow();
+    const SteadyTimeMs deadline = now + std::max<std::int64_t>(timed.waitMs - answerMarginMs, 1);
+    m_leader->call(timed.call, deadline,
+                   [this, now, respond, call = timed.call](const JobCallAnswer &answer) {
+                       HttpAnswer encoded = m_protocol.encode(call, answer);
+                       const std::int64_t took = steadyTimeNow() - now;
+                       const std::string kind(jobCallKindNames.name(call.kind));
+                       m_metrics.observe("dandelionloom_gateway_call_seconds",
+                                         "kind=\"" + kind + "\"",
+                                         static_cast<double>(took) / 1000);
+                       m_metrics.count("dandelionloom_gateway_answers_total",
+                                       "status=\"" + std::to_string(encoded.status) + "\"", 1);
+                       if (call.kind != JobCallKind::Status || encoded.status != 200) {
+                           m_log.line(LogSeverity::Info, "answer",
+                                      {{"request", call.requestId},
+                                       {"call", kind},
+                                       {"path", call.path},
+                                       {"status", encoded.status},
+                                       {"outcome", jobCallOutcomeNames.name(answer.outcome)},
+                                       {"reason", answer.reason},
+                                       {"leader", m_leader->leader()},
+                                       {"took_ms", took}});
+                       }
+                       respond(std::move(encoded));
+                   });
+}
+
+void GatewayInstance::stop()
+{
+    m_log.line(LogSeverity::Info, "stop", {{"role", "gateway"}});
+    const SteadyTimeMs begin = steadyTimeNow();
+    m_loop.runAndWait([this] { m_stopping = true; });
+    bool draining = false;
+    for (;;) {
+        const std::int64_t passed = steadyTimeNow() - begin;
+        std::size_t pending = 0;
+        m_loop.runAndWait([&] {
+            if (passed >= unreadyMs && !draining) {
+                m_clients->drain();
+                draining = true;
+            }
+            pending = m_clients->pendingRequests();
+        });
+        if ((draining && pending == 0) || passed >= m_settings.stopMs) {
+            break;
+        }
+        std::this_thread::sleep_for(tickInterval);
+    }
+    m_loop.runAndWait([this] { m_log.flush(); });
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/JobService.cpp
@@ -0,0 +1,362 @@
+#include "Runtime/JobService.h"
+
+#include <algorithm>
+
+// Leadership, orders and timers. Calls are in JobServiceCalls.cpp.
+
+namespace dandelionloom {
+
+namespace {
+
+/// Interval of the dispatcher's step when nothing happens, and shortest interval between two: a
+/// step looks at all waiting jobs.
+constexpr Milliseconds idleStepInterval{50};
+constexpr std::int64_t stepPauseMs = 8;
+
+constexpr std::int64_t maintenanceIntervalMs = 100;
+
+/// Readings of the instance list: often while maintenance waits for an instance to return.
+constexpr Milliseconds busyListInterval{500};
+constexpr Milliseconds idleListInterval{3000};
+
+constexpr Milliseconds logFlushInterval{200};
+
+} // namespace
+
+JobService::JobService(EventLoop &loop, JobServiceOptions options, JsonLineLog &log,
+                       MetricSink &metrics, WorkerCalls &workers, InstanceCalls &instances)
+    : m_loop(loop), m_options(std::move(options)), m_log(log), m_metrics(metrics),
+      m_workers(workers), m_instances(instances), m_alive(std::make_shared<JobService *>(this)),
+      m_dispatcher(m_book, m_options.dispatch),
+      m_maintenance(m_book, m_dispatcher, m_options.maintenance)
+{ }
+
+JobService::~JobService()
+{
+    m_alive.reset();
+}
+
+void JobService::start()
+{
+    scheduleTick();
+    scheduleList();
+}
+
+bool JobService::leads() const
+{
+    return m_leading && steadyTimeNow() < m_status.leaseUntil;
+}
+
+LocateAnswer JobService::locate() const
+{
+    return {leads(), m_status.leader, m_status.voters};
+}
+
+void JobService::onStatus(const JournalStatus &status)
+{
+    const bool leaderChanged = status.leader != m_status.leader;
+    const bool lostTerm = !status.isLeader || status.term != m_status.term;
+    m_status = status;
+    if (m_leading && lostTerm) {
+        stepDown();
+    }
+    if (leaderChanged) {
+        m_log.line(LogSeverity::Info, "leader",
+                   {{"leader", status.leader}, {"term", static_cast<std::int64_t>(status.term)}});
+    }
+    if (!m_leading && status.isLeader && m_appliedTerm == status.term) {
+        becomeLeader();
+    }
+}
+
+void JobService::onCommitted(const std::vector<LogEntry> &entries)
+{
+    for (const LogEntry &entry : entries) {
+        m_appliedIndex = entry.index;
+        m_appliedTerm = entry.term;
+        if (entry.kind != commandEntryKind || entry.payload.empty()) {
+            continue;
+        }
+        const auto changes = decodeChanges(entry.payload);
+        if (!isOk(changes)) {
+            m_log.line(LogSeverity::Error, "journal",
+                       {{"message", errorOf(changes).message},
+                        {"index", static_cast<std::int64_t>(entry.index)}});
+            continue;
+        }
+        for (const JobChange &change : valueOf(changes)) {
+            apply(change);
+        }
+    }
+    if (!m_leading && m_status.isLeader && m_appliedTerm == m_status.term) {
+        becomeLeader();
+    }
+    if (m_leading) {
+        scheduleFlush();
+    }
+}
+
+void JobService::onRestored(std::uint64_t index, const std::string &state)
+{
+    auto restored = JobBook::decode(state);
+    if (!isOk(restored)) {
+        m_log.line(LogSeverity::Error, "journal", {{"message", errorOf(restored).message}});
+        return;
+    }
+    m_book = takeValue(std::move(restored));
+    m_appliedIndex = index;
+}
+
+void JobService::onSnapshotWanted()
+{
+    m_journal->saveSnapshot(m_appliedIndex, m_book.encode());
+}
+
+void JobService::apply(const JobChange &change)
+{
+    m_book.apply(change);
+    if (m_leading) {
+        m_dispatcher.applied(change, steadyTimeNow());
+        answerWaiters(change);
+    }
+}
+
+void JobService::becomeLeader()
+{
+    const SteadyTimeMs now = steadyTimeNow();
+    m_leading = true;
+    m_dispatcher.lead(now);
+    m_maintenance.lead(now);
+    m_log.line(LogSeverity::Info, "lead",
+               {{"term", static_cast<std::int64_t>(m_status.term)},
+                {"jobs", static_cast<std::int64_t>(m_book.jobs().size())},
+                {"workers", static_cast<std::int64_t>(m_book.workers().size())}});
+    m_metrics.count("dandelionloom_job_leaderships_total", "", 1);
+    listInstances();
+    scheduleFlush();
+}
+
+void JobService::stepDown()
+{
+    m_leading = false;
+    m_dispatcher.resign();
+    m_outgoing.clear();
+    m_log.line(LogSeverity::Info, "step-down",
+               {{"term", static_cast<std::int64_t>(m_status.term)}, {"leader", m_status.leader}});
+    std::multimap<std::string, Waiter> waiters;
+    waiters.swap(m_waiters);
+    for (auto &[key, waiter] : waiters) {
+        // The change was handed to the journal: another leader may still accept it.
+        JobCallAnswer answer = answerOf(JobCallOutcome::Unknown, "leadership-lost");
+        answer.leader = m_status.leader;
+        waiter.reply(answer);
+    }
+}
+
+void JobService::propose(std::vector<JobChange> changes)
+{
+    std::move(changes.begin(), changes.end(), std::back_inserter(m_outgoing));
+    scheduleFlush();
+}
+
+void JobService::scheduleFlush()
+{
+    if (m_flushScheduled) {
+        return;
+    }
+    m_flushScheduled = true;
+    m_loop.post([alive = std::weak_ptr(m_alive)] {
+        if (const auto service = alive.lock()) {
+            (*service)->m_flushScheduled = false;
+            (*service)->flush();
+        }
+    });
+}
+
+void JobService::flush()
+{
+    if (m_leading && !m_outgoing.empty()) {
+        m_journal->propose(encodeChanges(m_outgoing));
+        m_outgoing.clear();
+    }
+    const SteadyTimeMs now = steadyTimeNow();
+    if (m_stepScheduled) {
+        return;
+    }
+    if (now >= m_nextStep) {
+        step();
+        return;
+    }
+    m_stepScheduled = true;
+    m_loop.startTimer(Milliseconds(m_nextStep - now), [alive = std::weak_ptr(m_alive)] {
+        if (const auto service = alive.lock()) {
+            (*service)->m_stepScheduled = false;
+            (*service)->step();
+        }
+    });
+}
+
+void JobService::step()
+{
+    const SteadyTimeMs now = steadyTimeNow();
+    m_nextStep = now + stepPauseMs;
+    // Without a lease another leader may act: nothing is ordered and nothing is decided.
+    if (!leads()) {
+        return;
+    }
+    carryOut(m_dispatcher.step(now, wallTimeNow()));
+    if (now >= m_nextMaintenance) {
+        m_nextMaintenance = now + maintenanceIntervalMs;
+        carryOut(m_maintenance.step(now));
+    }
+    if (!m_outgoing.empty()) {
+        m_journal->propose(encodeChanges(m_outgoing));
+        m_outgoing.clear();
+    }
+}
+
+void JobService::scheduleTick()
+{
+    m_loop.startTimer(idleStepInterval, [alive = std::weak_ptr(m_alive)] {
+        if (const auto service = alive.lock()) {
+            if (steadyTimeNow() >= (*service)->m_nextStep) {
+                (*service)->step();
+            }
+            (*service)->scheduleTick();
+        }
+    });
+}
+
+void JobService::scheduleList()
+{
+    m_loop.startTimer(m_maintenance.hasWork() ? busyListInterval : idleListInterval,
+                      [alive = std::weak_ptr(m_alive)] {
+                          if (const auto service = alive.lock()) {
+                              (*service)->listInstances();
+                              (*service)->scheduleList();
+                          }
+                      });
+}
+
+void JobService::listInstances()
+{
+    if (!leads() || m_listing) {
+        return;
+    }
+    m_listing = true;
+    m_instances.list([alive = std::weak_ptr(m_alive)](const auto &listed) {
+        const auto service = alive.lock();
+        if (!service) {
+            return;
+        }
+        (*service)->m_listing = false;
+        if (isOk(listed)) {
+            (*service)->m_maintenance.listed(valueOf(listed), steadyTimeNow());
+        } else {
+            (*service)->m_log.line(LogSeverity::Warning, "instance-list",
+                                   {{"reason", instanceFaultNames.name(errorOf(listed))}});
+        }
+    });
+}
+
+void JobService::writeNotes(const std::vector<DispatchNote> &notes)
+{
+    for (const DispatchNote &note : notes) {
+        m_log.line(LogSeverity::Info, note.decision,
+                   {{"task", note.task},
+                    {"run", static_cast<std::int64_t>(note.run)},
+                    {"worker", note.worker},
+                    {"reason", note.reason},
+                    {"input_age_ms", note.inputAgeMs},
+                    {"term", static_cast<std::int64_t>(m_status.term)}});
+    }
+}
+
+void JobService::carryOut(DispatchOrders orders)
+{
+    writeNotes(orders.notes);
+    const std::uint64_t fence = m_status.term;
+    const std::weak_ptr<JobService *> alive = m_alive;
+    for (const StartOrder &order : orders.starts) {
+        const SteadyTimeMs sentAt = steadyTimeNow();
+        m_workers.start(order, fence,
+                        [alive, fence, sentAt, worker = order.worker, task = order.task,
+                         run = order.run](std::optional<CallFault> fault) {
+                            const auto service = alive.lock();
+                            if (!service || (*service)->m_status.term != fence) {
+                                return;
+                            }
+                            const SteadyTimeMs now = steadyTimeNow();
+                            (*service)->m_metrics.observe(
+                                    "dandelionloom_task_start_seconds", "",
+                                    static_cast<double>(now - sentAt) / 1000);
+                            (*service)->m_dispatcher.startAnswered(worker, task, run, fault, now);
+                            (*service)->scheduleFlush();
+                        });
+    }
+    for (const StopOrder &order : orders.stops) {
+        m_workers.stop(order, fence, [alive, order](std::optional<CallFault> fault) {
+            const auto service = alive.lock();
+            if (service && fault) {
+                (*service)->m_log.line(LogSeverity::Info, "stop-failed",
+                                       {{"task", taskName(order.task)},
+                                        {"worker", order.worker},
+                                        {"reason", callFaultNames.name(*fault)}});
+            }
+        });
+    }
+    for (const PaceOrder &order : orders.paces) {
+        m_workers.pace(order, fence, [alive, order](std::optional<CallFault> fault) {
+            const auto service = alive.lock();
+            if (service && fault) {
+                (*service)->m_dispatcher.paceFailed(order);
+                (*service)->m_log.line(LogSeverity::Info, "pace-failed",
+                                       {{"task", taskName(order.task)},
+                                        {"worker", order.worker},
+                                        {"reason", callFaultNames.name(*fault)}});
+            }
+        });
+    }
+    for (const RenewOrder &order : orders.renewals) {
+        m_workers.renew(order, fence,
+                        [alive, fence, worker = order.worker](
+                                const Result<RenewAnswer, CallFault> &answer) {
+                            const auto service = alive.lock();
+                            if (!service || (*service)->m_status.term != fence) {
+                                return;
+                            }
+                            (*service)->m_dispatcher.renewed(worker, answer, steadyTimeNow());
+                            (*service)->scheduleFlush();
+                        });
+    }
+    for (const AdviceOrder &order : orders.advice) {
+        m_workers.advise(order, [alive, order](const auto &tickets) {
+            if (const auto service = alive.lock()) {
+                (*service)->m_dispatcher.adviceAnswered(order, tickets, steadyTimeNow());
+                (*service)->scheduleFlush();
+            }
+        });
+    }
+    std::move(orders.changes.begin(), orders.changes.end(), std::back_inserter(m_outgoing));
+}
+
+void JobService::carryOut(const MaintenanceOrders &orders)
+{
+    writeNotes(orders.notes);
+    const std::weak_ptr<JobService *> alive = m_alive;
+    const OrderAuthority authority{m_options.name, m_status.term};
+    for (const MaintenanceOrder &order : orders.begin) {
+        m_instances.beginMaintenance(
+                order.instance, order.wave, authority,
+                [alive, order](std::optional<InstanceFault> fault) {
+                    if (const auto service = alive.lock()) {
+                        (*service)->m_maintenance.answered(order, fault, steadyTimeNow());
+                        (*service)->m_nextMaintenance = 0;
+                        (*service)->scheduleFlush();
+                    }
+                });
+    }
+    m_outgoing.insert(m_outgoing.end(), orders.changes.begin(), orders.changes.end());
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -0,0 +1,322 @@
+#include <algorithm>
+
+#include "Runtime/JobService.h"
+
+// The calls of clients, workers and operators at the leader.
+
+namespace dandelionloom {
+
+namespace {
+
+/// Largest number of tasks in one job. The largest jobs of today have a hundred; the limit keeps a
+/// mistaken count from filling the memory of all control instances.
+constexpr std::uint64_t maxTasksPerJob = 20000;
+
+std::string jobKey(const std::string &job)
+{
+    return "job/" + job;
+}
+
+std::string cancelKey(const std::string &job)
+{
+    return "cancel/" + job;
+}
+
+std::string configurationKey(std::uint64_t version)
+{
+    return "configuration/" + std::to_string(version);
+}
+
+std::string workerKey(const std::string &worker)
+{
+    return "worker/" + worker;
+}
+
+std::string waveKey(std::uint64_t wave)
+{
+    return "wave/" + std::to_string(wave);
+}
+
+/// Empty if the job can be stored.
+std::string jobFault(const JobSpec &spec)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        tasks += spec.steps[step].count;
+        for (const std::uint32_t needed : spec.steps[step].dependsOn) {
+            if (needed >= step) {
+                return "step " + std::to_string(step) + " depends on a later step";
+            }
+        }
+    }
+    tasks *= spec.occurrences();
+    if (tasks == 0 || tasks > maxTasksPerJob) {
+        return "expected 1 to " + std::to_string(maxTasksPerJob) + " tasks, found "
+                + std::to_string(tasks);
+    }
+    return {};
+}
+
+} // namespace
+
+void JobService::handle(const JobCall &call, JobReply reply)
+{
+    if (!leads()) {
+        JobCallAnswer answer = answerOf(JobCallOutcome::NotLeader, "not-leader");
+        answer.leader = m_status.leader == m_options.name ? std::string() : m_status.leader;
+        reply(answer);
+        return;
+    }
+    const SteadyTimeMs receivedAt = steadyTimeNow();
+    const std::weak_ptr<JobService *> alive = m_alive;
+    const JobReply logged = [alive, receivedAt, kind = call.kind, id = call.requestId,
+                             path = call.path, reply = std::move(reply)](JobCallAnswer answer) {
+        if (const auto service = alive.lock()) {
+            const std::int64_t took = steadyTimeNow() - receivedAt;
+            // Announcements repeat what is known; only those that change something are logged.
+            const bool routine = (kind == JobCallKind::AnnounceWorker || kind == JobCallKind::Status)
+                    && answer.outcome == JobCallOutcome::Done && answer.reason.empty();
+            if (!routine) {
+                (*service)->m_log.line(
+                        LogSeverity::Info, jobCallKindNames.name(kind),
+                        {{"request", id},
+                         {"path", path},
+                         {"outcome", jobCallOutcomeNames.name(answer.outcome)},
+                         {"reason", answer.reason},
+                         {"took_ms", took},
+                         {"configuration",
+                          static_cast<std::int64_t>((*service)->m_book.configuration().version)}});
+            }
+            (*service)->m_metrics.observe("dandelionloom_job_call_seconds",
+                                          "kind=\"" + std::string(jobCallKindNames.name(kind))
+                                                  + "\"",
+                                          static_cast<double>(took) / 1000);
+        }
+        reply(answer);
+    };
+    switch (call.kind) {
+    case JobCallKind::Submit:
+        return submit(call, logged);
+    case JobCallKind::Status:
+        return status(call, logged);
+    case JobCallKind::Cancel:
+        return cancel(call, logged);
+    case JobCallKind::ReadConfiguration:
+        return readConfiguration(logged);
+    case JobCallKind::ChangeConfiguration:
+        return changeConfiguration(call, logged);
+    case JobCallKind::AnnounceWorker:
+        return announceWorker(call, logged);
+    case JobCallKind::WorkerLeaves:
+        return workerLeaves(call, logged);
+    case JobCallKind::StartWave:
+        return startWave(call, logged);
+    case JobCallKind::WaveState:
+        return waveState(call, logged);
+    }
+    logged(answerOf(JobCallOutcome::Invalid, "unknown-call"));
+}
+
+void JobService::wait(const std::string &key, JobCallAnswer answer, const JobReply &reply)
+{
+    m_waiters.emplace(key, Waiter{std::move(answer), reply});
+}
+
+void JobService::answerWaiters(const std::string &key)
+{
+    const auto [first, last] = m_waiters.equal_range(key);
+    std::vector<Waiter> ready;
+    for (auto waiter = first; waiter != last; ++waiter) {
+        ready.push_back(std::move(waiter->second));
+    }
+    m_waiters.erase(first, last);
+    for (const Waiter &waiter : ready) {
+        waiter.reply(waiter.answer);
+    }
+}
+
+void JobService::answerWaiters(const JobChange &change)
+{
+    if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
+        answerWaiters(jobKey(accepted->spec.id));
+    } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
+        answerWaiters(cancelKey(cancelled->job));
+    } else if (const auto *configured = std::get_if<ConfigurationAccepted>(&change)) {
+        answerWaiters(configurationKey(configured->configuration.version));
+    } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
+        answerWaiters(workerKey(joined->worker.id));
+    } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
+        answerWaiters(workerKey(left->worker));
+    } else if (const auto *wave = std::get_if<WaveStarted>(&change)) {
+        answerWaiters(waveKey(wave->wave.id));
+    }
+}
+
+void JobService::submit(const JobCall &call, const JobReply &reply)
+{
+    if (m_book.configuration().version == 0) {
+        reply(answerOf(JobCallOutcome::Busy, "no-configuration"));
+        return;
+    }
+    const QueueConfig *queue = m_book.queueFor(call.host, call.path);
+    if (queue == nullptr) {
+        reply(answerOf(JobCallOutcome::NotFound, "no-queue"));
+        return;
+    }
+    JobSpec spec = call.spec;
+    spec.id = call.path.substr(queue->pathPrefix.size());
+    spec.queue = queue->name;
+    if (m_book.job(spec.id) != nullptr) {
+        reply(answerOf(JobCallOutcome::Done, "known-job"));
+        return;
+    }
+    const std::string key = jobKey(spec.id);
+    if (m_waiters.contains(key)) {
+        wait(key, answerOf(JobCallOutcome::Done, "accepted"), reply);
+        return;
+    }
+    std::string fault = spec.id.empty() ? "no job id in the path" : jobFault(spec);
+    if (!fault.empty()) {
+        reply(answerOf(JobCallOutcome::Invalid, std::move(fault)));
+        return;
+    }
+    wait(key, answerOf(JobCallOutcome::Done, "accepted"), reply);
+    propose({JobAccepted{std::move(spec), *queue, wallTimeNow()}});
+}
+
+void JobService::status(const JobCall &call, const JobReply &reply)
+{
+    if (m_book.configuration().version == 0) {
+        reply(answerOf(JobCallOutcome::Busy, "no-configuration"));
+        return;
+    }
+    const QueueConfig *queue = m_book.queueFor(call.host, call.path);
+    if (queue == nullptr) {
+        reply(answerOf(JobCallOutcome::NotFound, "no-queue"));
+        return;
+    }
+    JobCallAnswer answer;
+    answer.outcome = JobCallOutcome::Done;
+    const std::string id = call.path.substr(queue->pathPrefix.size());
+    if (id.empty()) {
+        answer.isQueue = true;
+        answer.pendingJobs = m_dispatcher.pendingJobs(queue->name);
+        reply(answer);
+        return;
+    }
+    const JobRecord *job = m_book.job(id);
+    if (job == nullptr) {
+        reply(answerOf(JobCallOutcome::Gone, "no-job"));
+        return;
+    }
+    answer.phase = job->phase;
+    answer.started = job->started;
+    reply(answer);
+}
+
+void JobService::cancel(const JobCall &call, const JobReply &reply)
+{
+    if (m_book.configuration().version == 0) {
+        reply(answerOf(JobCallOutcome::Busy, "no-configuration"));
+        return;
+    }
+    const QueueConfig *queue = m_book.queueFor(call.host, call.path);
+    // A job outlives its queue, and its client must be able to cancel it.
+    const std::string id = queue != nullptr
+            ? call.path.substr(queue->pathPrefix.size())
+            : call.path.substr(call.path.rfind('/') + 1);
+    const JobRecord *job = m_book.job(id);
+    if (job == nullptr) {
+        if (m_waiters.contains(jobKey(id))) {
+            // The submission is under way; it is cancelled right behind its acceptance.
+            wait(cancelKey(id), answerOf(JobCallOutcome::Done, "cancelled"), reply);
+            propose({JobCancelled{id, wallTimeNow()}});
+            return;
+        }
+        reply(answerOf(queue == nullptr ? JobCallOutcome::NotFound : JobCallOutcome::Gone,
+                       "no-job"));
+        return;
+    }
+    if (job->phase != JobPhase::Active) {
+        reply(answerOf(JobCallOutcome::Done, "ended-before"));
+        return;
+    }
+    wait(cancelKey(id), answerOf(JobCallOutcome::Done, "cancelled"), reply);
+    propose({JobCancelled{id, wallTimeNow()}});
+}
+
+void JobService::readConfiguration(const JobReply &reply)
+{
+    if (m_book.configuration().version == 0) {
+        reply(answerOf(JobCallOutcome::NotFound, "no-configuration"));
+        return;
+    }
+    JobCallAnswer answer = answerOf(JobCallOutcome::Done, "read");
+    answer.document = m_book.configuration().document;
+    reply(answer);
+}
+
+void JobService::changeConfiguration(const JobCall &call, const JobReply &reply)
+{
+    const std::uint64_t version = call.configuration.version;
+    if (version <= m_book.configuration().version) {
+        reply(answerOf(JobCallOutcome::Done, "older-version"));
+        return;
+    }
+    const bool underWay = m_waiters.contains(configurationKey(version));
+    wait(configurationKey(version), answerOf(JobCallOutcome::Done, "in-force"), reply);
+    if (!underWay) {
+        propose({ConfigurationAccepted{call.configuration}});
+    }
+}
+
+void JobService::announceWorker(const JobCall &call, const JobReply &reply)
+{
+    std::vector<JobChange> changes = m_dispatcher.announced(
+            {call.worker, call.sequence, call.clockMs}, steadyTimeNow());
+    if (changes.empty()) {
+        reply(answerOf(JobCallOutcome::Done, {}));
+        return;
+    }
+    wait(workerKey(call.worker.id),
+         answerOf(JobCallOutcome::Done, call.worker.draining ? "draining" : "joined"), reply);
+    propose(std::move(changes));
+}
+
+void JobService::workerLeaves(const JobCall &call, const JobReply &reply)
+{
+    const WorkerRecord *worker = m_book.worker(call.worker.id);
+    if (worker == nullptr) {
+        reply(answerOf(JobCallOutcome::Done, "unknown-worker"));
+        return;
+    }
+    wait(workerKey(worker->id), answerOf(JobCallOutcome::Done, "left"), reply);
+    propose({WorkerLeft{worker->id, worker->born}});
+}
+
+void JobService::startWave(const JobCall &call, const JobReply &reply)
+{
+    if (m_book.waves().contains(call.wave.id)) {
+        reply(answerOf(JobCallOutcome::Done, "known-wave"));
+        return;
+    }
+    const bool underWay = m_waiters.contains(waveKey(call.wave.id));
+    wait(waveKey(call.wave.id), answerOf(JobCallOutcome::Done, "started"), reply);
+    if (!underWay) {
+        propose({WaveStarted{call.wave}});
+    }
+}
+
+void JobService::waveState(const JobCall &call, const JobReply &reply)
+{
+    const auto wave = m_book.waves().find(call.wave.id);
+    if (wave == m_book.waves().end()) {
+        reply(answerOf(JobCallOutcome::NotFound, "no-wave"));
+        return;
+    }
+    JobCallAnswer answer = answerOf(JobCallOutcome::Done, "read");
+    answer.waveCompleted = wave->second.isCompleted();
+    reply(answer);
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -0,0 +1,282 @@
+#include "Runtime/ReplicatedJournal.h"
+
+namespace dandelionloom {
+
+namespace {
+
+/// Short against the heartbeat interval of 150 ms.
+constexpr Milliseconds tickInterval{30};
+
+/// A lost consensus message is repeated after half of the shortest election timeout, so waiting
+/// longer for its answer gains nothing.
+constexpr Milliseconds messageTimeout{600};
+
+/// Clocks of two instances may drift apart by 2% over an election timeout, and a timer fires late.
+constexpr std::int64_t leaseMarginMs = 60;
+
+} // namespace
+
+ReplicatedJournal::ReplicatedJournal(JournalOptions options, LogStorage &storage,
+                                     PeerTransport &transport, DecisionLog &log,
+                                     JournalEvents events)
+    : m_options(std::move(options)), m_storage(storage), m_transport(transport), m_log(log),
+      m_events(std::move(events))
+{ }
+
+ReplicatedJournal::~ReplicatedJournal()
+{
+    stop();
+}
+
+Result<Done, StorageError> ReplicatedJournal::open()
+{
+    auto opened = m_storage.open();
+    if (!isOk(opened)) {
+        return errorOf(opened);
+    }
+    const RecoveredLog recovered = takeValue(std::move(opened));
+    std::shared_ptr<const Snapshot> snapshot;
+    if (recovered.snapshot) {
+        snapshot = std::make_shared<const Snapshot>(*recovered.snapshot);
+        m_events.restored(snapshot->lastIndex, snapshot->state);
+    }
+    for (const LogEntry &entry : recovered.entries) {
+        m_bytesSinceSnapshot += entry.payload.size();
+    }
+    RaftOptions raft;
+    raft.self = {m_options.name, recovered.storageId};
+    raft.voterNames = m_options.founders;
+    raft.mayFound = m_options.mayFound;
+    raft.targetVoters = m_options.targetVoters;
+    raft.heartbeatMs = m_options.heartbeatMs;
+    raft.electionMinMs = m_options.electionMinMs;
+    raft.electionMaxMs = m_options.electionMaxMs;
+    raft.seed = m_options.seed;
+    m_raft = std::make_unique<Raft>(std::move(raft), recovered.hardState, snapshot,
+                                    recovered.entries, steadyTimeNow());
+    m_transport.setHandler(
+            PeerMessageKind::JournalMessage,
+            [this](const std::string &, std::string body, PeerTransport::Reply reply) {
+                m_queue.post([this, body = std::move(body), reply = std::move(reply)] {
+                    onMessage(body, reply);
+                });
+            });
+    m_log.event(LogSeverity::Info, "journal",
+                "log opened at term " + std::to_string(recovered.hardState.term) + ", "
+                        + std::to_string(recovered.entries.size()) + " entries behind snapshot "
+                        + std::to_string(snapshot ? snapshot->lastIndex : 0)
+                        + (recovered.created ? ", new data folder" : ""));
+    return Done{};
+}
+
+void ReplicatedJournal::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void ReplicatedJournal::stop()
+{
+    m_stopped = true;
+    m_queue.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void ReplicatedJournal::propose(std::string payload)
+{
+    m_queue.post([this, payload = std::move(payload)]() mutable {
+        m_raft->propose(std::move(payload));
+    });
+}
+
+void ReplicatedJournal::saveSnapshot(std::uint64_t index, std::string state)
+{
+    m_queue.post([this, index, state = std::move(state)]() mutable {
+        m_snapshotWanted = false;
+        const std::optional<std::uint64_t> term = m_raft->log().termAt(index);
+        if (!term) {
+            return;
+        }
+        const auto snapshot = std::make_shared<const Snapshot>(
+                Snapshot{index, *term, m_raft->log().votersAt(index), std::move(state)});
+        if (isSaved(m_storage.saveSnapshot(*snapshot), "snapshot")) {
+            m_raft->setSnapshot(snapshot, index);
+            m_bytesSinceSnapshot = 0;
+        }
+    });
+}
+
+void ReplicatedJournal::addPeer(const std::string &name)
+{
+    m_queue.post([this, name] { m_raft->addProbeTarget(name); });
+}
+
+void ReplicatedJournal::run()
+{
+    while (!m_stopped && !m_failed) {
+        iterate();
+    }
+}
+
+void ReplicatedJournal::iterate()
+{
+    const std::deque<TaskQueue::Task> tasks = m_queue.take(tickInterval);
+    // The tick precedes the tasks: a leader that was suspended steps down before it appends what
+    // was queued meanwhile.
+    m_raft->tick(steadyTimeNow());
+    for (const TaskQueue::Task &task : tasks) {
+        task();
+    }
+    flush();
+    for (auto &[request, reply] : m_replies) {
+        reply(std::string());
+    }
+    m_replies.clear();
+    if (!m_failed) {
+        publishStatus(steadyTimeNow());
+        if (m_bytesSinceSnapshot >= m_options.compactBytes && !m_snapshotWanted) {
+            m_snapshotWanted = true;
+            m_events.snapshotWanted();
+        }
+    }
+}
+
+void ReplicatedJournal::fail(const std::string &message)
+{
+    m_failed = true;
+    m_log.event(LogSeverity::Error, "journal", message);
+    m_events.failed(message);
+}
+
+void ReplicatedJournal::onMessage(const std::string &body, const PeerTransport::Reply &reply)
+{
+    const auto decoded = decodeRaftMessage(body);
+    if (!isOk(decoded)) {
+        m_log.event(LogSeverity::Warning, "journal",
+                    "unreadable message dropped: " + errorOf(decoded).message);
+        reply(std::string());
+        return;
+    }
+    const RaftMessage &message = valueOf(decoded);
+    const auto [slot, added] = m_replies.try_emplace({message.from, message.request}, reply);
+    if (!added) {
+        reply(std::string());
+    }
+    m_raft->receive(message, steadyTimeNow());
+}
+
+void ReplicatedJournal::send(std::vector<RaftMessage> messages)
+{
+    for (RaftMessage &message : messages) {
+        const auto waiting = m_replies.find({message.to, message.request});
+        const bool isAnswer = message.kind == RaftMessageKind::ProbeAnswer
+                || message.kind == RaftMessageKind::PreVoteAnswer
+                || message.kind == RaftMessageKind::VoteAnswer
+                || message.kind == RaftMessageKind::AppendAnswer
+                || message.kind == RaftMessageKind::SnapshotAnswer;
+        if (isAnswer) {
+            if (waiting != m_replies.end()) {
+                waiting->second(encodeRaftMessage(message));
+                m_replies.erase(waiting);
+            }
+            continue;
+        }
+        m_transport.call(message.to.name, PeerMessageKind::JournalMessage,
+                         encodeRaftMessage(message), messageTimeout, [this](PeerResult result) {
+                             // Raft repeats what was lost; the transport logs lost peers.
+                             if (!isOk(result) || valueOf(result).empty()) {
+                                 return;
+                             }
+                             m_queue.post([this, body = takeValue(std::move(result))] {
+                                 const auto answer = decodeRaftMessage(body);
+                                 if (isOk(answer)) {
+                                     m_raft->receive(valueOf(answer), steadyTimeNow());
+                                 } else {
+                                     m_log.event(LogSeverity::Warning, "journal",
+                                                 "unreadable answer dropped: "
+                                                         + errorOf(answer).message);
+                                 }
+                             });
+                         });
+    }
+}
+
+void ReplicatedJournal::flush()
+{
+    bool needsSync = true;
+    while (needsSync && !m_failed) {
+        RaftOutput output = m_raft->takeOutput();
+        needsSync = output.needsSync();
+        send(std::move(output.messages));
+        if (needsSync && !sync(output)) {
+            return;
+        }
+        RaftReleased released = m_raft->synced(steadyTimeNow());
+        send(std::move(released.messages));
+        if (released.restored) {
+            m_events.restored(released.restored->lastIndex, released.restored->state);
+        }
+        if (!released.committed.empty()) {
+            m_events.committed(std::move(released.committed));
+        }
+    }
+}
+
+bool ReplicatedJournal::sync(const RaftOutput &output)
+{
+    bool saved = true;
+    if (output.hardState) {
+        saved = isSaved(m_storage.saveHardState(*output.hardState), "term and vote");
+    }
+    if (saved && output.snapshot) {
+        saved = isSaved(m_storage.saveSnapshot(*output.snapshot), "snapshot");
+        m_bytesSinceSnapshot = 0;
+    }
+    if (saved && !output.entries.empty()) {
+        saved = isSaved(m_storage.append(output.entries), "entries");
+        for (const LogEntry &entry : output.entries) {
+            m_bytesSinceSnapshot += entry.payload.size();
+        }
+    }
+    if (!saved && !m_failed) {
+        m_raft->syncFailed(steadyTimeNow());
+    }
+    return saved;
+}
+
+bool ReplicatedJournal::isSaved(const Result<Done, StorageError> &result, const char *what)
+{
+    if (isOk(result)) {
+        return true;
+    }
+    const std::string message = std::string(what) + " not saved: " + errorOf(result).message;
+    if (errorOf(result).kind == StorageErrorKind::DiskFull) {
+        m_log.event(LogSeverity::Error, "journal", message);
+    } else {
+        fail(message);
+    }
+    return false;
+}
+
+void ReplicatedJournal::publishStatus(SteadyTimeMs now)
+{
+    JournalStatus status;
+    status.isLeader = m_raft->role() == RaftRole::Leader;
+    status.term = m_raft->term();
+    status.leader = m_raft->leader();
+    for (const VoterId &voter : m_raft->voters()) {
+        status.voters.push_back(voter.name);
+    }
+    if (status.isLeader) {
+        if (const auto contact = m_raft->contact(now)) {
+            status.leaseUntil = contact->at + m_options.electionMinMs - leaseMarginMs;
+        }
+    }
+    if (!(status == m_status)) {
+        m_status = status;
+        m_events.status(std::move(status));
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -0,0 +1,517 @@
+#include "Scheduling/Dispatcher.h"
+
+#include <algorithm>
+
+// Events and leases. Placement is in DispatcherPlacement.cpp, orders are in DispatcherOrders.cpp.
+
+namespace dandelionloom {
+
+namespace {
+
+/// Weight of the newest run in a queue's mean run time: a few dozen runs decide.
+constexpr double durationWeight = 0.05;
+
+/// A worker that refused a start gets the next one after this time.
+constexpr std::int64_t refusedPauseMs = 300;
+constexpr std::int64_t unhealthyPauseMs = 1500;
+
+} // namespace
+
+Dispatcher::Dispatcher(const JobBook &book, DispatchRules rules) : m_book(book), m_rules(rules) { }
+
+void Dispatcher::lead(SteadyTimeMs now)
+{
+    resign();
+    m_leads = true;
+    m_leadAt = now;
+    m_placementDirty = true;
+    for (const auto &[id, worker] : m_book.workers()) {
+        m_workers[id];
+        for (const TaskKey &task : m_book.tasksOf(id)) {
+            syncRuns(id, now);
+            m_workers[id].runs[task].state = RunState::Unknown;
+        }
+    }
+    for (const auto &[id, job] : m_book.jobs()) {
+        if (job.phase == JobPhase::Active) {
+            m_activeJobs.insert(id);
+        }
+    }
+}
+
+void Dispatcher::resign()
+{
+    m_leads = false;
+    m_workers.clear();
+    m_sequences.clear();
+    m_proposed.clear();
+    m_endsUnderWay.clear();
+    m_proposedEnds.clear();
+    m_changes.clear();
+    m_strayStops.clear();
+    m_tickets.clear();
+    m_failedOn.clear();
+    m_startedAt.clear();
+    m_activeJobs.clear();
+}
+
+void Dispatcher::syncRuns(const std::string &worker, SteadyTimeMs)
+{
+    WorkerView &view = m_workers[worker];
+    const std::set<TaskKey> &assigned = m_book.tasksOf(worker);
+    std::erase_if(view.runs, [&](const auto &item) {
+        return !assigned.contains(item.first)
+                || m_book.task(item.first)->run != item.second.run;
+    });
+    for (const TaskKey &task : assigned) {
+        const auto [slot, added] = view.runs.try_emplace(task);
+        if (added) {
+            slot->second.run = m_book.task(task)->run;
+        }
+    }
+    std::erase_if(view.reserved, [&](const auto &item) {
+        const auto proposed = m_proposed.find(item.first);
+        return !assigned.contains(item.first)
+                && (proposed == m_proposed.end() || proposed->second != worker);
+    });
+    for (const TaskKey &task : assigned) {
+        const StepSpec &step = m_book.job(task.job)->spec.steps[task.step];
+        TaskResources need = step.need;
+        if (step.fills) {
+            need.processorMilli = 0;
+        }
+        view.reserved.try_emplace(task, need);
+    }
+    view.used = {};
+    for (const auto &[task, need] : view.reserved) {
+        view.used = view.used + need;
+    }
+}
+
+void Dispatcher::applied(const JobChange &change, SteadyTimeMs now)
+{
+    if (!m_leads) {
+        return;
+    }
+    m_placementDirty = true;
+    if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
+        m_activeJobs.insert(accepted->spec.id);
+    } else if (const auto *assigned = std::get_if<RunAssigned>(&change)) {
+        m_proposed.erase(assigned->task);
+        syncRuns(assigned->worker, now);
+    } else if (const auto *ended = std::get_if<RunEnded>(&change)) {
+        m_proposedEnds.erase({ended->task, ended->run});
+        for (auto &[id, view] : m_workers) {
+            const auto run = view.runs.find(ended->task);
+            if (run != view.runs.end() && run->second.run == ended->run) {
+                noteEnd(*ended, id, now);
+                syncRuns(id, now);
+                break;
+            }
+        }
+        for (auto &[id, ends] : m_endsUnderWay) {
+            std::erase_if(ends, [&](const auto &item) {
+                return item.second.first == ended->task && item.second.second == ended->run;
+            });
+        }
+    } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
+        syncRuns(joined->worker.id, now);
+    } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
+        if (m_book.worker(left->worker) == nullptr) {
+            m_workers.erase(left->worker);
+            m_endsUnderWay.erase(left->worker);
+        }
+    } else if (const auto *forgotten = std::get_if<JobForgotten>(&change)) {
+        std::erase_if(m_failedOn,
+                      [&](const auto &item) { return item.first.job == forgotten->job; });
+    }
+}
+
+void Dispatcher::noteEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
+{
+    WorkerView &view = m_workers[worker];
+    const JobRecord *job = m_book.job(ended.task.job);
+    const auto started = m_startedAt.find(ended.task);
+    if (ended.how == RunEnd::Done) {
+        view.failuresInRow = 0;
+        view.failedJobs.clear();
+        if (job != nullptr && started != m_startedAt.end()) {
+            Duration &duration = m_durations[job->spec.queue];
+            const auto tookMs = static_cast<double>(now - started->second);
+            const double weight =
+                    std::max(durationWeight, 1.0 / static_cast<double>(duration.runs + 1));
+            duration.meanMs += (tookMs - duration.meanMs) * weight;
+            ++duration.runs;
+        }
+    } else if (ended.how == RunEnd::Failed) {
+        m_failedOn[ended.task] = worker;
+        view.failedJobs.insert(ended.task.job);
+        ++view.failuresInRow;
+        if (view.failuresInRow >= m_rules.quarantineFailures && view.failedJobs.size() > 1) {
+            view.avoidUntil = now + m_rules.quarantineMs;
+            m_notes.push_back({"quarantine", {}, 0, worker, "fails-everything", -1});
+        }
+    }
+    if (started != m_startedAt.end()) {
+        m_startedAt.erase(started);
+    }
+}
+
+std::vector<JobChange> Dispatcher::announced(const WorkerAnnouncement &announcement,
+                                             SteadyTimeMs now)
+{
+    const WorkerRecord &worker = announcement.worker;
+    const WorkerRecord *known = m_book.worker(worker.id);
+    if (m_book.hasLeft(worker.id, worker.born) || (known != nullptr && known->born > worker.born)) {
+        return {};
+    }
+    const bool newLife = known == nullptr || known->born != worker.born;
+    std::uint64_t &sequence = m_sequences[worker.id];
+    if (!newLife && announcement.sequence < sequence) {
+        return {};
+    }
+    sequence = announcement.sequence;
+    if (!newLife && announcement.clockMs >= 0) {
+        WorkerView &view = m_workers[worker.id];
+        if (!view.clockMs) {
+            view.clockMs = announcement.clockMs;
+            view.clockAt = now;
+        }
+    }
+    if (!newLife && known->draining == worker.draining && known->address == worker.address
+        && known->service == worker.service && known->capacity == worker.capacity) {
+        return {};
+    }
+    std::vector<JobChange> changes;
+    if (newLife) {
+        for (const auto &[id, other] : m_book.workers()) {
+            if (id == worker.id || other.address != worker.address) {
+                continue;
+            }
+            if (other.born > worker.born) {
+                // A late announcement of a life whose address another one has taken over.
+                return {};
+            }
+            changes.emplace_back(WorkerLeft{id, other.born});
+        }
+        m_workers.erase(worker.id);
+        m_endsUnderWay.erase(worker.id);
+    }
+    changes.emplace_back(WorkerJoined{worker});
+    return changes;
+}
+
+void Dispatcher::renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
+                         SteadyTimeMs now)
+{
+    const auto found = m_workers.find(worker);
+    const WorkerRecord *record = m_book.worker(worker);
+    if (!m_leads || found == m_workers.end() || record == nullptr) {
+        return;
+    }
+    WorkerView &view = found->second;
+    view.renewing = false;
+    if (!isOk(answer)) {
+        const CallFault fault = errorOf(answer);
+        ++view.renewFailures;
+        view.nextRenewAt = now + m_rules.retryMs;
+        if (fault == CallFault::OtherLife) {
+            m_changes.emplace_back(WorkerLeft{worker, record->born});
+            view.nextRenewAt = now + m_rules.renewWaitMs;
+        }
+        if (view.renewFailures == 2) {
+            m_notes.push_back({"worker-silent", {}, 0, worker,
+                               std::string(callFaultNames.name(fault)),
+                               view.renewedAt == 0 ? -1 : now - view.renewedAt});
+        }
+        return;
+    }
+    const RenewAnswer &list = valueOf(answer);
+    if (list.born != 0 && record->born != 0 && list.born != record->born) {
+        if (list.born > record->born) {
+            WorkerRecord again = *record;
+            again.born = list.born;
+            m_changes.emplace_back(WorkerJoined{again});
+            m_notes.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
+            const bool cordoned = view.cordoned;
+            view = {};
+            view.cordoned = cordoned;
+            m_endsUnderWay.erase(worker);
+        }
+        view.nextRenewAt = now + m_rules.retryMs;
+        return;
+    }
+    if (view.renewFailures >= 2) {
+        m_notes.push_back({"worker-back", {}, 0, worker, "answered", -1});
+    }
+    view.renewFailures = 0;
+    view.clockMs = list.clockMs;
+    view.clockAt = now;
+    view.renewedAt = now;
+    view.lapsed = false;
+    view.nextRenewAt = now;
+    std::set<TaskKey> listed;
+    for (const RunningRun &row : list.running) {
+        listed.insert(row.task);
+        onRunningRow(worker, view, row, now);
+    }
+    for (const EndedRun &row : list.ended) {
+        listed.insert(row.task);
+        onEndedRow(worker, view, row);
+    }
+    for (auto &[task, run] : view.runs) {
+        if (!listed.contains(task)) {
+            onMissingRun(worker, view, task, run);
+        }
+    }
+    m_placementDirty = true;
+}
+
+void Dispatcher::onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
+                              SteadyTimeMs now)
+{
+    const auto found = view.runs.find(row.task);
+    if (found == view.runs.end() || found->second.run != row.run) {
+        m_strayStops.push_back({worker, {}, row.task, row.run});
+        return;
+    }
+    RunView &run = found->second;
+    if (run.state != RunState::Running) {
+        run.state = RunState::Running;
+        run.confirmedAt = now;
+        run.progressAt = now;
+    }
+    run.missing = 0;
+    if (row.percent != run.percent) {
+        run.progressAt = now;
+    }
+    run.percent = row.percent;
+    run.reading = row.reading;
+    m_startedAt.try_emplace(row.task, now);
+}
+
+void Dispatcher::onEndedRow(const std::string &worker, WorkerView &view, const EndedRun &row)
+{
+    if (row.number <= view.proposedEnd) {
+        return;
+    }
+    view.proposedEnd = row.number;
+    const auto found = view.runs.find(row.task);
+    if (found == view.runs.end() || found->second.run != row.run) {
+        return;
+    }
+    m_endsUnderWay[worker][row.number] = {row.task, row.run};
+    proposeEnd(row.task, row.run, row.how, row.checkpoint);
+}
+
+void Dispatcher::onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
+                              RunView &run)
+{
+    // A renewal that was sent before the start was confirmed may have been answered before it.
+    if (run.state == RunState::Sent || run.state == RunState::ToSend
+        || run.confirmedAt >= view.renewSentAt || m_proposedEnds.contains({task, run.run})) {
+        return;
+    }
+    if (run.state == RunState::Running && ++run.missing < 2) {
+        return;
+    }
+    // The worker refuses a run that ended there, so sending it again is safe, and it tells whether
+    // an unanswered start arrived.
+    run.state = RunState::ToSend;
+    m_notes.push_back({"resend", taskName(task), run.run, worker, "not-listed", 0});
+}
+
+void Dispatcher::proposeEnd(const TaskKey &task, std::uint32_t run, RunEnd how,
+                            std::string checkpoint)
+{
+    if (m_proposedEnds.insert({task, run}).second) {
+        m_changes.emplace_back(RunEnded{task, run, how, std::move(checkpoint), wallTimeNow()});
+    }
+}
+
+void Dispatcher::startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
+                               std::optional<CallFault> fault, SteadyTimeMs now)
+{
+    const auto found = m_workers.find(worker);
+    if (!m_leads || found == m_workers.end()) {
+        return;
+    }
+    WorkerView &view = found->second;
+    const auto slot = view.runs.find(task);
+    if (slot == view.runs.end() || slot->second.run != run) {
+        return;
+    }
+    RunView &started = slot->second;
+    if (!fault) {
+        if (started.state != RunState::Running) {
+            started.state = RunState::Running;
+            started.confirmedAt = now;
+            started.progressAt = now;
+        }
+        m_startedAt.try_emplace(task, now);
+        return;
+    }
+    m_notes.push_back({"start-failed", taskName(task), run, worker,
+                       std::string(callFaultNames.name(*fault)),
+                       view.renewedAt == 0 ? -1 : now - view.renewedAt});
+    switch (*fault) {
+    case CallFault::NoRoom:
+    case CallFault::Late:
+    case CallFault::Ticket:
+    case CallFault::Invalid:
+        view.avoidUntil = std::max(view.avoidUntil, now + refusedPauseMs);
+        m_tickets.erase({task.job, task.occurrence, task.step});
+        proposeEnd(task, run, RunEnd::Refused, {});
+        return;
+    case CallFault::Unhealthy:
+        view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
+        proposeEnd(task, run, RunEnd::Refused, {});
+        return;
+    case CallFault::OldRun:
+        // It ended there. Its end is listed, or was recorded for a run that is gone.
+        if (started.missing >= 1) {
+            proposeEnd(task, run, RunEnd::WorkerLost, {});
+        }
+        ++started.missing;
+        started.state = RunState::Unknown;
+        started.confirmedAt = now;
+        return;
+    case CallFault::OtherLife:
+        if (const WorkerRecord *record = m_book.worker(worker)) {
+            m_changes.emplace_back(WorkerLeft{worker, record->born});
+        }
+        return;
+    case CallFault::NotSent:
+        view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
+        if (started.sends <= 1) {
+            proposeEnd(task, run, RunEnd::Refused, {});
+            return;
+        }
+        break;
+    case CallFault::NoAnswer:
+    case CallFault::Fenced:
+        view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
+        break;
+    }
+    started.state = RunState::ToSend;
+    started.nextSendAt = now + m_rules.retryMs;
+}
+
+void Dispatcher::paceFailed(const PaceOrder &order)
+{
+    const auto found = m_workers.find(order.worker);
+    if (found != m_workers.end() && found->second.runs.contains(order.task)) {
+        found->second.runs.at(order.task).pacePercent = -1;
+    }
+}
+
+void Dispatcher::adviceAnswered(const AdviceOrder &order,
+                                const std::optional<std::map<std::string, std::string>> &tickets,
+                                SteadyTimeMs now)
+{
+    const auto found = m_tickets.find({order.job, order.occurrence, order.step});
+    if (found == m_tickets.end()) {
+        return;
+    }
+    found->second.asked = false;
+    found->second.askAgainAt = now + m_rules.retryMs;
+    m_placementDirty = true;
+    if (!tickets) {
+        return;
+    }
+    const JobRecord *job = m_book.job(order.job);
+    found->second.byWorker = *tickets;
+    // Half of the validity is left for the starts themselves.
+    found->second.validUntil = now + (job != nullptr ? job->queue.adviceValidMs / 2 : 0);
+}
+
+void Dispatcher::setCordoned(const std::string &worker, bool cordoned)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end()) {
+        found->second.cordoned = cordoned;
+    }
+}
+
+void Dispatcher::setLeaving(const std::string &worker, bool leaving)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end()) {
+        found->second.leaving = leaving;
+    }
+}
+
+bool Dispatcher::isFresh(const std::string &worker, SteadyTimeMs now) const
+{
+    const auto found = m_workers.find(worker);
+    return found != m_workers.end() && found->second.renewedAt != 0
+            && now - found->second.renewedAt < m_rules.freshMs;
+}
+
+std::size_t Dispatcher::shortRunsOn(const std::string &worker) const
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end()) {
+        return 0;
+    }
+    std::size_t count = 0;
+    for (const auto &[task, need] : found->second.reserved) {
+        const JobRecord *job = m_book.job(task.job);
+        if (job != nullptr && !job->spec.steps[task.step].lasting) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+bool Dispatcher::mayTakeAway(const std::string &worker, SteadyTimeMs now) const
+{
+    for (const TaskKey &task : m_book.tasksOf(worker)) {
+        const JobRecord &job = *m_book.job(task.job);
+        const StepSpec &step = job.spec.steps[task.step];
+        if (!step.lasting || step.maxUnavailable == 0 || job.phase != JobPhase::Active) {
+            continue;
+        }
+        std::uint32_t away = 0;
+        std::uint32_t here = 0;
+        const auto &tasks = job.occurrences[task.occurrence].steps[task.step].tasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            if (tasks[index].worker == worker) {
+                ++here;
+                continue;
+            }
+            const WorkerView *other = view(tasks[index].worker);
+            const WorkerRecord *record = m_book.worker(tasks[index].worker);
+            const TaskKey key{task.job, task.occurrence, task.step, index};
+            const bool works = other != nullptr && record != nullptr && !record->draining
+                    && !other->leaving && isFresh(tasks[index].worker, now)
+                    && other->runs.contains(key)
+                    && other->runs.at(key).state == RunState::Running
+                    && other->runs.at(key).percent >= 100;
+            if (!works) {
+                ++away;
+            }
+        }
+        if (away + here > step.maxUnavailable) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const WorkerView *Dispatcher::view(const std::string &worker) const
+{
+    const auto found = m_workers.find(worker);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::size_t Dispatcher::pendingJobs(const std::string &queue) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_book.jobs().begin(), m_book.jobs().end(), [&](const auto &item) {
+                const JobRecord &job = item.second;
+                return job.spec.queue == queue && job.phase == JobPhase::Active && !job.started;
+            }));
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/Dispatcher.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Model/Result.h"
+#include "Scheduling/DispatchTypes.h"
+#include "Scheduling/JobBook.h"
+#include "Scheduling/StepRanking.h"
+#include "Scheduling/WorkerView.h"
+
+namespace dandelionloom {
+
+/// What a worker announces of itself, at every announcement.
+struct WorkerAnnouncement
+{
+    WorkerRecord worker;
+    /// Grows with each announcement of one life; a lower one is late.
+    std::uint64_t sequence = 0;
+    /// The worker's steady clock, on which leases are measured; -1 if it does not say.
+    std::int64_t clockMs = -1;
+};
+
+/// Decides for the leader which task runs where, and keeps workers' leases. A step function without
+/// I/O, clock or threads: events and the time go in, orders and their reasons come out. All it
+/// knows beyond the JobBook it learns again from the workers in a new term.
+class Dispatcher
+{
+public:
+    Dispatcher(const JobBook &book, DispatchRules rules);
+
+    /// Starts a term: every assigned run may be anywhere between sent and ended.
+    void lead(SteadyTimeMs now);
+    void resign();
+    bool leads() const { return m_leads; }
+    SteadyTimeMs leadsSince() const { return m_leadAt; }
+
+    /// Call after JobBook::apply() with the same change.
+    void applied(const JobChange &change, SteadyTimeMs now);
+    /// The changes to propose for an announcement; empty if it tells nothing new.
+    std::vector<JobChange> announced(const WorkerAnnouncement &announcement, SteadyTimeMs now);
+    void renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
+                 SteadyTimeMs now);
+    void startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
+                       std::optional<CallFault> fault, SteadyTimeMs now);
+    /// The pace of the run is unknown; it is ordered again.
+    void paceFailed(const PaceOrder &order);
+    void adviceAnswered(const AdviceOrder &order,
+                        const std::optional<std::map<std::string, std::string>> &tickets,
+                        SteadyTimeMs now);
+
+    DispatchOrders step(SteadyTimeMs now, WallTimeMs wallNow);
+
+    // Questions of the planners of maintenance and moves.
+    void setCordoned(const std::string &worker, bool cordoned);
+    /// The end of the worker was ordered; what runs there counts as away from now on.
+    void setLeaving(const std::string &worker, bool leaving);
+    /// True if the worker was heard in this term and its answers are recent.
+    bool isFresh(const std::string &worker, SteadyTimeMs now) const;
+    /// Runs on the worker that end by themselves soon.
+    std::size_t shortRunsOn(const std::string &worker) const;
+    /// True if no step loses more lasting tasks than it allows when the worker goes.
+    bool mayTakeAway(const std::string &worker, SteadyTimeMs now) const;
+    /// Jobs without times whose tasks wait, and no task has started.
+    std::size_t pendingJobs(const std::string &queue) const;
+    /// Core-milliseconds that wait and run in a service, and thousandths of a core it has.
+    double waitingWork(const std::string &service) const;
+    std::int64_t usableProcessors(const std::string &service, SteadyTimeMs now) const;
+    const WorkerView *view(const std::string &worker) const;
+
+private:
+    struct StepKey
+    {
+        std::string job;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        auto operator<=>(const StepKey &) const = default;
+    };
+    struct Tickets
+    {
+        bool asked = false;
+        SteadyTimeMs validUntil = 0;
+        SteadyTimeMs askAgainAt = 0;
+        std::map<std::string, std::string> byWorker;
+    };
+    struct Waiting
+    {
+        StepKey key;
+        StepRank rank;
+        std::vector<std::uint32_t> indices;
+    };
+
+    // Runs and leases.
+    void syncRuns(const std::string &worker, SteadyTimeMs now);
+    void dropRun(const std::string &worker, const TaskKey &task);
+    void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
+                      SteadyTimeMs now);
+    void onEndedRow(const std::string &worker, WorkerView &view, const EndedRun &row);
+    void onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
+                      RunView &run);
+    void proposeEnd(const TaskKey &task, std::uint32_t run, RunEnd how, std::string checkpoint);
+    void emitRenewals(SteadyTimeMs now, DispatchOrders &orders);
+    void emitStarts(SteadyTimeMs now, DispatchOrders &orders);
+    void emitStops(SteadyTimeMs now, DispatchOrders &orders);
+    void emitPaces(SteadyTimeMs now, DispatchOrders &orders);
+    void loseLapsedRuns(SteadyTimeMs now);
+    void forgetOldJobs(WallTimeMs wallNow);
+    std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
+
+    // Placement.
+    void placeWaiting(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
+    void collectWaiting(const JobRecord &job, WallTimeMs wallNow,
+                        std::map<std::string, std::vector<Waiting>> &byService) const;
+    void placeStep(const Waiting &waiting, const std::vector<std::string> &workers,
+                   SteadyTimeMs now, DispatchOrders &orders);
+    std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
+                                            const std::vector<std::string> &workers,
+                                            const Tickets *tickets) const;
+    bool placeGang(const JobRecord &job, const Waiting &waiting,
+                   const std::vector<std::string> &workers, SteadyTimeMs now,
+                   DispatchOrders &orders);
+    void assign(const TaskKey &task, std::uint32_t run, const std::string &worker,
+                SteadyTimeMs now, DispatchOrders &orders);
+    bool takesWork(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
+    const Tickets *ticketsFor(const Waiting &waiting, const std::vector<std::string> &workers,
+                              SteadyTimeMs now, DispatchOrders &orders);
+    std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
+    std::string serviceOf(const JobRecord &job) const;
+    std::uint32_t runsOfStepOn(const std::string &worker, const TaskKey &task) const;
+    bool servesUsers(const std::string &worker) const;
+    void noteEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
+
+    const JobBook &m_book;
+    const DispatchRules m_rules;
+    bool m_leads = false;
+    SteadyTimeMs m_leadAt = 0;
+    bool m_placementDirty = true;
+    SteadyTimeMs m_nextPlacement = 0;
+    WallTimeMs m_nextForget = 0;
+    std::map<std::string, WorkerView> m_workers;
+    std::map<std::string, std::uint64_t> m_sequences;
+    /// Tasks with a proposed assignment, and its worker.
+    std::map<TaskKey, std::string> m_proposed;
+    /// Ends that were proposed and are not applied, by worker and number.
+    std::map<std::string, std::map<std::uint64_t, std::pair<TaskKey, std::uint32_t>>> m_endsUnderWay;
+    std::set<std::pair<TaskKey, std::uint32_t>> m_proposedEnds;
+    std::vector<JobChange> m_changes;
+    std::vector<StopOrder> m_strayStops;
+    std::vector<DispatchNote> m_notes;
+    std::map<StepKey, Tickets> m_tickets;
+    /// Worker on which a task failed last.
+    std::map<TaskKey, std::string> m_failedOn;
+    std::map<TaskKey, SteadyTimeMs> m_startedAt;
+    /// Mean run time of a queue's tasks in milliseconds, and the runs it rests on.
+    struct Duration
+    {
+        double meanMs = 0;
+        std::uint32_t runs = 0;
+    };
+    std::map<std::string, Duration> m_durations;
+    std::set<std::string> m_activeJobs;
+};
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -0,0 +1,370 @@
+#include <algorithm>
+#include <limits>
+
+#include "Scheduling/Dispatcher.h"
+
+// Which waiting task starts where.
+
+namespace dandelionloom {
+
+namespace {
+
+/// Runs of a queue from which its observed mean is trusted over the declared estimates.
+constexpr std::uint32_t trustedRuns = 8;
+
+/// Steps of one service that are tried without success in one pass. Smaller steps behind a step
+/// that does not fit may use the room it leaves, but a pass must not walk a whole backlog.
+constexpr std::uint32_t fruitlessSteps = 24;
+
+/// Workers named in one call to the advice service.
+constexpr std::size_t adviceWorkers = 30;
+
+} // namespace
+
+std::string Dispatcher::serviceOf(const JobRecord &job) const
+{
+    const QueueConfig *queue = m_book.queue(job.spec.queue);
+    return queue != nullptr ? queue->service : job.queue.service;
+}
+
+std::vector<std::int64_t> Dispatcher::expectedStepMs(const JobRecord &job) const
+{
+    const auto known = m_durations.find(job.spec.queue);
+    std::vector<std::int64_t> expected;
+    for (const StepSpec &step : job.spec.steps) {
+        const bool trusted = known != m_durations.end() && known->second.runs >= trustedRuns;
+        expected.push_back(trusted ? static_cast<std::int64_t>(known->second.meanMs)
+                                   : step.estimateMs);
+    }
+    return expected;
+}
+
+void Dispatcher::collectWaiting(const JobRecord &job, WallTimeMs wallNow,
+                                std::map<std::string, std::vector<Waiting>> &byService) const
+{
+    const std::vector<std::int64_t> stepMs = expectedStepMs(job);
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const OccurrenceRecord &record = job.occurrences[occurrence];
+        if (record.stepsDone == record.steps.size()) {
+            continue;
+        }
+        WallTimeMs dueAt = job.acceptedAtMs;
+        if (job.spec.repeatCount > 0) {
+            dueAt = job.spec.startAtMs + occurrence * job.spec.intervalMs;
+            if (wallNow < dueAt) {
+                break;
+            }
+        }
+        double work = 0;
+        for (std::uint32_t step = 0; step < record.steps.size(); ++step) {
+            work += static_cast<double>(record.steps[step].tasks.size()
+                                        - record.steps[step].doneCount)
+                    * static_cast<double>(job.spec.steps[step].need.processorMilli)
+                    * static_cast<double>(stepMs[step]);
+        }
+        for (std::uint32_t step = 0; step < record.steps.size(); ++step) {
+            const StepSpec &spec = job.spec.steps[step];
+            const StepRecord &state = record.steps[step];
+            const bool ready = std::all_of(
+                    spec.dependsOn.begin(), spec.dependsOn.end(), [&record](std::uint32_t needed) {
+                        return needed < record.steps.size()
+                                && record.steps[needed].doneCount
+                                == record.steps[needed].tasks.size();
+                    });
+            if (!ready || state.doneCount == state.tasks.size()) {
+                continue;
+            }
+            Waiting waiting{{job.spec.id, occurrence, step}, {}, {}};
+            for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+                if (state.tasks[index].phase == TaskPhase::Pending
+                    && !m_proposed.contains({job.spec.id, occurrence, step, index})) {
+                    waiting.indices.push_back(index);
+                }
+            }
+            if (waiting.indices.empty()) {
+                continue;
+            }
+            StepFacts facts;
+            facts.priority = job.queue.priority;
+            facts.lasting = spec.lasting;
+            facts.fills = spec.fills;
+            facts.dueAtMs = dueAt;
+            facts.chainMs = longestChainMs(job.spec, stepMs, 0);
+            facts.remainingChainMs = longestChainMs(job.spec, stepMs, step);
+            facts.remainingWork = work;
+            facts.stretch = job.queue.stretch;
+            facts.targetLatencyMs = job.queue.targetLatencyMs;
+            facts.started = job.started;
+            waiting.rank = rankStep(facts, wallNow);
+            byService[serviceOf(job)].push_back(std::move(waiting));
+        }
+    }
+}
+
+bool Dispatcher::takesWork(const WorkerRecord &worker, const WorkerView &view,
+                           SteadyTimeMs now) const
+{
+    return !worker.draining && !view.cordoned && !view.lapsed && now >= view.avoidUntil
+            && view.clockMs && view.renewedAt != 0 && now - view.renewedAt < m_rules.freshMs
+            && view.renewFailures == 0;
+}
+
+void Dispatcher::placeWaiting(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
+{
+    std::map<std::string, std::vector<Waiting>> byService;
+    for (auto id = m_activeJobs.begin(); id != m_activeJobs.end();) {
+        const JobRecord *job = m_book.job(*id);
+        if (job == nullptr || job->phase != JobPhase::Active) {
+            id = m_activeJobs.erase(id);
+            continue;
+        }
+        collectWaiting(*job, wallNow, byService);
+        ++id;
+    }
+    if (byService.empty()) {
+        return;
+    }
+    std::map<std::string, std::vector<std::string>> workersOf;
+    for (const auto &[id, worker] : m_book.workers()) {
+        const auto found = m_workers.find(id);
+        if (found != m_workers.end() && takesWork(worker, found->second, now)) {
+            workersOf[worker.service].push_back(id);
+        }
+    }
+    for (auto &[service, steps] : byService) {
+        const std::vector<std::string> &workers = workersOf[service];
+        if (workers.empty()) {
+            continue;
+        }
+        std::sort(steps.begin(), steps.end(), [](const Waiting &left, const Waiting &right) {
+            return std::tie(left.rank, left.key) < std::tie(right.rank, right.key);
+        });
+        std::uint32_t fruitless = 0;
+        for (const Waiting &waiting : steps) {
+            const std::size_t before = m_proposed.size();
+            placeStep(waiting, workers, now, orders);
+            if (m_proposed.size() == before && ++fruitless >= fruitlessSteps) {
+                break;
+            }
+        }
+    }
+}
+
+void Dispatcher::placeStep(const Waiting &waiting, const std::vector<std::string> &workers,
+                           SteadyTimeMs now, DispatchOrders &orders)
+{
+    const JobRecord &job = *m_book.job(waiting.key.job);
+    const Tickets *tickets = nullptr;
+    if (job.queue.needsAdvice) {
+        tickets = ticketsFor(waiting, workers, now, orders);
+        if (tickets == nullptr) {
+            return;
+        }
+    }
+    if (job.spec.steps[waiting.key.step].gang) {
+        placeGang(job, waiting, workers, now, orders);
+        return;
+    }
+    for (const std::uint32_t index : waiting.indices) {
+        const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
+        const auto worker = chooseWorker(job, task, workers, tickets);
+        if (!worker) {
+            return;
+        }
+        assign(task, m_book.task(task)->run + 1, *worker, now, orders);
+    }
+}
+
+std::uint32_t Dispatcher::runsOfStepOn(const std::string &worker, const TaskKey &task) const
+{
+    const auto &reserved = m_workers.at(worker).reserved;
+    std::uint32_t count = 0;
+    for (auto row = reserved.lower_bound({task.job, task.occurrence, task.step, 0});
+         row != reserved.end() && row->first.job == task.job
+         && row->first.occurrence == task.occurrence && row->first.step == task.step;
+         ++row) {
+        ++count;
+    }
+    return count;
+}
+
+bool Dispatcher::servesUsers(const std::string &worker) const
+{
+    const auto &reserved = m_workers.at(worker).reserved;
+    return std::any_of(reserved.begin(), reserved.end(), [this](const auto &item) {
+        const JobRecord *job = m_book.job(item.first.job);
+        return job != nullptr && job->spec.steps[item.first.step].targetMs > 0
+                && !job->spec.steps[item.first.step].fills;
+    });
+}
+
+std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
+                                                    const std::vector<std::string> &workers,
+                                                    const Tickets *tickets) const
+{
+    const StepSpec &step = job.spec.steps[task.step];
+    TaskResources need = step.need;
+    if (step.fills) {
+        need.processorMilli = 0;
+    }
+    const auto failedOn = m_failedOn.find(task);
+    std::optional<std::string> best;
+    double bestScore = -std::numeric_limits<double>::infinity();
+    for (const std::string &id : workers) {
+        const WorkerRecord &worker = *m_book.worker(id);
+        const WorkerView &view = m_workers.at(id);
+        const TaskResources room = worker.capacity - view.used;
+        if (!fits(need, room) || (tickets != nullptr && !tickets->byWorker.contains(id))) {
+            continue;
+        }
+        if (!step.requiredLabel.empty()
+            && std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel)
+                    == worker.labels.end()) {
+            continue;
+        }
+        if (step.maxPerWorker > 0 && runsOfStepOn(id, task) >= step.maxPerWorker) {
+            continue;
+        }
+        double score = static_cast<double>(room.processorMilli)
+                / static_cast<double>(std::max<std::int64_t>(worker.capacity.processorMilli, 1));
+        if (failedOn != m_failedOn.end() && failedOn->second == id) {
+            score -= 10;
+        }
+        score -= view.failuresInRow;
+        if (!step.dataRack.empty() && worker.rack == step.dataRack) {
+            score += 4;
+        }
+        if ((step.fills || step.targetMs > 0) && servesUsers(id) && step.fills) {
+            score -= 2;
+        }
+        if (score > bestScore) {
+            bestScore = score;
+            best = id;
+        }
+    }
+    return best;
+}
+
+bool Dispatcher::placeGang(const JobRecord &job, const Waiting &waiting,
+                           const std::vector<std::string> &workers, SteadyTimeMs now,
+                           DispatchOrders &orders)
+{
+    const StepSpec &step = job.spec.steps[waiting.key.step];
+    if (waiting.indices.size() < step.count) {
+        // Members of the last run have not ended yet; all start together.
+        return false;
+    }
+    std::map<std::string, WorkerView> before;
+    std::vector<std::pair<TaskKey, std::string>> chosen;
+    std::uint32_t run = 0;
+    for (const std::uint32_t index : waiting.indices) {
+        const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
+        const auto worker = chooseWorker(job, task, workers, nullptr);
+        if (!worker) {
+            for (auto &[id, view] : before) {
+                m_workers[id] = std::move(view);
+            }
+            return false;
+        }
+        before.try_emplace(*worker, m_workers.at(*worker));
+        WorkerView &view = m_workers.at(*worker);
+        view.reserved[task] = step.need;
+        view.used = view.used + step.need;
+        chosen.emplace_back(task, *worker);
+        run = std::max(run, m_book.task(task)->run + 1);
+    }
+    for (auto &[id, view] : before) {
+        m_workers[id] = std::move(view);
+    }
+    for (const auto &[task, worker] : chosen) {
+        assign(task, run, worker, now, orders);
+    }
+    return true;
+}
+
+void Dispatcher::assign(const TaskKey &task, std::uint32_t run, const std::string &worker,
+                        SteadyTimeMs now, DispatchOrders &orders)
+{
+    const StepSpec &step = m_book.job(task.job)->spec.steps[task.step];
+    TaskResources need = step.need;
+    if (step.fills) {
+        need.processorMilli = 0;
+    }
+    WorkerView &view = m_workers.at(worker);
+    view.reserved[task] = need;
+    view.used = view.used + need;
+    m_proposed[task] = worker;
+    orders.changes.emplace_back(RunAssigned{task, run, worker});
+    orders.notes.push_back({"place", taskName(task), run, worker, step.lasting ? "lasting" : "room",
+                            now - view.renewedAt});
+}
+
+const Dispatcher::Tickets *Dispatcher::ticketsFor(const Waiting &waiting,
+                                                  const std::vector<std::string> &workers,
+                                                  SteadyTimeMs now, DispatchOrders &orders)
+{
+    Tickets &tickets = m_tickets[{waiting.key.job, waiting.key.occurrence, waiting.key.step}];
+    if (now < tickets.validUntil && !tickets.byWorker.empty()) {
+        return &tickets;
+    }
+    if (!tickets.asked && now >= tickets.askAgainAt) {
+        tickets.asked = true;
+        // Workers with the most room first: an approved worker without room is of no use.
+        std::vector<std::string> asked = workers;
+        std::stable_sort(asked.begin(), asked.end(),
+                         [this](const std::string &left, const std::string &right) {
+                             return m_workers.at(left).used.processorMilli
+                                     < m_workers.at(right).used.processorMilli;
+                         });
+        asked.resize(std::min(asked.size(), adviceWorkers));
+        orders.advice.push_back(
+                {waiting.key.job, waiting.key.occurrence, waiting.key.step, std::move(asked)});
+    }
+    return nullptr;
+}
+
+double Dispatcher::waitingWork(const std::string &service) const
+{
+    double work = 0;
+    for (const std::string &id : m_activeJobs) {
+        const JobRecord *job = m_book.job(id);
+        if (job == nullptr || job->phase != JobPhase::Active || serviceOf(*job) != service) {
+            continue;
+        }
+        const std::vector<std::int64_t> stepMs = expectedStepMs(*job);
+        for (const OccurrenceRecord &occurrence : job->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const StepSpec &spec = job->spec.steps[step];
+                if (!spec.lasting && !spec.fills) {
+                    work += static_cast<double>(occurrence.steps[step].tasks.size()
+                                                - occurrence.steps[step].doneCount)
+                            * static_cast<double>(spec.need.processorMilli)
+                            * static_cast<double>(stepMs[step]);
+                }
+            }
+        }
+    }
+    return work / 1000;
+}
+
+std::int64_t Dispatcher::usableProcessors(const std::string &service, SteadyTimeMs now) const
+{
+    std::int64_t total = 0;
+    for (const auto &[id, worker] : m_book.workers()) {
+        const auto found = m_workers.find(id);
+        if (worker.service != service || found == m_workers.end()
+            || !takesWork(worker, found->second, now)) {
+            continue;
+        }
+        total += worker.capacity.processorMilli;
+        for (const auto &[task, need] : found->second.reserved) {
+            const JobRecord *job = m_book.job(task.job);
+            if (job != nullptr && job->spec.steps[task.step].lasting) {
+                total -= need.processorMilli;
+            }
+        }
+    }
+    return total;
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/JobBook.cpp
@@ -0,0 +1,320 @@
+#include "Scheduling/JobBook.h"
+
+#include <algorithm>
+
+namespace dandelionloom {
+
+namespace {
+
+/// Lives of workers that are remembered after their end. A day replaces a few hundred workers, and
+/// a delayed announcement is seconds old.
+constexpr std::size_t maxLeftWorkers = 4096;
+
+} // namespace
+
+void JobBook::apply(const JobChange &change)
+{
+    std::visit([this](const auto &body) { on(body); }, change);
+}
+
+const JobRecord *JobBook::job(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const TaskRecord *JobBook::task(const TaskKey &key) const
+{
+    return const_cast<JobBook *>(this)->findTask(key);
+}
+
+TaskRecord *JobBook::findTask(const TaskKey &key)
+{
+    const auto found = m_jobs.find(key.job);
+    if (found == m_jobs.end() || key.occurrence >= found->second.occurrences.size()) {
+        return nullptr;
+    }
+    OccurrenceRecord &occurrence = found->second.occurrences[key.occurrence];
+    if (key.step >= occurrence.steps.size()
+        || key.index >= occurrence.steps[key.step].tasks.size()) {
+        return nullptr;
+    }
+    return &occurrence.steps[key.step].tasks[key.index];
+}
+
+const WorkerRecord *JobBook::worker(const std::string &id) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+bool JobBook::hasLeft(const std::string &id, std::int64_t born) const
+{
+    const auto found = m_left.find(id);
+    return found != m_left.end() && found->second >= born;
+}
+
+const std::set<TaskKey> &JobBook::tasksOf(const std::string &worker) const
+{
+    static const std::set<TaskKey> none;
+    const auto found = m_tasksOfWorker.find(worker);
+    return found == m_tasksOfWorker.end() ? none : found->second;
+}
+
+const QueueConfig *JobBook::queue(const std::string &name) const
+{
+    for (const QueueConfig &queue : m_configuration.queues) {
+        if (queue.name == name) {
+            return &queue;
+        }
+    }
+    return nullptr;
+}
+
+const ServiceConfig *JobBook::service(const std::string &name) const
+{
+    for (const ServiceConfig &service : m_configuration.services) {
+        if (service.name == name) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+const QueueConfig *JobBook::queueFor(const std::string &host, const std::string &path) const
+{
+    const QueueConfig *best = nullptr;
+    for (const QueueConfig &queue : m_configuration.queues) {
+        if (queue.host == host && path.starts_with(queue.pathPrefix)
+            && (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+void JobBook::on(const ConfigurationAccepted &change)
+{
+    if (change.configuration.version > m_configuration.version) {
+        m_configuration = change.configuration;
+    }
+}
+
+void JobBook::on(const JobAccepted &change)
+{
+    const auto [slot, added] = m_jobs.try_emplace(change.spec.id);
+    if (!added) {
+        return;
+    }
+    JobRecord &job = slot->second;
+    job.spec = change.spec;
+    job.queue = change.queue;
+    job.acceptedAtMs = change.atMs;
+    OccurrenceRecord occurrence;
+    for (const StepSpec &step : job.spec.steps) {
+        StepRecord record;
+        record.tasks.resize(step.count);
+        occurrence.steps.push_back(std::move(record));
+    }
+    job.occurrences.assign(job.spec.occurrences(), occurrence);
+}
+
+void JobBook::on(const JobCancelled &change)
+{
+    const auto found = m_jobs.find(change.job);
+    if (found != m_jobs.end() && found->second.phase == JobPhase::Active) {
+        found->second.phase = JobPhase::Cancelled;
+        found->second.endedAtMs = change.atMs;
+    }
+}
+
+void JobBook::on(const RunAssigned &change)
+{
+    TaskRecord *task = findTask(change.task);
+    if (task == nullptr || task->phase != TaskPhase::Pending || change.run <= task->run
+        || !m_workers.contains(change.worker)) {
+        return;
+    }
+    JobRecord &job = m_jobs.at(change.task.job);
+    if (job.phase != JobPhase::Active) {
+        return;
+    }
+    task->phase = TaskPhase::Assigned;
+    task->run = change.run;
+    task->worker = change.worker;
+    job.started = true;
+    ++job.assignedCount;
+    m_tasksOfWorker[change.worker].insert(change.task);
+}
+
+void JobBook::on(const RunEnded &change)
+{
+    TaskRecord *task = findTask(change.task);
+    if (task == nullptr || task->phase != TaskPhase::Assigned || task->run != change.run) {
+        return;
+    }
+    endRun(m_jobs.at(change.task.job), change);
+}
+
+void JobBook::endRun(JobRecord &job, const RunEnded &change)
+{
+    TaskRecord &task = *findTask(change.task);
+    const StepSpec &step = job.spec.steps[change.task.step];
+    const auto onWorker = m_tasksOfWorker.find(task.worker);
+    if (onWorker != m_tasksOfWorker.end()) {
+        onWorker->second.erase(change.task);
+        if (onWorker->second.empty()) {
+            m_tasksOfWorker.erase(onWorker);
+        }
+    }
+    --job.assignedCount;
+    task.phase = TaskPhase::Pending;
+    task.worker.clear();
+    if (!change.checkpoint.empty()) {
+        task.checkpoint = change.checkpoint;
+    }
+    if (change.how == RunEnd::Done && !step.lasting) {
+        if (step.gang) {
+            // One member's end stands for all.
+            for (std::uint32_t index = 0; index < step.count; ++index) {
+                finishTask(job, {change.task.job, change.task.occurrence, change.task.step, index},
+                           change.atMs);
+            }
+        } else {
+            finishTask(job, change.task, change.atMs);
+        }
+        return;
+    }
+    if (change.how == RunEnd::Failed && !step.lasting) {
+        ++task.failures;
+        if (task.failures >= job.queue.maxAttempts && job.phase == JobPhase::Active) {
+            job.phase = JobPhase::Failed;
+            job.endedAtMs = change.atMs;
+        }
+    }
+}
+
+void JobBook::finishTask(JobRecord &job, const TaskKey &key, WallTimeMs atMs)
+{
+    OccurrenceRecord &occurrence = job.occurrences[key.occurrence];
+    StepRecord &step = occurrence.steps[key.step];
+    TaskRecord &task = step.tasks[key.index];
+    if (task.phase == TaskPhase::Done) {
+        return;
+    }
+    if (task.phase == TaskPhase::Assigned) {
+        m_tasksOfWorker[task.worker].erase(key);
+        --job.assignedCount;
+    }
+    task.phase = TaskPhase::Done;
+    task.worker.clear();
+    task.checkpoint.clear();
+    if (++step.doneCount == step.tasks.size()) {
+        ++occurrence.stepsDone;
+    }
+    const bool allDone = std::all_of(
+            job.occurrences.begin(), job.occurrences.end(),
+            [](const OccurrenceRecord &each) { return each.stepsDone == each.steps.size(); });
+    if (allDone && job.phase == JobPhase::Active) {
+        job.phase = JobPhase::Completed;
+        job.endedAtMs = atMs;
+    }
+}
+
+void JobBook::on(const WorkerJoined &change)
+{
+    if (hasLeft(change.worker.id, change.worker.born)) {
+        return;
+    }
+    WorkerRecord &worker = m_workers[change.worker.id];
+    if (worker.born != change.worker.born) {
+        // A worker that starts again under its id runs nothing of its earlier life.
+        loseRunsOf(change.worker.id);
+    }
+    worker = change.worker;
+}
+
+void JobBook::on(const WorkerLeft &change)
+{
+    const auto found = m_workers.find(change.worker);
+    if (found != m_workers.end() && found->second.born <= change.born) {
+        m_workers.erase(found);
+        loseRunsOf(change.worker);
+    }
+    std::int64_t &born = m_left[change.worker];
+    born = std::max(born, change.born);
+    if (m_left.size() > maxLeftWorkers) {
+        m_left.erase(std::min_element(m_left.begin(), m_left.end(),
+                                      [](const auto &left, const auto &right) {
+                                          return left.second < right.second;
+                                      }));
+    }
+}
+
+void JobBook::loseRunsOf(const std::string &worker)
+{
+    const std::set<TaskKey> lost = tasksOf(worker);
+    for (const TaskKey &key : lost) {
+        JobRecord &job = m_jobs.at(key.job);
+        endRun(job, {key, findTask(key)->run, RunEnd::WorkerLost, {}, 0});
+    }
+}
+
+void JobBook::on(const JobForgotten &change)
+{
+    const auto found = m_jobs.find(change.job);
+    if (found != m_jobs.end() && found->second.isSettled()) {
+        m_jobs.erase(found);
+    }
+}
+
+void JobBook::on(const WaveStarted &change)
+{
+    m_waves.try_emplace(change.wave.id, change.wave);
+}
+
+void JobBook::on(const MaintenanceBegun &change)
+{
+    const auto found = m_waves.find(change.wave);
+    if (found == m_waves.end()) {
+        return;
+    }
+    std::vector<std::string> &finished = found->second.finished;
+    if (std::find(finished.begin(), finished.end(), change.instance) == finished.end()) {
+        finished.push_back(change.instance);
+    }
+}
+
+std::string JobBook::encode() const
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, *this);
+    return {buffer.data(), buffer.size()};
+}
+
+Result<JobBook, JobChangeError> JobBook::decode(const std::string &bytes)
+{
+    JobBook book;
+    try {
+        msgpack::unpack(bytes.data(), bytes.size()).get().convert(book);
+    } catch (const std::exception &error) {
+        return JobChangeError{std::string("expected a job book, found other bytes: ")
+                              + error.what()};
+    }
+    for (const auto &[id, job] : book.m_jobs) {
+        for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+            const auto &steps = job.occurrences[occurrence].steps;
+            for (std::uint32_t step = 0; step < steps.size(); ++step) {
+                for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+                    const TaskRecord &task = steps[step].tasks[index];
+                    if (task.phase == TaskPhase::Assigned) {
+                        book.m_tasksOfWorker[task.worker].insert({id, occurrence, step, index});
+                    }
+                }
+            }
+        }
+    }
+    return book;
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/JobChanges.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Model/Result.h"
+#include "Scheduling/JobTypes.h"
+
+namespace dandelionloom {
+
+// The records of the job journal. Each costs what it changes; many travel in one journal entry.
+
+struct ConfigurationAccepted
+{
+    FleetConfiguration configuration;
+    MSGPACK_DEFINE_ARRAY(configuration)
+};
+
+struct JobAccepted
+{
+    JobSpec spec;
+    /// The queue as it was at the acceptance. A job keeps its terms when the queue is removed.
+    QueueConfig queue;
+    WallTimeMs atMs = 0;
+    MSGPACK_DEFINE_ARRAY(spec, queue, atMs)
+};
+
+struct JobCancelled
+{
+    std::string job;
+    WallTimeMs atMs = 0;
+    MSGPACK_DEFINE_ARRAY(job, atMs)
+};
+
+/// Written before the start is sent, so that a new leader knows where every task may run.
+struct RunAssigned
+{
+    TaskKey task;
+    std::uint32_t run = 0;
+    std::string worker;
+    MSGPACK_DEFINE_ARRAY(task, run, worker)
+};
+
+struct RunEnded
+{
+    TaskKey task;
+    std::uint32_t run = 0;
+    RunEnd how = RunEnd::Done;
+    std::string checkpoint;
+    WallTimeMs atMs = 0;
+    MSGPACK_DEFINE_ARRAY(task, run, how, checkpoint, atMs)
+};
+
+struct WorkerJoined
+{
+    WorkerRecord worker;
+    MSGPACK_DEFINE_ARRAY(worker)
+};
+
+struct WorkerLeft
+{
+    std::string worker;
+    std::int64_t born = 0;
+    MSGPACK_DEFINE_ARRAY(worker, born)
+};
+
+struct JobForgotten
+{
+    std::string job;
+    MSGPACK_DEFINE_ARRAY(job)
+};
+
+struct WaveStarted
+{
+    MaintenanceWave wave;
+    MSGPACK_DEFINE_ARRAY(wave)
+};
+
+/// The maintenance of an instance has begun, or the instance is gone.
+struct MaintenanceBegun
+{
+    std::uint64_t wave = 0;
+    std::string instance;
+    MSGPACK_DEFINE_ARRAY(wave, instance)
+};
+
+/// The position is on disk: only append.
+using JobChange = std::variant<ConfigurationAccepted, JobAccepted, JobCancelled, RunAssigned,
+                               RunEnded, WorkerJoined, WorkerLeft, JobForgotten, WaveStarted,
+                               MaintenanceBegun>;
+
+struct JobChangeError
+{
+    std::string message;
+};
+
+std::string encodeChanges(const std::vector<JobChange> &changes);
+/// Fails on bytes that are not whole records and on an unknown kind of record.
+Result<std::vector<JobChange>, JobChangeError> decodeChanges(const std::string &bytes);
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -0,0 +1,226 @@
+#include "Scheduling/MaintenancePlanner.h"
+
+#include <algorithm>
+
+namespace dandelionloom {
+
+namespace {
+
+/// Instances of one wave that are emptied beyond those that may be away now, so that the next one
+/// is ready when one returns.
+constexpr std::uint32_t preparedAhead = 1;
+
+bool isFinished(const MaintenanceWave &wave, const std::string &instance)
+{
+    return std::find(wave.finished.begin(), wave.finished.end(), instance) != wave.finished.end();
+}
+
+} // namespace
+
+MaintenancePlanner::MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher,
+                                       MaintenanceRules rules)
+    : m_book(book), m_dispatcher(dispatcher), m_rules(rules)
+{ }
+
+void MaintenancePlanner::lead(SteadyTimeMs now)
+{
+    m_leadAt = now;
+    m_instances.clear();
+    m_missing.clear();
+    m_progress.clear();
+    m_changes.clear();
+    m_notes.clear();
+}
+
+bool MaintenancePlanner::hasWork() const
+{
+    return !m_progress.empty()
+            || std::any_of(m_book.waves().begin(), m_book.waves().end(),
+                           [](const auto &item) { return !item.second.isCompleted(); });
+}
+
+void MaintenancePlanner::listed(const std::vector<ListedInstance> &instances, SteadyTimeMs)
+{
+    m_instances.clear();
+    for (const ListedInstance &instance : instances) {
+        m_instances[instance.instance] = instance;
+    }
+    for (const auto &[id, wave] : m_book.waves()) {
+        for (const std::string &instance : wave.instances) {
+            if (m_instances.contains(instance)) {
+                m_missing.erase(instance);
+            } else if (!isFinished(wave, instance)
+                       && ++m_missing[instance] >= m_rules.missingReadings) {
+                m_changes.emplace_back(MaintenanceBegun{id, instance});
+                m_notes.push_back({"maintenance-skipped", instance, 0, {}, "instance-gone", 0});
+            }
+        }
+    }
+}
+
+void MaintenancePlanner::release(const std::string &instance)
+{
+    const auto found = m_progress.find(instance);
+    if (found != m_progress.end()) {
+        m_dispatcher.setCordoned(found->second.worker, false);
+        m_dispatcher.setLeaving(found->second.worker, false);
+        m_progress.erase(found);
+    }
+}
+
+void MaintenancePlanner::answered(const MaintenanceOrder &order, std::optional<InstanceFault> fault,
+                                  SteadyTimeMs now)
+{
+    const auto found = m_progress.find(order.instance);
+    if (found == m_progress.end()) {
+        return;
+    }
+    Progress &progress = found->second;
+    if (!fault) {
+        progress.phase = Phase::Away;
+        progress.since = now;
+        m_changes.emplace_back(MaintenanceBegun{order.wave, order.instance});
+        if (const WorkerRecord *worker = m_book.worker(progress.worker)) {
+            m_changes.emplace_back(WorkerLeft{worker->id, worker->born});
+        }
+        return;
+    }
+    m_notes.push_back({"maintenance-refused", order.instance, 0, progress.worker,
+                       std::string(instanceFaultNames.name(*fault)), -1});
+    if (*fault == InstanceFault::NoAnswer) {
+        // It may have begun: the same order again tells, and until then the instance is away.
+        progress.phase = Phase::Ordered;
+        progress.nextOrderAt = now + m_rules.retryMs;
+        return;
+    }
+    if (*fault == InstanceFault::NotSent || *fault == InstanceFault::Throttled) {
+        progress.phase = Phase::Preparing;
+        progress.nextOrderAt = now + m_rules.retryMs;
+        m_dispatcher.setLeaving(progress.worker, false);
+        return;
+    }
+    release(order.instance);
+}
+
+std::uint32_t MaintenancePlanner::awayCount(const MaintenanceWave &wave) const
+{
+    std::uint32_t away = 0;
+    for (const std::string &instance : wave.instances) {
+        const auto progress = m_progress.find(instance);
+        const auto listed = m_instances.find(instance);
+        const bool ordered =
+                progress != m_progress.end() && progress->second.phase != Phase::Preparing;
+        const bool down =
+                listed != m_instances.end() && listed->second.state == InstanceState::Maintenance;
+        if (ordered || down) {
+            ++away;
+        }
+    }
+    return away;
+}
+
+std::vector<std::string> MaintenancePlanner::candidates(const MaintenanceWave &wave) const
+{
+    std::vector<std::pair<std::int64_t, std::string>> ranked;
+    for (const std::string &instance : wave.instances) {
+        const auto listed = m_instances.find(instance);
+        if (isFinished(wave, instance) || m_progress.contains(instance)
+            || listed == m_instances.end() || listed->second.state != InstanceState::InService) {
+            continue;
+        }
+        const WorkerView *view = m_dispatcher.view(listed->second.worker);
+        ranked.emplace_back(view == nullptr ? -1 : view->used.processorMilli, instance);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> instances;
+    instances.reserve(ranked.size());
+    for (auto &[used, instance] : ranked) {
+        instances.push_back(std::move(instance));
+    }
+    return instances;
+}
+
+void MaintenancePlanner::finishReturned(SteadyTimeMs now, MaintenanceOrders &orders)
+{
+    for (auto item = m_progress.begin(); item != m_progress.end();) {
+        Progress &progress = item->second;
+        const auto listed = m_instances.find(item->first);
+        const bool back = progress.phase == Phase::Away && listed != m_instances.end()
+                && listed->second.state == InstanceState::InService
+                && listed->second.worker != progress.worker;
+        const bool overdue =
+                progress.phase == Phase::Away && now - progress.since >= m_rules.returnLimitMs;
+        if (back || overdue) {
+            orders.notes.push_back({"maintenance-ended", item->first, 0, progress.worker,
+                                    back ? "returned" : "overdue", now - progress.since});
+            item = m_progress.erase(item);
+        } else {
+            ++item;
+        }
+    }
+}
+
+MaintenanceOrders MaintenancePlanner::step(SteadyTimeMs now)
+{
+    MaintenanceOrders orders;
+    finishReturned(now, orders);
+    for (const auto &[id, wave] : m_book.waves()) {
+        if (!wave.isCompleted()) {
+            stepWave(wave, now, orders);
+        }
+    }
+    std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
+    std::move(m_notes.begin(), m_notes.end(), std::back_inserter(orders.notes));
+    m_changes.clear();
+    m_notes.clear();
+    return orders;
+}
+
+void MaintenancePlanner::stepWave(const MaintenanceWave &wave, SteadyTimeMs now,
+                                  MaintenanceOrders &orders)
+{
+    if (m_instances.empty() || now - m_leadAt < m_rules.takeoverMs) {
+        return;
+    }
+    std::uint32_t away = awayCount(wave);
+    std::uint32_t preparing = 0;
+    for (auto &[instance, progress] : m_progress) {
+        if (progress.wave != wave.id || isFinished(wave, instance)) {
+            continue;
+        }
+        if (progress.phase == Phase::Ordered) {
+            if (progress.nextOrderAt != 0 && now >= progress.nextOrderAt) {
+                progress.nextOrderAt = 0;
+                orders.begin.push_back({instance, wave.id});
+            }
+            continue;
+        }
+        ++preparing;
+        const bool empty = m_dispatcher.shortRunsOn(progress.worker) == 0
+                || now - progress.since >= m_rules.drainLimitMs;
+        if (!empty || now < progress.nextOrderAt || away >= wave.maxAtOnce
+            || !m_dispatcher.mayTakeAway(progress.worker, now)) {
+            continue;
+        }
+        progress.phase = Phase::Ordered;
+        progress.nextOrderAt = 0;
+        m_dispatcher.setLeaving(progress.worker, true);
+        ++away;
+        --preparing;
+        orders.begin.push_back({instance, wave.id});
+        orders.notes.push_back({"maintenance", instance, 0, progress.worker,
+                                "wave-" + std::to_string(wave.id), now - progress.since});
+    }
+    const std::uint32_t wanted = std::max(wave.maxAtOnce, away) - away + preparedAhead;
+    for (const std::string &instance : candidates(wave)) {
+        if (preparing >= wanted) {
+            return;
+        }
+        const std::string &worker = m_instances.at(instance).worker;
+        m_progress[instance] = {wave.id, Phase::Preparing, now, 0, worker};
+        m_dispatcher.setCordoned(worker, true);
+        ++preparing;
+    }
+}
+
+} // namespace dandelionloom
--- /dev/null
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Ports/InstanceCalls.h"
+#include "Scheduling/Dispatcher.h"
+#include "Scheduling/JobBook.h"
+
+namespace dandelionloom {
+
+struct MaintenanceRules
+{
+    /// An earlier leader's orders for an instance must not alternate with those of this one.
+    std::int64_t takeoverMs = 3500;
+    /// Longest wait for short tasks to end before maintenance takes what is left.
+    std::int64_t drainLimitMs = 4000;
+    /// Pause before an order that was refused is repeated.
+    std::int64_t retryMs = 500;
+    /// An instance whose worker has not come back after this time counts as down no longer.
+    std::int64_t returnLimitMs = 12000;
+    /// Readings of the list without an instance after which it is gone.
+    std::uint32_t missingReadings = 3;
+};
+
+struct MaintenanceOrder
+{
+    std::string instance;
+    std::uint64_t wave = 0;
+};
+
+struct MaintenanceOrders
+{
+    std::vector<MaintenanceOrder> begin;
+    std::vector<JobChange> changes;
+    std::vector<DispatchNote> notes;
+};
+
+/// Carries maintenance waves through: empties a worker, checks that no step loses more lasting
+/// tasks than it allows, and orders the maintenance of at most as many instances at once as the
+/// wave permits. A step function like the Dispatcher.
+class MaintenancePlanner
+{
+public:
+    MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher, MaintenanceRules rules);
+
+    void lead(SteadyTimeMs now);
+    void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs now);
+    void answered(const MaintenanceOrder &order, std::optional<InstanceFault> fault,
+                  SteadyTimeMs now);
+    MaintenanceOrders step(SteadyTimeMs now);
+    bool hasWork() const;
+    /// True while the instance is prepared for maintenance or under it.
+    bool isBusy(const std::string &instance) const { return m_progress.contains(instance); }
+
+private:
+    enum class Phase { Preparing, Ordered, Away };
+    struct Progress
+    {
+        std::uint64_t wave = 0;
+        Phase phase = Phase::Preparing;
+        SteadyTimeMs since = 0;
+        SteadyTimeMs nextOrderAt = 0;
+        std::string worker;
+    };
+
+    void stepWave(const MaintenanceWave &wave, SteadyTimeMs now, MaintenanceOrders &orders);
+    void finishReturned(SteadyTimeMs now, MaintenanceOrders &orders);
+    std::uint32_t awayCount(const MaintenanceWave &wave) const;
+    std::vector<std::string> candidates(const MaintenanceWave &wave) const;
+    void release(const std::string &instance);
+
+    const JobBook &m_book;
+    Dispatcher &m_dispatcher;
+    const MaintenanceRules m_rules;
+    SteadyTimeMs m_leadAt = 0;
+    std::map<std::string, ListedInstance> m_instances;
+    std::map<std::string, std::uint32_t> m_missing;
+    std::map<std::string, Progress> m_progress;
+    std::vector<JobChange> m_changes;
+    std::vector<DispatchNote> m_notes;
+};
+
+} // namespace dandelionloom
