Balancer: Move empty instances to the pools whose queues peak

Ruled out: order of the waiting steps, as the room was missing and not the order. Change: transfers by waiting work; only instances without tasks move.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -17,7 +17,7 @@
 
 /// Readings of the instance list: often while maintenance waits for an instance to return.
 constexpr Milliseconds busyListInterval{500};
-constexpr Milliseconds idleListInterval{3000};
+constexpr Milliseconds idleListInterval{500};
 
 constexpr Milliseconds logFlushInterval{200};
 
@@ -28,7 +28,8 @@
     : m_loop(loop), m_options(std::move(options)), m_log(log), m_metrics(metrics),
       m_workers(workers), m_instances(instances), m_alive(std::make_shared<JobService *>(this)),
       m_dispatcher(m_book, m_options.dispatch),
-      m_maintenance(m_book, m_dispatcher, m_options.maintenance)
+      m_maintenance(m_book, m_dispatcher, m_options.maintenance),
+      m_balancer(m_book, m_dispatcher, m_maintenance, m_options.balance)
 { }
 
 JobService::~JobService()
@@ -127,6 +128,7 @@
     m_leading = true;
     m_dispatcher.lead(now);
     m_maintenance.lead(now);
+    m_balancer.lead(now);
     m_log.line(LogSeverity::Info, "lead",
                {{"term", static_cast<std::int64_t>(m_status.term)},
                 {"jobs", static_cast<std::int64_t>(m_book.jobs().size())},
@@ -208,6 +210,7 @@
     if (now >= m_nextMaintenance) {
         m_nextMaintenance = now + maintenanceIntervalMs;
         carryOut(m_maintenance.step(now));
+        carryOut(m_balancer.step(now));
     }
     if (!m_outgoing.empty()) {
         m_journal->propose(encodeChanges(m_outgoing));
@@ -252,6 +255,7 @@
         (*service)->m_listing = false;
         if (isOk(listed)) {
             (*service)->m_maintenance.listed(valueOf(listed), steadyTimeNow());
+            (*service)->m_balancer.listed(valueOf(listed));
         } else {
             (*service)->m_log.line(LogSeverity::Warning, "instance-list",
                                    {{"reason", instanceFaultNames.name(errorOf(listed))}});
@@ -359,4 +363,21 @@
     m_outgoing.insert(m_outgoing.end(), orders.changes.begin(), orders.changes.end());
 }
 
+void JobService::carryOut(const BalanceOrders &orders)
+{
+    writeNotes(orders.notes);
+    const std::weak_ptr<JobService *> alive = m_alive;
+    const OrderAuthority authority{m_options.name, m_status.term};
+    for (const MoveOrder &order : orders.moves) {
+        m_instances.move(order.instance, order.pool, authority,
+                         [alive, order](std::optional<InstanceFault> fault) {
+                             if (const auto service = alive.lock()) {
+                                 (*service)->m_balancer.answered(order, fault, steadyTimeNow());
+                                 (*service)->scheduleFlush();
+                             }
+                         });
+    }
+    m_outgoing.insert(m_outgoing.end(), orders.changes.begin(), orders.changes.end());
+}
+
 } // namespace dandelionloom
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -18,6 +18,7 @@
 #include "Runtime/ReplicatedJournal.h"
 #include "Scheduling/Dispatcher.h"
 #include "Scheduling/MaintenancePlanner.h"
+#include "Scheduling/PoolBalancer.h"
 
 namespace dandelionloom {
 
@@ -27,6 +28,7 @@
     std::string name;
     DispatchRules dispatch;
     MaintenanceRules maintenance;
+    BalanceRules balance;
 };
 
 /// The part of a control instance between the journal and the outside: applies committed changes,
@@ -80,6 +82,7 @@
     void listInstances();
     void carryOut(DispatchOrders orders);
     void carryOut(const MaintenanceOrders &orders);
+    void carryOut(const BalanceOrders &orders);
     void writeNotes(const std::vector<DispatchNote> &notes);
 
     void submit(const JobCall &call, const JobReply &reply);
@@ -105,6 +108,7 @@
     JobBook m_book;
     Dispatcher m_dispatcher;
     MaintenancePlanner m_maintenance;
+    PoolBalancer m_balancer;
     JournalStatus m_status;
     std::uint64_t m_appliedIndex = 0;
     /// Term whose first entry was applied here.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -83,8 +83,13 @@
         view.reserved.try_emplace(task, need);
     }
     view.used = {};
+    view.lastingRuns = 0;
     for (const auto &[task, need] : view.reserved) {
         view.used = view.used + need;
+        const JobRecord *job = m_book.job(task.job);
+        if (job != nullptr && job->spec.steps[task.step].lasting) {
+            ++view.lastingRuns;
+        }
     }
 }
 
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -68,9 +68,10 @@
     bool mayTakeAway(const std::string &worker, SteadyTimeMs now) const;
     /// Jobs without times whose tasks wait, and no task has started.
     std::size_t pendingJobs(const std::string &queue) const;
-    /// Core-milliseconds that wait and run in a service, and thousandths of a core it has.
+    /// Core-milliseconds of accepted work of a service that has not ended.
     double waitingWork(const std::string &service) const;
-    std::int64_t usableProcessors(const std::string &service, SteadyTimeMs now) const;
+    /// Thousandths of a core that lasting tasks hold on the worker.
+    std::int64_t lastingProcessors(const std::string &worker) const;
     const WorkerView *view(const std::string &worker) const;
 
 private:
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -225,8 +225,13 @@
         if (step.maxPerWorker > 0 && runsOfStepOn(id, task) >= step.maxPerWorker) {
             continue;
         }
-        double score = static_cast<double>(room.processorMilli)
+        // The tightest fit, on workers that lasting tasks hold anyway, leaves whole instances for
+        // other pools and whole room for large tasks.
+        double score = -static_cast<double>(room.processorMilli)
                 / static_cast<double>(std::max<std::int64_t>(worker.capacity.processorMilli, 1));
+        if (view.lastingRuns > 0) {
+            score += 2;
+        }
         if (failedOn != m_failedOn.end() && failedOn->second == id) {
             score -= 10;
         }
@@ -293,6 +298,9 @@
     WorkerView &view = m_workers.at(worker);
     view.reserved[task] = need;
     view.used = view.used + need;
+    if (step.lasting) {
+        ++view.lastingRuns;
+    }
     m_proposed[task] = worker;
     orders.changes.emplace_back(RunAssigned{task, run, worker});
     orders.notes.push_back({"place", taskName(task), run, worker, step.lasting ? "lasting" : "room",
@@ -347,21 +355,17 @@
     return work / 1000;
 }
 
-std::int64_t Dispatcher::usableProcessors(const std::string &service, SteadyTimeMs now) const
+std::int64_t Dispatcher::lastingProcessors(const std::string &worker) const
 {
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end()) {
+        return 0;
+    }
     std::int64_t total = 0;
-    for (const auto &[id, worker] : m_book.workers()) {
-        const auto found = m_workers.find(id);
-        if (worker.service != service || found == m_workers.end()
-            || !takesWork(worker, found->second, now)) {
-            continue;
-        }
-        total += worker.capacity.processorMilli;
-        for (const auto &[task, need] : found->second.reserved) {
-            const JobRecord *job = m_book.job(task.job);
-            if (job != nullptr && job->spec.steps[task.step].lasting) {
-                total -= need.processorMilli;
-            }
+    for (const auto &[task, need] : found->second.reserved) {
+        const JobRecord *job = m_book.job(task.job);
+        if (job != nullptr && job->spec.steps[task.step].lasting) {
+            total += need.processorMilli;
         }
     }
     return total;
--- /dev/null
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -0,0 +1,192 @@
+#include "Scheduling/PoolBalancer.h"
+
+#include <algorithm>
+
+namespace dandelionloom {
+
+PoolBalancer::PoolBalancer(const JobBook &book, Dispatcher &dispatcher,
+                           const MaintenancePlanner &maintenance, BalanceRules rules)
+    : m_book(book), m_dispatcher(dispatcher), m_maintenance(maintenance), m_rules(rules)
+{ }
+
+void PoolBalancer::lead(SteadyTimeMs now)
+{
+    m_leadAt = now;
+    m_instances.clear();
+    m_progress.clear();
+    m_surplusSince.clear();
+    m_changes.clear();
+    m_notes.clear();
+}
+
+void PoolBalancer::listed(const std::vector<ListedInstance> &instances)
+{
+    m_instances.clear();
+    for (const ListedInstance &instance : instances) {
+        m_instances[instance.instance] = instance;
+    }
+}
+
+bool PoolBalancer::isEmpty(const ListedInstance &instance, SteadyTimeMs now) const
+{
+    const WorkerView *view = m_dispatcher.view(instance.worker);
+    const WorkerRecord *worker = m_book.worker(instance.worker);
+    return view != nullptr && worker != nullptr && !worker->draining && view->reserved.empty()
+            && view->runs.empty() && !view->cordoned
+            && m_dispatcher.isFresh(instance.worker, now);
+}
+
+void PoolBalancer::finishArrived(SteadyTimeMs now)
+{
+    for (auto item = m_progress.begin(); item != m_progress.end();) {
+        const Progress &progress = item->second;
+        const auto listed = m_instances.find(item->first);
+        const ServiceConfig *pool = m_book.service(progress.pool);
+        const bool inPool = listed != m_instances.end() && listed->second.pool == progress.pool
+                && listed->second.state == InstanceState::InService
+                && listed->second.worker != progress.worker;
+        // The worker of a standby pool never announces itself.
+        const bool arrived = inPool
+                && ((pool != nullptr && pool->standby)
+                    || m_book.worker(listed->second.worker) != nullptr);
+        if (progress.ordered && (arrived || now - progress.since >= m_rules.arrivalLimitMs)) {
+            item = m_progress.erase(item);
+        } else {
+            ++item;
+        }
+    }
+}
+
+std::vector<PoolFacts> PoolBalancer::facts(SteadyTimeMs now)
+{
+    std::map<std::string, PoolFacts> pools;
+    for (const ServiceConfig &service : m_book.configuration().services) {
+        PoolFacts &pool = pools[service.name];
+        pool.pool = service.name;
+        pool.standby = service.standby;
+        pool.waitingCoreMs = m_dispatcher.waitingWork(service.name);
+    }
+    for (const auto &[id, instance] : m_instances) {
+        const auto moving = m_progress.find(id);
+        const auto pool =
+                pools.find(moving != m_progress.end() ? moving->second.pool : instance.pool);
+        if (pool == pools.end()) {
+            continue;
+        }
+        PoolFacts &facts = pool->second;
+        if (moving != m_progress.end()) {
+            ++facts.instances;
+            continue;
+        }
+        if (instance.state != InstanceState::InService || m_maintenance.isBusy(id)) {
+            continue;
+        }
+        if (facts.standby) {
+            ++facts.instances;
+            continue;
+        }
+        const WorkerView *view = m_dispatcher.view(instance.worker);
+        const WorkerRecord *worker = m_book.worker(instance.worker);
+        if (view == nullptr || worker == nullptr || worker->draining
+            || !m_dispatcher.isFresh(instance.worker, now)) {
+            continue;
+        }
+        ++facts.instances;
+        facts.instanceMilli = std::max(facts.instanceMilli, worker->capacity.processorMilli);
+        const std::int64_t lasting = m_dispatcher.lastingProcessors(instance.worker);
+        facts.lastingMilli += lasting;
+        if (view->reserved.size() > m_dispatcher.shortRunsOn(instance.worker)) {
+            ++facts.pinned;
+        } else if (isEmpty(instance, now)) {
+            ++facts.empty;
+        }
+    }
+    std::vector<PoolFacts> result;
+    for (auto &[name, pool] : pools) {
+        const bool surplus = wantedInstances(pool, m_rules.demand) < pool.instances;
+        SteadyTimeMs &since = m_surplusSince[name];
+        if (!surplus || since == 0) {
+            since = now;
+        }
+        pool.surplusSince = since;
+        result.push_back(pool);
+    }
+    return result;
+}
+
+BalanceOrders PoolBalancer::step(SteadyTimeMs now)
+{
+    BalanceOrders orders;
+    finishArrived(now);
+    if (!m_instances.empty() && now - m_leadAt >= m_rules.takeoverMs) {
+        std::uint32_t left = m_rules.ordersPerStep;
+        for (const PoolTransfer &transfer : planTransfers(facts(now), m_rules.demand, now)) {
+            std::uint32_t wanted = std::min(transfer.count, left);
+            const ServiceConfig *from = m_book.service(transfer.from);
+            for (const auto &[id, instance] : m_instances) {
+                if (wanted == 0) {
+                    break;
+                }
+                const bool movable = instance.pool == transfer.from && !m_progress.contains(id)
+                        && !m_maintenance.isBusy(id)
+                        && instance.state == InstanceState::InService
+                        && !m_unfit.contains({id, transfer.to})
+                        && ((from != nullptr && from->standby) || isEmpty(instance, now));
+                if (!movable) {
+                    continue;
+                }
+                m_progress[id] = {transfer.to, instance.worker, false, now, now};
+                m_dispatcher.setCordoned(instance.worker, true);
+                m_dispatcher.setLeaving(instance.worker, true);
+                --wanted;
+                --left;
+                orders.notes.push_back({"move", id, 0, instance.worker,
+                                        transfer.from + ">" + transfer.to, now - m_leadAt});
+            }
+        }
+    }
+    for (auto &[id, progress] : m_progress) {
+        if (!progress.ordered && progress.nextOrderAt != 0 && now >= progress.nextOrderAt) {
+            progress.nextOrderAt = 0;
+            orders.moves.push_back({id, progress.pool});
+        }
+    }
+    std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
+    std::move(m_notes.begin(), m_notes.end(), std::back_inserter(orders.notes));
+    m_changes.clear();
+    m_notes.clear();
+    return orders;
+}
+
+void PoolBalancer::answered(const MoveOrder &order, std::optional<InstanceFault> fault,
+                            SteadyTimeMs now)
+{
+    const auto found = m_progress.find(order.instance);
+    if (found == m_progress.end()) {
+        return;
+    }
+    Progress &progress = found->second;
+    if (!fault) {
+        progress.ordered = true;
+        progress.since = now;
+        if (const WorkerRecord *worker = m_book.worker(progress.worker)) {
+            m_changes.emplace_back(WorkerLeft{worker->id, worker->born});
+        }
+        return;
+    }
+    m_notes.push_back({"move-refused", order.instance, 0, progress.worker,
+                       std::string(instanceFaultNames.name(*fault)), -1});
+    if (*fault == InstanceFault::NoAnswer || *fault == InstanceFault::Throttled) {
+        // It may have begun; the same order again tells.
+        progress.nextOrderAt = now + m_rules.retryMs;
+        return;
+    }
+    if (*fault == InstanceFault::Invalid) {
+        m_unfit.insert({order.instance, order.pool});
+    }
+    m_dispatcher.setCordoned(progress.worker, false);
+    m_dispatcher.setLeaving(progress.worker, false);
+    m_progress.erase(found);
+}
+
+} // namespace dandelionloom
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -61,6 +61,8 @@
     /// Room of proposed and assigned tasks.
     TaskResources used;
     std::map<TaskKey, TaskResources> reserved;
+    /// Lasting tasks among them.
+    std::uint32_t lastingRuns = 0;
     std::uint32_t failuresInRow = 0;
     std::set<std::string> failedJobs;
     SteadyTimeMs avoidUntil = 0;
