--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -247,14 +247,15 @@
         return;
     }
     m_listing = true;
-    m_instances.list([alive = std::weak_ptr(m_alive)](const auto &listed) {
+    m_instances.list([alive = std::weak_ptr(m_alive),
+                      readAt = steadyTimeNow()](const auto &listed) {
         const auto service = alive.lock();
         if (!service) {
             return;
         }
         (*service)->m_listing = false;
         if (isOk(listed)) {
-            (*service)->m_maintenance.listed(valueOf(listed), steadyTimeNow());
+            (*service)->m_maintenance.listed(valueOf(listed), readAt);
             (*service)->m_balancer.listed(valueOf(listed));
         } else {
             (*service)->m_log.line(LogSeverity::Warning, "instance-list",
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -469,7 +469,7 @@
     return count;
 }
 
-bool Dispatcher::mayTakeAway(const std::string &worker, SteadyTimeMs now) const
+std::string Dispatcher::takeAwayFault(const std::string &worker, SteadyTimeMs now) const
 {
     for (const TaskKey &task : m_book.tasksOf(worker)) {
         const JobRecord &job = *m_book.job(task.job);
@@ -498,10 +498,12 @@
             }
         }
         if (away + here > step.maxUnavailable) {
-            return false;
+            return taskName(task) + ": " + std::to_string(away) + " away and "
+                    + std::to_string(here) + " here of " + std::to_string(step.maxUnavailable)
+                    + " allowed";
         }
     }
-    return true;
+    return {};
 }
 
 const WorkerView *Dispatcher::view(const std::string &worker) const
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -64,12 +64,15 @@
     bool isFresh(const std::string &worker, SteadyTimeMs now) const;
     /// Runs on the worker that end by themselves soon.
     std::size_t shortRunsOn(const std::string &worker) const;
-    /// True if no step loses more lasting tasks than it allows when the worker goes.
-    bool mayTakeAway(const std::string &worker, SteadyTimeMs now) const;
+    /// A task that forbids that the worker goes, because its step would lose more lasting tasks
+    /// than it allows, and what of it is away already; empty if the worker may go.
+    std::string takeAwayFault(const std::string &worker, SteadyTimeMs now) const;
     /// Jobs without times whose tasks wait, and no task has started.
     std::size_t pendingJobs(const std::string &queue) const;
     /// Core-milliseconds of accepted work of a service that has not ended.
     double waitingWork(const std::string &service) const;
+    /// Workers that the widest step of lasting tasks needs to be spread as it asks.
+    std::uint32_t lastingSpread(const std::string &service) const;
     /// Thousandths of a core that lasting tasks hold on the worker.
     std::int64_t lastingProcessors(const std::string &worker) const;
     const WorkerView *view(const std::string &worker) const;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -16,6 +16,9 @@
 /// that does not fit may use the room it leaves, but a pass must not walk a whole backlog.
 constexpr std::uint32_t fruitlessSteps = 24;
 
+/// Outweighs everything else in the choice of a worker, but not that there is none else.
+constexpr double crowdedPenalty = 100;
+
 /// Workers named in one call to the advice service.
 constexpr std::size_t adviceWorkers = 30;
 
@@ -236,6 +239,11 @@
             score -= 10;
         }
         score -= view.failuresInRow;
+        if (step.lasting && step.maxUnavailable > 0
+            && runsOfStepOn(id, task) >= step.maxUnavailable) {
+            // Maintenance of the worker would take away more of the step than it allows.
+            score -= crowdedPenalty;
+        }
         if (!step.dataRack.empty() && worker.rack == step.dataRack) {
             score += 4;
         }
@@ -355,6 +363,25 @@
     return work / 1000;
 }
 
+std::uint32_t Dispatcher::lastingSpread(const std::string &service) const
+{
+    std::uint32_t spread = 0;
+    for (const std::string &id : m_activeJobs) {
+        const JobRecord *job = m_book.job(id);
+        if (job == nullptr || job->phase != JobPhase::Active || serviceOf(*job) != service) {
+            continue;
+        }
+        for (const StepSpec &step : job->spec.steps) {
+            const std::uint32_t perWorker =
+                    std::max(step.maxPerWorker, step.maxUnavailable);
+            if (step.lasting && perWorker > 0) {
+                spread = std::max(spread, (step.count + perWorker - 1) / perWorker);
+            }
+        }
+    }
+    return spread;
+}
+
 std::int64_t Dispatcher::lastingProcessors(const std::string &worker) const
 {
     const auto found = m_workers.find(worker);
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -39,8 +39,10 @@
                            [](const auto &item) { return !item.second.isCompleted(); });
 }
 
-void MaintenancePlanner::listed(const std::vector<ListedInstance> &instances, SteadyTimeMs)
+void MaintenancePlanner::listed(const std::vector<ListedInstance> &instances,
+                                SteadyTimeMs readAt)
 {
+    m_listedAt = readAt;
     m_instances.clear();
     for (const ListedInstance &instance : instances) {
         m_instances[instance.instance] = instance;
@@ -145,9 +147,12 @@
     for (auto item = m_progress.begin(); item != m_progress.end();) {
         Progress &progress = item->second;
         const auto listed = m_instances.find(item->first);
-        const bool back = progress.phase == Phase::Away && listed != m_instances.end()
+        // A reading from before the order still shows the instance in service. In a standby pool
+        // no worker tells the difference.
+        const bool back = progress.phase == Phase::Away && m_listedAt > progress.since
+                && listed != m_instances.end()
                 && listed->second.state == InstanceState::InService
-                && listed->second.worker != progress.worker;
+                && (progress.worker.empty() || listed->second.worker != progress.worker);
         const bool overdue =
                 progress.phase == Phase::Away && now - progress.since >= m_rules.returnLimitMs;
         if (back || overdue) {
@@ -185,7 +190,8 @@
     std::uint32_t away = awayCount(wave);
     std::uint32_t preparing = 0;
     for (auto &[instance, progress] : m_progress) {
-        if (progress.wave != wave.id || isFinished(wave, instance)) {
+        if (progress.wave != wave.id || progress.phase == Phase::Away
+            || isFinished(wave, instance)) {
             continue;
         }
         if (progress.phase == Phase::Ordered) {
@@ -198,8 +204,14 @@
         ++preparing;
         const bool empty = m_dispatcher.shortRunsOn(progress.worker) == 0
                 || now - progress.since >= m_rules.drainLimitMs;
-        if (!empty || now < progress.nextOrderAt || away >= wave.maxAtOnce
-            || !m_dispatcher.mayTakeAway(progress.worker, now)) {
+        if (!empty || now < progress.nextOrderAt || away >= wave.maxAtOnce) {
+            continue;
+        }
+        const std::string fault = m_dispatcher.takeAwayFault(progress.worker, now);
+        if (!fault.empty()) {
+            progress.nextOrderAt = now + m_rules.retryMs;
+            orders.notes.push_back(
+                    {"maintenance-waits", instance, 0, progress.worker, fault, 0});
             continue;
         }
         progress.phase = Phase::Ordered;
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -49,7 +49,8 @@
     MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher, MaintenanceRules rules);
 
     void lead(SteadyTimeMs now);
-    void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs now);
+    /// `readAt` is when the reading was begun.
+    void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt);
     void answered(const MaintenanceOrder &order, std::optional<InstanceFault> fault,
                   SteadyTimeMs now);
     MaintenanceOrders step(SteadyTimeMs now);
@@ -79,6 +80,7 @@
     const MaintenanceRules m_rules;
     SteadyTimeMs m_leadAt = 0;
     std::map<std::string, ListedInstance> m_instances;
+    SteadyTimeMs m_listedAt = 0;
     std::map<std::string, std::uint32_t> m_missing;
     std::map<std::string, Progress> m_progress;
     std::vector<JobChange> m_changes;
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -64,6 +64,7 @@
         PoolFacts &pool = pools[service.name];
         pool.pool = service.name;
         pool.standby = service.standby;
+        pool.lastingSpread = m_dispatcher.lastingSpread(service.name);
         pool.waitingCoreMs = m_dispatcher.waitingWork(service.name);
     }
     for (const auto &[id, instance] : m_instances) {
--- a/Source/Scheduling/PoolDemand.cpp
+++ b/Source/Scheduling/PoolDemand.cpp
@@ -45,7 +45,7 @@
             + static_cast<double>(pool.lastingMilli);
     const auto instances = static_cast<std::uint32_t>(
             std::ceil(coresMilli / static_cast<double>(std::max<std::int64_t>(pool.instanceMilli, 1))));
-    return std::max({instances, pool.pinned, 1U});
+    return std::max({instances, pool.pinned, pool.lastingSpread, 1U});
 }
 
 std::vector<PoolTransfer> planTransfers(const std::vector<PoolFacts> &pools,
--- a/Source/Scheduling/PoolDemand.h
+++ b/Source/Scheduling/PoolDemand.h
@@ -31,6 +31,8 @@
     std::uint32_t instances = 0;
     /// Instances that hold lasting tasks and stay.
     std::uint32_t pinned = 0;
+    /// Workers that the widest step of lasting tasks is spread over.
+    std::uint32_t lastingSpread = 0;
     /// Instances that hold no task at all and could leave at once.
     std::uint32_t empty = 0;
     /// Core-milliseconds of accepted work that has not ended.
