--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -26,6 +26,16 @@
     std::int64_t clockMs = -1;
 };
 
+/// What the accepted jobs of one service ask for, lasting tasks and tasks that fill left out.
+struct ServiceDemand
+{
+    /// Core-milliseconds of work that has not ended.
+    double waitingCoreMs = 0;
+    /// Thousandths of a core of all tasks that run or could start now. More room than this is of
+    /// no use, however long the work that depends on them.
+    std::int64_t runnableMilli = 0;
+};
+
 /// Decides for the leader which task runs where, and keeps workers' leases. A step function without
 /// I/O, clock or threads: events and the time go in, orders and their reasons come out. All it
 /// knows beyond the JobBook it learns again from the workers in a new term.
@@ -69,8 +79,7 @@
     std::string takeAwayFault(const std::string &worker, SteadyTimeMs now) const;
     /// Jobs without times whose tasks wait, and no task has started.
     std::size_t pendingJobs(const std::string &queue) const;
-    /// Core-milliseconds of accepted work of a service that has not ended.
-    double waitingWork(const std::string &service) const;
+    ServiceDemand demandOf(const std::string &service) const;
     /// Workers that the widest step of lasting tasks needs to be spread as it asks.
     std::uint32_t lastingSpread(const std::string &service) const;
     /// Thousandths of a core that lasting tasks hold on the worker.
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -22,6 +22,19 @@
 /// Workers named in one call to the advice service.
 constexpr std::size_t adviceWorkers = 30;
 
+constexpr double milliPerCore = 1000;
+
+/// True if all steps that the step depends on have ended.
+bool isReady(const StepSpec &step, const OccurrenceRecord &occurrence)
+{
+    return std::all_of(step.dependsOn.begin(), step.dependsOn.end(),
+                       [&occurrence](std::uint32_t needed) {
+                           return needed < occurrence.steps.size()
+                                   && occurrence.steps[needed].doneCount
+                                   == occurrence.steps[needed].tasks.size();
+                       });
+}
+
 } // namespace
 
 std::string Dispatcher::serviceOf(const JobRecord &job) const
@@ -68,13 +81,7 @@
         for (std::uint32_t step = 0; step < record.steps.size(); ++step) {
             const StepSpec &spec = job.spec.steps[step];
             const StepRecord &state = record.steps[step];
-            const bool ready = std::all_of(
-                    spec.dependsOn.begin(), spec.dependsOn.end(), [&record](std::uint32_t needed) {
-                        return needed < record.steps.size()
-                                && record.steps[needed].doneCount
-                                == record.steps[needed].tasks.size();
-                    });
-            if (!ready || state.doneCount == state.tasks.size()) {
+            if (!isReady(spec, record) || state.doneCount == state.tasks.size()) {
                 continue;
             }
             Waiting waiting{{job.spec.id, occurrence, step}, {}, {}};
@@ -339,9 +346,9 @@
     return nullptr;
 }
 
-double Dispatcher::waitingWork(const std::string &service) const
+ServiceDemand Dispatcher::demandOf(const std::string &service) const
 {
-    double work = 0;
+    ServiceDemand demand;
     for (const std::string &id : m_activeJobs) {
         const JobRecord *job = m_book.job(id);
         if (job == nullptr || job->phase != JobPhase::Active || serviceOf(*job) != service) {
@@ -351,16 +358,21 @@
         for (const OccurrenceRecord &occurrence : job->occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepSpec &spec = job->spec.steps[step];
-                if (!spec.lasting && !spec.fills) {
-                    work += static_cast<double>(occurrence.steps[step].tasks.size()
-                                                - occurrence.steps[step].doneCount)
-                            * static_cast<double>(spec.need.processorMilli)
-                            * static_cast<double>(stepMs[step]);
+                if (spec.lasting || spec.fills) {
+                    continue;
+                }
+                const auto left = static_cast<std::int64_t>(
+                        occurrence.steps[step].tasks.size() - occurrence.steps[step].doneCount);
+                const std::int64_t milli = left * spec.need.processorMilli;
+                demand.waitingCoreMs += static_cast<double>(milli)
+                        * static_cast<double>(stepMs[step]) / milliPerCore;
+                if (isReady(spec, occurrence)) {
+                    demand.runnableMilli += milli;
                 }
             }
         }
     }
-    return work / 1000;
+    return demand;
 }
 
 std::uint32_t Dispatcher::lastingSpread(const std::string &service) const
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -65,7 +65,9 @@
         pool.pool = service.name;
         pool.standby = service.standby;
         pool.lastingSpread = m_dispatcher.lastingSpread(service.name);
-        pool.waitingCoreMs = m_dispatcher.waitingWork(service.name);
+        const ServiceDemand demand = m_dispatcher.demandOf(service.name);
+        pool.waitingCoreMs = demand.waitingCoreMs;
+        pool.runnableMilli = demand.runnableMilli;
     }
     for (const auto &[id, instance] : m_instances) {
         const auto moving = m_progress.find(id);
--- a/Source/Scheduling/PoolDemand.cpp
+++ b/Source/Scheduling/PoolDemand.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double millisecondsPerSecond = 1000;
-
 struct Balance
 {
     const PoolFacts *facts = nullptr;
@@ -39,9 +37,9 @@
 
 std::uint32_t wantedInstances(const PoolFacts &pool, const PoolDemandRules &rules)
 {
+    const double drainMilli = pool.waitingCoreMs / rules.drainSeconds;
     const double coresMilli =
-            pool.waitingCoreMs / (rules.drainSeconds * millisecondsPerSecond) * millisecondsPerSecond
-                    * rules.headroom
+            std::min(drainMilli, static_cast<double>(pool.runnableMilli)) * rules.headroom
             + static_cast<double>(pool.lastingMilli);
     const auto instances = static_cast<std::uint32_t>(
             std::ceil(coresMilli / static_cast<double>(std::max<std::int64_t>(pool.instanceMilli, 1))));
--- a/Source/Scheduling/PoolDemand.h
+++ b/Source/Scheduling/PoolDemand.h
@@ -13,7 +13,7 @@
 {
     /// Time in which the waiting work of a pool is to be done. A job's objective allows it to wait
     /// about as long as its work takes, so a backlog of a second is still in time.
-    double drainSeconds = 1.0;
+    double drainSeconds = 0.6;
     /// Instances beyond the computed need: run times vary, and rounding loses part of an instance.
     double headroom = 1.15;
     /// Surplus must have lasted this long before an instance is parked. A move and its way back
@@ -37,6 +37,8 @@
     std::uint32_t empty = 0;
     /// Core-milliseconds of accepted work that has not ended.
     double waitingCoreMs = 0;
+    /// Thousandths of a core of all short tasks that run or could start now.
+    std::int64_t runnableMilli = 0;
     /// Thousandths of a core that lasting tasks hold.
     std::int64_t lastingMilli = 0;
     /// Thousandths of a core of one instance.
