--- a/Source/Scheduling/PoolDemand.cpp
+++ b/Source/Scheduling/PoolDemand.cpp
@@ -39,7 +39,8 @@
 {
     const double drainMilli = pool.waitingCoreMs / rules.drainSeconds;
     const double coresMilli =
-            std::min(drainMilli, static_cast<double>(pool.runnableMilli)) * rules.headroom
+            std::min(drainMilli * rules.headroom,
+                     static_cast<double>(pool.runnableMilli) * rules.growth)
             + static_cast<double>(pool.lastingMilli);
     const auto instances = static_cast<std::uint32_t>(
             std::ceil(coresMilli / static_cast<double>(std::max<std::int64_t>(pool.instanceMilli, 1))));
--- a/Source/Scheduling/PoolDemand.h
+++ b/Source/Scheduling/PoolDemand.h
@@ -14,8 +14,10 @@
     /// Time in which the waiting work of a pool is to be done. A job's objective allows it to wait
     /// about as long as its work takes, so a backlog of a second is still in time.
     double drainSeconds = 0.6;
-    /// Instances beyond the computed need: run times vary, and rounding loses part of an instance.
+    /// Room beyond the computed need: run times vary, and rounding loses part of an instance.
     double headroom = 1.15;
+    /// Room for tasks that can run now, and for those that follow while an instance moves.
+    double growth = 1.5;
     /// Surplus must have lasted this long before an instance is parked. A move and its way back
     /// cost as much as an instance that idles for about three seconds.
     std::int64_t parkAfterMs = 2500;
