Scheduling: Record orders for instances, and count late ends of lost runs

Change: orders are journalled before they are sent, planners claim instances, a late good end finishes its task. Test: DispatcherTest::doneBehindPartition. Open: maintenance waves fall behind since the claims.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -28,8 +28,9 @@
     : m_loop(loop), m_options(std::move(options)), m_log(log), m_metrics(metrics),
       m_workers(workers), m_instances(instances), m_alive(std::make_shared<JobService *>(this)),
       m_dispatcher(m_book, m_options.dispatch),
-      m_maintenance(m_book, m_dispatcher, m_options.maintenance),
-      m_balancer(m_book, m_dispatcher, m_maintenance, m_options.balance)
+      m_orderLog(m_options.orderPauseMs),
+      m_maintenance(m_book, m_dispatcher, m_orderLog, m_options.maintenance),
+      m_balancer(m_book, m_dispatcher, m_orderLog, m_maintenance, m_options.balance)
 { }
 
 JobService::~JobService()
@@ -116,9 +117,21 @@
 void JobService::apply(const JobChange &change)
 {
     m_book.apply(change);
-    if (m_leading) {
-        m_dispatcher.applied(change, steadyTimeNow());
-        answerWaiters(change);
+    const auto *ordered = std::get_if<InstanceOrdered>(&change);
+    if (ordered != nullptr) {
+        m_orderLog.applied(*ordered, steadyTimeNow());
+    }
+    if (!m_leading) {
+        return;
+    }
+    m_dispatcher.applied(change, steadyTimeNow());
+    answerWaiters(change);
+    if (ordered != nullptr && ordered->term == m_status.term) {
+        const auto order = m_recordedOrders.extract(ordered->instance);
+        // Without a lease another leader may already have given its own order.
+        if (order) {
+            order.mapped()(leads());
+        }
     }
 }
 
@@ -127,8 +140,9 @@
     const SteadyTimeMs now = steadyTimeNow();
     m_leading = true;
     m_dispatcher.lead(now);
-    m_maintenance.lead(now);
-    m_balancer.lead(now);
+    m_orderLog.releaseAll();
+    m_maintenance.lead(m_status.term, now);
+    m_balancer.lead(m_status.term, now);
     m_log.line(LogSeverity::Info, "lead",
                {{"term", static_cast<std::int64_t>(m_status.term)},
                 {"jobs", static_cast<std::int64_t>(m_book.jobs().size())},
@@ -143,6 +157,7 @@
     m_leading = false;
     m_dispatcher.resign();
     m_outgoing.clear();
+    m_recordedOrders.clear();
     m_log.line(LogSeverity::Info, "step-down",
                {{"term", static_cast<std::int64_t>(m_status.term)}, {"leader", m_status.leader}});
     std::multimap<std::string, Waiter> waiters;
@@ -264,6 +279,12 @@
     });
 }
 
+void JobService::recordOrder(const std::string &instance, std::function<void(bool)> send)
+{
+    m_outgoing.emplace_back(InstanceOrdered{instance, m_status.term});
+    m_recordedOrders[instance] = std::move(send);
+}
+
 void JobService::writeNotes(const std::vector<DispatchNote> &notes)
 {
     for (const DispatchNote &note : notes) {
@@ -351,15 +372,21 @@
     const std::weak_ptr<JobService *> alive = m_alive;
     const OrderAuthority authority{m_options.name, m_status.term};
     for (const MaintenanceOrder &order : orders.begin) {
-        m_instances.beginMaintenance(
-                order.instance, order.wave, authority,
-                [alive, order](std::optional<InstanceFault> fault) {
-                    if (const auto service = alive.lock()) {
-                        (*service)->m_maintenance.answered(order, fault, steadyTimeNow());
-                        (*service)->m_nextMaintenance = 0;
-                        (*service)->scheduleFlush();
-                    }
-                });
+        recordOrder(order.instance, [this, alive, authority, order](bool mayAct) {
+            if (!mayAct) {
+                m_maintenance.answered(order, InstanceFault::NotSent, steadyTimeNow());
+                return;
+            }
+            m_instances.beginMaintenance(
+                    order.instance, order.wave, authority,
+                    [alive, order](std::optional<InstanceFault> fault) {
+                        if (const auto service = alive.lock()) {
+                            (*service)->m_maintenance.answered(order, fault, steadyTimeNow());
+                            (*service)->m_nextMaintenance = 0;
+                            (*service)->scheduleFlush();
+                        }
+                    });
+        });
     }
     m_outgoing.insert(m_outgoing.end(), orders.changes.begin(), orders.changes.end());
 }
@@ -370,13 +397,20 @@
     const std::weak_ptr<JobService *> alive = m_alive;
     const OrderAuthority authority{m_options.name, m_status.term};
     for (const MoveOrder &order : orders.moves) {
-        m_instances.move(order.instance, order.pool, authority,
-                         [alive, order](std::optional<InstanceFault> fault) {
-                             if (const auto service = alive.lock()) {
-                                 (*service)->m_balancer.answered(order, fault, steadyTimeNow());
-                                 (*service)->scheduleFlush();
-                             }
-                         });
+        recordOrder(order.instance, [this, alive, authority, order](bool mayAct) {
+            if (!mayAct) {
+                m_balancer.answered(order, InstanceFault::NotSent, steadyTimeNow());
+                return;
+            }
+            m_instances.move(order.instance, order.pool, authority,
+                             [alive, order](std::optional<InstanceFault> fault) {
+                                 if (const auto service = alive.lock()) {
+                                     (*service)->m_balancer.answered(order, fault,
+                                                                     steadyTimeNow());
+                                     (*service)->scheduleFlush();
+                                 }
+                             });
+        });
     }
     m_outgoing.insert(m_outgoing.end(), orders.changes.begin(), orders.changes.end());
 }
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -26,6 +26,8 @@
 {
     /// Own name, as peers call it, and as the holder of orders for instances.
     std::string name;
+    /// Orders of two leaders for one instance must be this far apart.
+    std::int64_t orderPauseMs = 4000;
     DispatchRules dispatch;
     MaintenanceRules maintenance;
     BalanceRules balance;
@@ -83,6 +85,7 @@
     void carryOut(DispatchOrders orders);
     void carryOut(const MaintenanceOrders &orders);
     void carryOut(const BalanceOrders &orders);
+    void recordOrder(const std::string &instance, std::function<void(bool)> send);
     void writeNotes(const std::vector<DispatchNote> &notes);
 
     void submit(const JobCall &call, const JobReply &reply);
@@ -107,6 +110,7 @@
 
     JobBook m_book;
     Dispatcher m_dispatcher;
+    InstanceOrderLog m_orderLog;
     MaintenancePlanner m_maintenance;
     PoolBalancer m_balancer;
     JournalStatus m_status;
@@ -121,6 +125,9 @@
     SteadyTimeMs m_nextMaintenance = 0;
     bool m_listing = false;
     std::multimap<std::string, Waiter> m_waiters;
+    /// Orders by instance that wait for their record. Called with false if the lease was lost
+    /// meanwhile and the order must not be given.
+    std::map<std::string, std::function<void(bool)>> m_recordedOrders;
 };
 
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -20,8 +20,9 @@
     std::int64_t leaseMs = 4500;
     /// Share by which a worker's clock may be slow.
     double clockDrift = 0.02;
-    /// Time for messages under way and late timers when a lease is held to have ended.
-    std::int64_t lapseMarginMs = 150;
+    /// Time for late timers when a lease is held to have ended. A start that a partition held up
+    /// was carried out 0.2 s after the lease it carried.
+    std::int64_t lapseMarginMs = 500;
     /// A worker takes at most this long to stop a task.
     std::int64_t stopGraceMs = 400;
     /// Longest wait of one renewal for an end. A renewal is lost and repeated twice within a lease.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -108,11 +108,13 @@
         m_proposedEnds.erase({ended->task, ended->run});
         for (auto &[id, view] : m_workers) {
             const auto run = view.runs.find(ended->task);
-            if (run != view.runs.end() && run->second.run == ended->run) {
+            if (run == view.runs.end()) {
+                continue;
+            }
+            if (run->second.run == ended->run) {
                 noteEnd(*ended, id, now);
-                syncRuns(id, now);
-                break;
             }
+            syncRuns(id, now);
         }
         for (auto &[id, ends] : m_endsUnderWay) {
             std::erase_if(ends, [&](const auto &item) {
@@ -302,7 +304,11 @@
     }
     view.proposedEnd = row.number;
     const auto found = view.runs.find(row.task);
-    if (found == view.runs.end() || found->second.run != row.run) {
+    const bool assigned = found != view.runs.end() && found->second.run == row.run;
+    const TaskRecord *task = m_book.task(row.task);
+    const bool doneAfterAll =
+            row.how == RunEnd::Done && task != nullptr && task->phase != TaskPhase::Done;
+    if (!assigned && !doneAfterAll) {
         return;
     }
     m_endsUnderWay[worker][row.number] = {row.task, row.run};
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -228,7 +228,9 @@
             static_cast<double>(m_rules.maxLeaseMs + m_rules.lapseMarginMs)
             / (1 - m_rules.clockDrift));
     for (auto &[id, view] : m_workers) {
-        if (view.lapsed || view.runs.empty() || now - m_leadAt < earlierMs) {
+        // A worker that answers tells itself what has ended.
+        if (view.lapsed || view.runs.empty() || now - m_leadAt < earlierMs
+            || view.renewFailures == 0) {
             continue;
         }
         if (view.clockMs
--- a/Source/Scheduling/JobBook.cpp
+++ b/Source/Scheduling/JobBook.cpp
@@ -150,10 +150,19 @@
 void JobBook::on(const RunEnded &change)
 {
     TaskRecord *task = findTask(change.task);
-    if (task == nullptr || task->phase != TaskPhase::Assigned || task->run != change.run) {
+    if (task == nullptr || task->phase == TaskPhase::Done) {
         return;
     }
-    endRun(m_jobs.at(change.task.job), change);
+    JobRecord &job = m_jobs.at(change.task.job);
+    if (task->phase == TaskPhase::Assigned && task->run == change.run) {
+        endRun(job, change);
+        return;
+    }
+    const StepSpec &step = job.spec.steps[change.task.step];
+    if (change.how == RunEnd::Done && change.run <= task->run && !step.lasting && !step.gang) {
+        // A run that was held for lost has ended well after all; the task must not run again.
+        finishTask(job, change.task, change.atMs);
+    }
 }
 
 void JobBook::endRun(JobRecord &job, const RunEnded &change)
--- a/Source/Scheduling/JobBook.h
+++ b/Source/Scheduling/JobBook.h
@@ -103,6 +103,8 @@
     void on(const JobForgotten &change);
     void on(const WaveStarted &change);
     void on(const MaintenanceBegun &change);
+    /// Kept by InstanceOrderLog, as it is needed for seconds only.
+    void on(const InstanceOrdered &) { }
 
     TaskRecord *findTask(const TaskKey &key);
     void loseRunsOf(const std::string &worker);
--- a/Source/Scheduling/JobChanges.h
+++ b/Source/Scheduling/JobChanges.h
@@ -86,10 +86,18 @@
     MSGPACK_DEFINE_ARRAY(wave, instance)
 };
 
+/// Written before an order for an instance is sent to its provider.
+struct InstanceOrdered
+{
+    std::string instance;
+    std::uint64_t term = 0;
+    MSGPACK_DEFINE_ARRAY(instance, term)
+};
+
 /// The position is on disk: only append.
 using JobChange = std::variant<ConfigurationAccepted, JobAccepted, JobCancelled, RunAssigned,
                                RunEnded, WorkerJoined, WorkerLeft, JobForgotten, WaveStarted,
-                               MaintenanceBegun>;
+                               MaintenanceBegun, InstanceOrdered>;
 
 struct JobChangeError
 {
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -18,12 +18,13 @@
 } // namespace
 
 MaintenancePlanner::MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher,
-                                       MaintenanceRules rules)
-    : m_book(book), m_dispatcher(dispatcher), m_rules(rules)
+                                       InstanceOrderLog &orderLog, MaintenanceRules rules)
+    : m_book(book), m_dispatcher(dispatcher), m_orderLog(orderLog), m_rules(rules)
 { }
 
-void MaintenancePlanner::lead(SteadyTimeMs now)
+void MaintenancePlanner::lead(std::uint64_t term, SteadyTimeMs now)
 {
+    m_term = term;
     m_leadAt = now;
     m_instances.clear();
     m_missing.clear();
@@ -67,6 +68,7 @@
         m_dispatcher.setCordoned(found->second.worker, false);
         m_dispatcher.setLeaving(found->second.worker, false);
         m_progress.erase(found);
+        m_orderLog.release(instance);
     }
 }
 
@@ -121,13 +123,15 @@
     return away;
 }
 
-std::vector<std::string> MaintenancePlanner::candidates(const MaintenanceWave &wave) const
+std::vector<std::string> MaintenancePlanner::candidates(const MaintenanceWave &wave,
+                                                        SteadyTimeMs now) const
 {
     std::vector<std::pair<std::int64_t, std::string>> ranked;
     for (const std::string &instance : wave.instances) {
         const auto listed = m_instances.find(instance);
         if (isFinished(wave, instance) || m_progress.contains(instance)
-            || listed == m_instances.end() || listed->second.state != InstanceState::InService) {
+            || listed == m_instances.end() || listed->second.state != InstanceState::InService
+            || !m_orderLog.mayOrder(instance, m_term, now)) {
             continue;
         }
         const WorkerView *view = m_dispatcher.view(listed->second.worker);
@@ -158,6 +162,7 @@
         if (back || overdue) {
             orders.notes.push_back({"maintenance-ended", item->first, 0, progress.worker,
                                     back ? "returned" : "overdue", now - progress.since});
+            m_orderLog.release(item->first);
             item = m_progress.erase(item);
         } else {
             ++item;
@@ -184,7 +189,7 @@
 void MaintenancePlanner::stepWave(const MaintenanceWave &wave, SteadyTimeMs now,
                                   MaintenanceOrders &orders)
 {
-    if (m_instances.empty() || now - m_leadAt < m_rules.takeoverMs) {
+    if (m_instances.empty()) {
         return;
     }
     std::uint32_t away = awayCount(wave);
@@ -224,10 +229,13 @@
                                 "wave-" + std::to_string(wave.id), now - progress.since});
     }
     const std::uint32_t wanted = std::max(wave.maxAtOnce, away) - away + preparedAhead;
-    for (const std::string &instance : candidates(wave)) {
+    for (const std::string &instance : candidates(wave, now)) {
         if (preparing >= wanted) {
             return;
         }
+        if (!m_orderLog.claim(instance)) {
+            continue;
+        }
         const std::string &worker = m_instances.at(instance).worker;
         m_progress[instance] = {wave.id, Phase::Preparing, now, 0, worker};
         m_dispatcher.setCordoned(worker, true);
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -9,14 +9,13 @@
 
 #include "Ports/InstanceCalls.h"
 #include "Scheduling/Dispatcher.h"
+#include "Scheduling/InstanceOrderLog.h"
 #include "Scheduling/JobBook.h"
 
 namespace dandelionloom {
 
 struct MaintenanceRules
 {
-    /// An earlier leader's orders for an instance must not alternate with those of this one.
-    std::int64_t takeoverMs = 3500;
     /// Longest wait for short tasks to end before maintenance takes what is left.
     std::int64_t drainLimitMs = 4000;
     /// Pause before an order that was refused is repeated.
@@ -46,9 +45,10 @@
 class MaintenancePlanner
 {
 public:
-    MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher, MaintenanceRules rules);
+    MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher,
+                       InstanceOrderLog &orderLog, MaintenanceRules rules);
 
-    void lead(SteadyTimeMs now);
+    void lead(std::uint64_t term, SteadyTimeMs now);
     /// `readAt` is when the reading was begun.
     void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt);
     void answered(const MaintenanceOrder &order, std::optional<InstanceFault> fault,
@@ -72,13 +72,15 @@
     void stepWave(const MaintenanceWave &wave, SteadyTimeMs now, MaintenanceOrders &orders);
     void finishReturned(SteadyTimeMs now, MaintenanceOrders &orders);
     std::uint32_t awayCount(const MaintenanceWave &wave) const;
-    std::vector<std::string> candidates(const MaintenanceWave &wave) const;
+    std::vector<std::string> candidates(const MaintenanceWave &wave, SteadyTimeMs now) const;
     void release(const std::string &instance);
 
     const JobBook &m_book;
     Dispatcher &m_dispatcher;
+    InstanceOrderLog &m_orderLog;
     const MaintenanceRules m_rules;
     SteadyTimeMs m_leadAt = 0;
+    std::uint64_t m_term = 0;
     std::map<std::string, ListedInstance> m_instances;
     SteadyTimeMs m_listedAt = 0;
     std::map<std::string, std::uint32_t> m_missing;
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -5,12 +5,15 @@
 namespace dandelionloom {
 
 PoolBalancer::PoolBalancer(const JobBook &book, Dispatcher &dispatcher,
+                           InstanceOrderLog &orderLog,
                            const MaintenancePlanner &maintenance, BalanceRules rules)
-    : m_book(book), m_dispatcher(dispatcher), m_maintenance(maintenance), m_rules(rules)
+    : m_book(book), m_dispatcher(dispatcher), m_orderLog(orderLog), m_maintenance(maintenance),
+      m_rules(rules)
 { }
 
-void PoolBalancer::lead(SteadyTimeMs now)
+void PoolBalancer::lead(std::uint64_t term, SteadyTimeMs now)
 {
+    m_term = term;
     m_leadAt = now;
     m_instances.clear();
     m_progress.clear();
@@ -50,6 +53,7 @@
                 && ((pool != nullptr && pool->standby)
                     || m_book.worker(listed->second.worker) != nullptr);
         if (progress.ordered && (arrived || now - progress.since >= m_rules.arrivalLimitMs)) {
+            m_orderLog.release(item->first);
             item = m_progress.erase(item);
         } else {
             ++item;
@@ -121,7 +125,7 @@
 {
     BalanceOrders orders;
     finishArrived(now);
-    if (!m_instances.empty() && now - m_leadAt >= m_rules.takeoverMs) {
+    if (!m_instances.empty()) {
         std::uint32_t left = m_rules.ordersPerStep;
         for (const PoolTransfer &transfer : planTransfers(facts(now), m_rules.demand, now)) {
             std::uint32_t wanted = std::min(transfer.count, left);
@@ -134,8 +138,9 @@
                         && !m_maintenance.isBusy(id)
                         && instance.state == InstanceState::InService
                         && !m_unfit.contains({id, transfer.to})
+                        && m_orderLog.mayOrder(id, m_term, now)
                         && ((from != nullptr && from->standby) || isEmpty(instance, now));
-                if (!movable) {
+                if (!movable || !m_orderLog.claim(id)) {
                     continue;
                 }
                 m_progress[id] = {transfer.to, instance.worker, false, now, now};
@@ -189,6 +194,7 @@
     }
     m_dispatcher.setCordoned(progress.worker, false);
     m_dispatcher.setLeaving(progress.worker, false);
+    m_orderLog.release(order.instance);
     m_progress.erase(found);
 }
 
--- a/Source/Scheduling/PoolBalancer.h
+++ b/Source/Scheduling/PoolBalancer.h
@@ -10,6 +10,7 @@
 
 #include "Ports/InstanceCalls.h"
 #include "Scheduling/Dispatcher.h"
+#include "Scheduling/InstanceOrderLog.h"
 #include "Scheduling/MaintenancePlanner.h"
 #include "Scheduling/PoolDemand.h"
 
@@ -18,8 +19,6 @@
 struct BalanceRules
 {
     PoolDemandRules demand;
-    /// An earlier leader's orders for an instance must not alternate with those of this one.
-    std::int64_t takeoverMs = 3500;
     std::int64_t retryMs = 500;
     /// A moved instance whose worker does not appear within this time counts for no pool any more.
     std::int64_t arrivalLimitMs = 6000;
@@ -45,10 +44,10 @@
 class PoolBalancer
 {
 public:
-    PoolBalancer(const JobBook &book, Dispatcher &dispatcher, const MaintenancePlanner &maintenance,
-                 BalanceRules rules);
+    PoolBalancer(const JobBook &book, Dispatcher &dispatcher, InstanceOrderLog &orderLog,
+                 const MaintenancePlanner &maintenance, BalanceRules rules);
 
-    void lead(SteadyTimeMs now);
+    void lead(std::uint64_t term, SteadyTimeMs now);
     void listed(const std::vector<ListedInstance> &instances);
     void answered(const MoveOrder &order, std::optional<InstanceFault> fault, SteadyTimeMs now);
     BalanceOrders step(SteadyTimeMs now);
@@ -69,9 +68,11 @@
 
     const JobBook &m_book;
     Dispatcher &m_dispatcher;
+    InstanceOrderLog &m_orderLog;
     const MaintenancePlanner &m_maintenance;
     const BalanceRules m_rules;
     SteadyTimeMs m_leadAt = 0;
+    std::uint64_t m_term = 0;
     std::map<std::string, ListedInstance> m_instances;
     std::map<std::string, Progress> m_progress;
     std::map<std::string, SteadyTimeMs> m_surplusSince;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(wholePath);
     CPPUNIT_TEST(leaderChanges);
     CPPUNIT_TEST(lostWorkers);
+    CPPUNIT_TEST(doneBehindPartition);
     CPPUNIT_TEST(lostAnswers);
     CPPUNIT_TEST(failuresAndCancels);
     CPPUNIT_TEST(placementLimits);
@@ -132,6 +133,31 @@
         });
     }
 
+    /// Guards against a second run of a task whose worker was held for lost and had ended it well
+    /// behind a partition (chamdakam-loom scale-1, 49dd018c163a9cdd.0.0.1).
+    void doneBehindPartition()
+    {
+        for (const bool assignedAgain : {false, true}) {
+            JobBook book;
+            book.apply(WorkerJoined{{"w1", 1, "pricing", "10.0.0.1:1", "z", "", {}, {}, false}});
+            book.apply(WorkerJoined{{"w2", 1, "pricing", "10.0.0.2:1", "z", "", {}, {}, false}});
+            JobSpec spec;
+            spec.id = "a";
+            spec.steps = {shortStep(1)};
+            book.apply(JobAccepted{spec, queueOf("quotes", "pricing"), 1});
+            const TaskKey task{"a", 0, 0, 0};
+            book.apply(RunAssigned{task, 1, "w1"});
+            book.apply(RunEnded{task, 1, RunEnd::WorkerLost, {}, 2});
+            if (assignedAgain) {
+                book.apply(RunAssigned{task, 2, "w2"});
+            }
+            book.apply(RunEnded{task, 1, RunEnd::Done, {}, 3});
+            CPPUNIT_ASSERT(book.job("a")->phase == JobPhase::Completed);
+            CPPUNIT_ASSERT(book.tasksOf("w2").empty());
+            CPPUNIT_ASSERT(book.job("a")->isSettled());
+        }
+    }
+
     /// Guards against a task that is started elsewhere because the answer to its start was lost.
     void lostAnswers()
     {
--- a/Tests/Scheduling/FleetWorld.cpp
+++ b/Tests/Scheduling/FleetWorld.cpp
@@ -123,14 +123,14 @@
     ++term;
     dispatcher = std::make_unique<Dispatcher>(book, rules);
     MaintenanceRules maintenanceRules;
-    maintenanceRules.takeoverMs = 0;
     BalanceRules balanceRules;
-    balanceRules.takeoverMs = 0;
-    maintenance = std::make_unique<MaintenancePlanner>(book, *dispatcher, maintenanceRules);
-    balancer = std::make_unique<PoolBalancer>(book, *dispatcher, *maintenance, balanceRules);
+    maintenance = std::make_unique<MaintenancePlanner>(book, *dispatcher, orderLog,
+                                                       maintenanceRules);
+    balancer = std::make_unique<PoolBalancer>(book, *dispatcher, orderLog, *maintenance,
+                                              balanceRules);
     dispatcher->lead(now);
-    maintenance->lead(now);
-    balancer->lead(now);
+    maintenance->lead(term, now);
+    balancer->lead(term, now);
     m_nextList = now;
 }
 
--- a/Tests/Scheduling/FleetWorld.h
+++ b/Tests/Scheduling/FleetWorld.h
@@ -94,6 +94,7 @@
     [[noreturn]] void violated(const std::string &what) const;
 
     JobBook book;
+    InstanceOrderLog orderLog{4000};
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<MaintenancePlanner> maintenance;
     std::unique_ptr<PoolBalancer> balancer;
