--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -39,6 +39,10 @@
     std::int64_t quarantineMs = 6000;
     /// A run that shows no progress for this long is stopped and placed elsewhere.
     std::int64_t stallMs = 3500;
+    /// How long a lasting task waits for a worker that keeps its step spread. Instances that move
+    /// into the pool arrive within it, and it is well below the 3 s after which the task counts as
+    /// neglected.
+    std::int64_t spreadWaitMs = 2000;
     /// Share of a task's latency target at which the tasks that fill beside it are paused, so that
     /// the target holds with the 0.5 s that a reading is old and the 0.1 s that pacing takes.
     double paceTargetShare = 0.7;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -475,6 +475,53 @@
     return count;
 }
 
+std::pair<std::uint32_t, std::uint32_t>
+Dispatcher::awayAndHere(const TaskKey &task, const std::string &worker, SteadyTimeMs now) const
+{
+    const JobRecord &job = *m_book.job(task.job);
+    std::uint32_t away = 0;
+    std::uint32_t here = 0;
+    const auto &tasks = job.occurrences[task.occurrence].steps[task.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const std::string &place = tasks[index].worker;
+        const WorkerView *other = view(place);
+        const WorkerRecord *record = m_book.worker(place);
+        const TaskKey key{task.job, task.occurrence, task.step, index};
+        const bool works = other != nullptr && record != nullptr && !record->draining
+                && !other->leaving && isFresh(place, now) && other->runs.contains(key)
+                && other->runs.at(key).state == RunState::Running
+                && !other->runs.at(key).stopping && other->runs.at(key).percent >= 100;
+        if (place == worker && works) {
+            ++here;
+        } else if (!works) {
+            ++away;
+        }
+    }
+    return {away, here};
+}
+
+bool Dispatcher::evacuateOne(const std::string &worker, SteadyTimeMs now)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end()) {
+        return false;
+    }
+    for (auto &[task, run] : found->second.runs) {
+        const JobRecord *job = m_book.job(task.job);
+        if (job == nullptr || job->phase != JobPhase::Active
+            || run.state != RunState::Running || run.stopping) {
+            continue;
+        }
+        const StepSpec &step = job->spec.steps[task.step];
+        const auto [away, here] = awayAndHere(task, worker, now);
+        if (step.lasting && here > step.maxUnavailable && away < step.maxUnavailable) {
+            run.stopping = true;
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string Dispatcher::takeAwayFault(const std::string &worker, SteadyTimeMs now) const
 {
     for (const TaskKey &task : m_book.tasksOf(worker)) {
@@ -483,27 +530,8 @@
         if (!step.lasting || step.maxUnavailable == 0 || job.phase != JobPhase::Active) {
             continue;
         }
-        std::uint32_t away = 0;
-        std::uint32_t here = 0;
-        const auto &tasks = job.occurrences[task.occurrence].steps[task.step].tasks;
-        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-            if (tasks[index].worker == worker) {
-                ++here;
-                continue;
-            }
-            const WorkerView *other = view(tasks[index].worker);
-            const WorkerRecord *record = m_book.worker(tasks[index].worker);
-            const TaskKey key{task.job, task.occurrence, task.step, index};
-            const bool works = other != nullptr && record != nullptr && !record->draining
-                    && !other->leaving && isFresh(tasks[index].worker, now)
-                    && other->runs.contains(key)
-                    && other->runs.at(key).state == RunState::Running
-                    && other->runs.at(key).percent >= 100;
-            if (!works) {
-                ++away;
-            }
-        }
-        if (away + here > step.maxUnavailable) {
+        const auto [away, here] = awayAndHere(task, worker, now);
+        if (here > 0 && away + here > step.maxUnavailable) {
             return taskName(task) + ": " + std::to_string(away) + " away and "
                     + std::to_string(here) + " here of " + std::to_string(step.maxUnavailable)
                     + " allowed";
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -77,6 +77,9 @@
     /// A task that forbids that the worker goes, because its step would lose more lasting tasks
     /// than it allows, and what of it is away already; empty if the worker may go.
     std::string takeAwayFault(const std::string &worker, SteadyTimeMs now) const;
+    /// Stops one lasting task that may be away, so that it starts on another worker. For workers
+    /// that hold more of a step than may be taken away at once. False if there is none now.
+    bool evacuateOne(const std::string &worker, SteadyTimeMs now);
     /// Jobs without times whose tasks wait, and no task has started.
     std::size_t pendingJobs(const std::string &queue) const;
     ServiceDemand demandOf(const std::string &service) const;
@@ -108,6 +111,11 @@
         std::vector<std::uint32_t> indices;
     };
 
+    /// Lasting tasks of the task's step that are not at work on another worker, and those here.
+    std::pair<std::uint32_t, std::uint32_t> awayAndHere(const TaskKey &task,
+                                                        const std::string &worker,
+                                                        SteadyTimeMs now) const;
+
     // Runs and leases.
     void syncRuns(const std::string &worker, SteadyTimeMs now);
     void dropRun(const std::string &worker, const TaskKey &task);
@@ -130,12 +138,12 @@
     void collectWaiting(const JobRecord &job, WallTimeMs wallNow,
                         std::map<std::string, std::vector<Waiting>> &byService) const;
     void placeStep(const Waiting &waiting, const std::vector<std::string> &workers,
-                   SteadyTimeMs now, DispatchOrders &orders);
+                   SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const std::vector<std::string> &workers,
-                                            const Tickets *tickets) const;
+                                            const Tickets *tickets, WallTimeMs wallNow) const;
     bool placeGang(const JobRecord &job, const Waiting &waiting,
-                   const std::vector<std::string> &workers, SteadyTimeMs now,
+                   const std::vector<std::string> &workers, SteadyTimeMs now, WallTimeMs wallNow,
                    DispatchOrders &orders);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker,
                 SteadyTimeMs now, DispatchOrders &orders);
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -145,7 +145,7 @@
             run.nextStopAt = now + m_rules.stopGraceMs + m_rules.retryMs;
             orders.stops.push_back({id, record->address, task, run.run});
             orders.notes.push_back({"stop", taskName(task), run.run, id,
-                                    ended ? "job-ended" : "stalled", now - view.renewedAt});
+                                    ended ? "job-ended" : "placed-elsewhere", now - view.renewedAt});
         }
     }
     for (StopOrder &stray : m_strayStops) {
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -152,7 +152,7 @@
         std::uint32_t fruitless = 0;
         for (const Waiting &waiting : steps) {
             const std::size_t before = m_proposed.size();
-            placeStep(waiting, workers, now, orders);
+            placeStep(waiting, workers, now, wallNow, orders);
             if (m_proposed.size() == before && ++fruitless >= fruitlessSteps) {
                 break;
             }
@@ -161,7 +161,7 @@
 }
 
 void Dispatcher::placeStep(const Waiting &waiting, const std::vector<std::string> &workers,
-                           SteadyTimeMs now, DispatchOrders &orders)
+                           SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
     const JobRecord &job = *m_book.job(waiting.key.job);
     const Tickets *tickets = nullptr;
@@ -172,12 +172,12 @@
         }
     }
     if (job.spec.steps[waiting.key.step].gang) {
-        placeGang(job, waiting, workers, now, orders);
+        placeGang(job, waiting, workers, now, wallNow, orders);
         return;
     }
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
-        const auto worker = chooseWorker(job, task, workers, tickets);
+        const auto worker = chooseWorker(job, task, workers, tickets, wallNow);
         if (!worker) {
             return;
         }
@@ -210,7 +210,8 @@
 
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
                                                     const std::vector<std::string> &workers,
-                                                    const Tickets *tickets) const
+                                                    const Tickets *tickets,
+                                                    WallTimeMs wallNow) const
 {
     const StepSpec &step = job.spec.steps[task.step];
     TaskResources need = step.need;
@@ -249,6 +250,9 @@
         if (step.lasting && step.maxUnavailable > 0
             && runsOfStepOn(id, task) >= step.maxUnavailable) {
             // Maintenance of the worker would take away more of the step than it allows.
+            if (wallNow - job.acceptedAtMs < m_rules.spreadWaitMs) {
+                continue;
+            }
             score -= crowdedPenalty;
         }
         if (!step.dataRack.empty() && worker.rack == step.dataRack) {
@@ -267,7 +271,7 @@
 
 bool Dispatcher::placeGang(const JobRecord &job, const Waiting &waiting,
                            const std::vector<std::string> &workers, SteadyTimeMs now,
-                           DispatchOrders &orders)
+                           WallTimeMs wallNow, DispatchOrders &orders)
 {
     const StepSpec &step = job.spec.steps[waiting.key.step];
     if (waiting.indices.size() < step.count) {
@@ -279,7 +283,7 @@
     std::uint32_t run = 0;
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
-        const auto worker = chooseWorker(job, task, workers, nullptr);
+        const auto worker = chooseWorker(job, task, workers, nullptr, wallNow);
         if (!worker) {
             for (auto &[id, view] : before) {
                 m_workers[id] = std::move(view);
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -215,6 +215,7 @@
         const std::string fault = m_dispatcher.takeAwayFault(progress.worker, now);
         if (!fault.empty()) {
             progress.nextOrderAt = now + m_rules.retryMs;
+            m_dispatcher.evacuateOne(progress.worker, now);
             orders.notes.push_back(
                     {"maintenance-waits", instance, 0, progress.worker, fault, 0});
             continue;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -200,7 +200,7 @@
         section("a cancelled job's tasks are stopped", [] {
             FleetWorld world(12);
             world.durationOf = [](const TaskKey &) { return 60000; };
-            setUpFleet(world, 2);
+            setUpFleet(world, 3);
             world.submit("a", "quotes", {shortStep(6), lastingStep(3, 1)});
             world.run(500);
             CPPUNIT_ASSERT_EQUAL(std::size_t(9), world.runningCount("a"));
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(peaksByTurns);
     CPPUNIT_TEST(maintenanceWave);
     CPPUNIT_TEST(maintenanceBudget);
+    CPPUNIT_TEST(crowdedWorker);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +196,29 @@
         });
     }
 
+    /// Guards against maintenance that never comes to a worker with more of a step than it allows
+    /// to be away (chamdakam-loom quiet-1, five tasks on one worker).
+    void crowdedWorker()
+    {
+        FleetWorld world(23);
+        world.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        world.addWorker("pricing");
+        world.start();
+        world.run(100);
+        world.submit("a", "quotes", {lastingStep(4, 1)});
+        world.run(4000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), world.workers.at("w1").running.size());
+        for (int index = 0; index < 4; ++index) {
+            world.addWorker("pricing");
+        }
+        world.run(2000);
+        world.startWave({"m1"}, 1);
+        world.runUntil("the wave", 20000, [&] {
+            CPPUNIT_ASSERT(world.runningCount("a") >= 3);
+            return world.book.waves().contains(1) && world.book.waves().at(1).isCompleted();
+        });
+    }
+
     /// Guards against a wave that waits for a worker of an instance that is off.
     void standbyMaintenance()
     {
