--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -24,7 +24,8 @@
 
 std::string render(const HttpCall &call)
 {
-    std::string text = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + call.address + "\r\n";
+    std::string text =
+            call.method + " " + call.path + " HTTP/1.1\r\nHost: " + call.address + "\r\n";
     for (const auto &[name, value] : call.headers) {
         text += name + ": " + value + "\r\n";
     }
@@ -44,7 +45,8 @@
 };
 
 /// None while the answer is not whole yet.
-std::optional<dandelionloom::Result<ParsedAnswer, AnswerFault>> parseAnswer(const std::string &input)
+std::optional<dandelionloom::Result<ParsedAnswer, AnswerFault>>
+parseAnswer(const std::string &input)
 {
     const std::size_t headEnd = input.find("\r\n\r\n");
     if (headEnd == std::string::npos) {
@@ -155,9 +157,8 @@
     connection->address = address;
     connection->descriptor = valueOf(started);
     setNoDelay(connection->descriptor);
-    connection->watch =
-            m_loop.watch(connection->descriptor, EPOLLOUT,
-                         [this, id](std::uint32_t events) { onEvent(id, events); });
+    connection->watch = m_loop.watch(connection->descriptor, EPOLLOUT,
+                                     [this, id](std::uint32_t events) { onEvent(id, events); });
     m_connections.emplace(id, std::move(connection));
     Address &entry = m_addresses[address];
     ++entry.connections;
--- a/Source/Adapters/Http/EventedHttpServer.cpp
+++ b/Source/Adapters/Http/EventedHttpServer.cpp
@@ -80,8 +80,7 @@
     }
     std::size_t given = 0;
     ByteReader reader([&input, &given](char *buffer, int size) {
-        const std::size_t count =
-                std::min(static_cast<std::size_t>(size), input.size() - given);
+        const std::size_t count = std::min(static_cast<std::size_t>(size), input.size() - given);
         std::memcpy(buffer, input.data() + given, count);
         given += count;
         return static_cast<int>(count);
@@ -151,8 +150,7 @@
     }
     m_listener = valueOf(listener);
     m_port = portOf(localAddress(m_listener));
-    m_listenerWatch =
-            m_loop.watch(m_listener, EPOLLIN, [this](std::uint32_t) { acceptAll(); });
+    m_listenerWatch = m_loop.watch(m_listener, EPOLLIN, [this](std::uint32_t) { acceptAll(); });
     return Done{};
 }
 
@@ -166,8 +164,7 @@
     }
     std::vector<std::uint64_t> idle;
     for (const auto &[id, connection] : m_connections) {
-        if (connection->handling == 0 && connection->input.empty()
-            && connection->output.empty()) {
+        if (connection->handling == 0 && connection->input.empty() && connection->output.empty()) {
             idle.push_back(id);
         }
     }
@@ -192,8 +189,8 @@
         const std::uint64_t id = m_nextId++;
         auto connection = std::make_unique<Connection>();
         connection->descriptor = descriptor;
-        connection->watch = m_loop.watch(
-                descriptor, EPOLLIN, [this, id](std::uint32_t events) { onEvent(id, events); });
+        connection->watch = m_loop.watch(descriptor, EPOLLIN,
+                                         [this, id](std::uint32_t events) { onEvent(id, events); });
         m_connections.emplace(id, std::move(connection));
         armTimer(id, m_limits.keepAliveTime);
     }
--- a/Source/Adapters/Logging/JsonLineLog.cpp
+++ b/Source/Adapters/Logging/JsonLineLog.cpp
@@ -34,7 +34,8 @@
 bool JsonLineLog::mayWrite(SteadyTimeMs now)
 {
     const auto passed = static_cast<double>(now - m_allowanceAt);
-    m_allowance = std::min(burstLines, m_allowance + passed * linesPerSecond / millisecondsPerSecond);
+    m_allowance =
+            std::min(burstLines, m_allowance + passed * linesPerSecond / millisecondsPerSecond);
     m_allowanceAt = now;
     if (m_allowance < 1 || m_buffer.size() >= maxBufferBytes) {
         ++m_dropped;
--- a/Source/Adapters/Logging/JsonLineLog.h
+++ b/Source/Adapters/Logging/JsonLineLog.h
@@ -27,8 +27,7 @@
     explicit JsonLineLog(std::string instance, int descriptor = 1);
     ~JsonLineLog() override;
 
-    void line(LogSeverity severity, std::string_view event,
-              std::initializer_list<LogField> fields);
+    void line(LogSeverity severity, std::string_view event, std::initializer_list<LogField> fields);
     void write(const Decision &decision) override;
     void event(LogSeverity severity, const std::string &component,
                const std::string &message) override;
--- a/Source/Adapters/Peers/Http2PeerTransport.cpp
+++ b/Source/Adapters/Peers/Http2PeerTransport.cpp
@@ -62,9 +62,9 @@
     m_nextSeed = m_options.seed;
     for (const PeerAddress &peer : m_peers) {
         if (peer.name != m_self.name) {
-            m_clients.emplace(peer.name,
-                              std::make_unique<PeerClient>(*m_clientLoop, context, peer,
-                                                           m_nextSeed++));
+            m_clients.emplace(
+                    peer.name,
+                    std::make_unique<PeerClient>(*m_clientLoop, context, peer, m_nextSeed++));
         }
     }
     m_server->start(valueOf(listener));
@@ -100,8 +100,8 @@
             return;
         }
         const PeerContext context{m_self, m_options, m_log, m_traffic};
-        m_clients.emplace(peer.name, std::make_unique<PeerClient>(*m_clientLoop, context, peer,
-                                                                  m_nextSeed++));
+        m_clients.emplace(peer.name,
+                          std::make_unique<PeerClient>(*m_clientLoop, context, peer, m_nextSeed++));
     });
 }
 
--- a/Source/Consensus/RaftMembership.cpp
+++ b/Source/Consensus/RaftMembership.cpp
@@ -41,8 +41,7 @@
     reply.accepted = !voters().empty();
     m_messagesAfterSync.push_back(std::move(reply));
     if (m_role != RaftRole::Leader || !mayBecomeVoter(request.from.name)
-        || request.from.name == m_options.self.name
-        || isVoter(request.from)) {
+        || request.from.name == m_options.self.name || isVoter(request.from)) {
         return;
     }
     std::erase_if(m_peers, [&](const auto &item) {
--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -24,8 +24,7 @@
 
 } // namespace
 
-ControlInstance::ControlInstance(ControlSettings settings, JobProtocol &protocol,
-                                 JsonLineLog &log,
+ControlInstance::ControlInstance(ControlSettings settings, JobProtocol &protocol, JsonLineLog &log,
                                  std::function<void(const std::string &)> fatal)
     : m_settings(std::move(settings)), m_protocol(protocol), m_log(log), m_fatal(std::move(fatal))
 { }
@@ -48,16 +47,13 @@
         m_loop.post([this, entries = std::move(entries)] { m_service->onCommitted(entries); });
     };
     events.restored = [this](std::uint64_t index, std::string state) {
-        m_loop.post([this, index, state = std::move(state)] {
-            m_service->onRestored(index, state);
-        });
+        m_loop.post(
+                [this, index, state = std::move(state)] { m_service->onRestored(index, state); });
     };
     events.status = [this](const JournalStatus &status) {
         m_loop.post([this, status] { onStatus(status); });
     };
-    events.snapshotWanted = [this] {
-        m_loop.post([this] { m_service->onSnapshotWanted(); });
-    };
+    events.snapshotWanted = [this] { m_loop.post([this] { m_service->onSnapshotWanted(); }); };
     events.failed = m_fatal;
     return events;
 }
@@ -88,9 +84,8 @@
             peerIdentity(peers), peers.name + ":" + std::to_string(peers.ownPort),
             std::vector<PeerAddress>{}, peerTransportOptions(), m_log, m_metrics);
     m_outgoing = factory(m_loop);
-    m_service =
-            std::make_unique<JobService>(m_loop, m_settings.service, m_log, m_metrics,
-                                         *m_outgoing.workers, *m_outgoing.instances);
+    m_service = std::make_unique<JobService>(m_loop, m_settings.service, m_log, m_metrics,
+                                             *m_outgoing.workers, *m_outgoing.instances);
     DiskLogOptions disk;
     disk.folder = m_settings.dataFolder;
     disk.clusterId = "dandelionloom";
@@ -164,11 +159,13 @@
                     });
                 });
             });
-    m_transport->setHandler(PeerMessageKind::Locate, [this](const std::string &,
-                                                            const std::string &,
-                                                            PeerTransport::Reply reply) {
-        m_loop.post([this, reply = std::move(reply)] { reply(packMessage(m_service->locate())); });
-    });
+    m_transport->setHandler(
+            PeerMessageKind::Locate,
+            [this](const std::string &, const std::string &, PeerTransport::Reply reply) {
+                m_loop.post([this, reply = std::move(reply)] {
+                    reply(packMessage(m_service->locate()));
+                });
+            });
 }
 
 void ControlInstance::addControlInstances(const std::vector<std::string> &names)
@@ -185,9 +182,7 @@
     auto decoded = m_protocol.decode(request);
     if (const auto *answer = std::get_if<HttpAnswer>(&decoded)) {
         m_log.line(LogSeverity::Info, "refused",
-                   {{"path", request.path},
-                    {"status", answer->status},
-                    {"reason", answer->body}});
+                   {{"path", request.path}, {"status", answer->status}, {"reason", answer->body}});
         respond(*answer);
         return;
     }
--- a/Source/Program/GatewayInstance.cpp
+++ b/Source/Program/GatewayInstance.cpp
@@ -67,8 +67,7 @@
     };
 }
 
-GatewayInstance::GatewayInstance(GatewaySettings settings, JobProtocol &protocol,
-                                 JsonLineLog &log)
+GatewayInstance::GatewayInstance(GatewaySettings settings, JobProtocol &protocol, JsonLineLog &log)
     : m_settings(std::move(settings)), m_protocol(protocol), m_log(log)
 { }
 
@@ -103,11 +102,7 @@
             m_loop, clientLimits(),
             [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
                 const bool ready = !m_stopping && m_leader->isReady(steadyTimeNow());
-                respond({request.path != m_settings.readyPath ? 404
-                                 : ready                      ? 200
-                                                              : 503,
-                         {},
-                         {}});
+                respond({request.path != m_settings.readyPath ? 404 : ready ? 200 : 503, {}, {}});
             });
     m_metricsServer =
             std::make_unique<EventedHttpServer>(m_loop, clientLimits(), metricsHandler(m_metrics));
@@ -154,9 +149,7 @@
     auto decoded = m_protocol.decode(request);
     if (const auto *answer = std::get_if<HttpAnswer>(&decoded)) {
         m_log.line(LogSeverity::Info, "refused",
-                   {{"path", request.path},
-                    {"status", answer->status},
-                    {"reason", answer->body}});
+                   {{"path", request.path}, {"status", answer->status}, {"reason", answer->body}});
         respond(*answer);
         return;
     }
@@ -170,8 +163,7 @@
                        const std::int64_t took = steadyTimeNow() - now;
                        const std::string kind(jobCallKindNames.name(call.kind));
                        m_metrics.observe("dandelionloom_gateway_call_seconds",
-                                         "kind=\"" + kind + "\"",
-                                         static_cast<double>(took) / 1000);
+                                         "kind=\"" + kind + "\"", static_cast<double>(took) / 1000);
                        m_metrics.count("dandelionloom_gateway_answers_total",
                                        "status=\"" + std::to_string(encoded.status) + "\"", 1);
                        if (call.kind != JobCallKind::Status || encoded.status != 200) {
--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -27,8 +27,7 @@
                        MetricSink &metrics, WorkerCalls &workers, InstanceCalls &instances)
     : m_loop(loop), m_options(std::move(options)), m_log(log), m_metrics(metrics),
       m_workers(workers), m_instances(instances), m_alive(std::make_shared<JobService *>(this)),
-      m_dispatcher(m_book, m_options.dispatch),
-      m_orderLog(m_options.orderPauseMs),
+      m_dispatcher(m_book, m_options.dispatch), m_orderLog(m_options.orderPauseMs),
       m_maintenance(m_book, m_dispatcher, m_orderLog, m_options.maintenance),
       m_balancer(m_book, m_dispatcher, m_orderLog, m_maintenance, m_options.balance)
 { }
@@ -262,21 +261,21 @@
         return;
     }
     m_listing = true;
-    m_instances.list([alive = std::weak_ptr(m_alive),
-                      readAt = steadyTimeNow()](const auto &listed) {
-        const auto service = alive.lock();
-        if (!service) {
-            return;
-        }
-        (*service)->m_listing = false;
-        if (isOk(listed)) {
-            (*service)->m_maintenance.listed(valueOf(listed), readAt);
-            (*service)->m_balancer.listed(valueOf(listed));
-        } else {
-            (*service)->m_log.line(LogSeverity::Warning, "instance-list",
-                                   {{"reason", instanceFaultNames.name(errorOf(listed))}});
-        }
-    });
+    m_instances.list(
+            [alive = std::weak_ptr(m_alive), readAt = steadyTimeNow()](const auto &listed) {
+                const auto service = alive.lock();
+                if (!service) {
+                    return;
+                }
+                (*service)->m_listing = false;
+                if (isOk(listed)) {
+                    (*service)->m_maintenance.listed(valueOf(listed), readAt);
+                    (*service)->m_balancer.listed(valueOf(listed));
+                } else {
+                    (*service)->m_log.line(LogSeverity::Warning, "instance-list",
+                                           {{"reason", instanceFaultNames.name(errorOf(listed))}});
+                }
+            });
 }
 
 void JobService::recordOrder(const std::string &instance, std::function<void(bool)> send)
@@ -313,9 +312,8 @@
                                 return;
                             }
                             const SteadyTimeMs now = steadyTimeNow();
-                            (*service)->m_metrics.observe(
-                                    "dandelionloom_task_start_seconds", "",
-                                    static_cast<double>(now - sentAt) / 1000);
+                            (*service)->m_metrics.observe("dandelionloom_task_start_seconds", "",
+                                                          static_cast<double>(now - sentAt) / 1000);
                             (*service)->m_dispatcher.startAnswered(worker, task, run, fault, now);
                             (*service)->scheduleFlush();
                         });
@@ -345,8 +343,8 @@
     }
     for (const RenewOrder &order : orders.renewals) {
         m_workers.renew(order, fence,
-                        [alive, fence, worker = order.worker](
-                                const Result<RenewAnswer, CallFault> &answer) {
+                        [alive, fence,
+                         worker = order.worker](const Result<RenewAnswer, CallFault> &answer) {
                             const auto service = alive.lock();
                             if (!service || (*service)->m_status.term != fence) {
                                 return;
@@ -377,15 +375,15 @@
                 m_maintenance.answered(order, InstanceFault::NotSent, steadyTimeNow());
                 return;
             }
-            m_instances.beginMaintenance(
-                    order.instance, order.wave, authority,
-                    [alive, order](std::optional<InstanceFault> fault) {
-                        if (const auto service = alive.lock()) {
-                            (*service)->m_maintenance.answered(order, fault, steadyTimeNow());
-                            (*service)->m_nextMaintenance = 0;
-                            (*service)->scheduleFlush();
-                        }
-                    });
+            m_instances.beginMaintenance(order.instance, order.wave, authority,
+                                         [alive, order](std::optional<InstanceFault> fault) {
+                                             if (const auto service = alive.lock()) {
+                                                 (*service)->m_maintenance.answered(
+                                                         order, fault, steadyTimeNow());
+                                                 (*service)->m_nextMaintenance = 0;
+                                                 (*service)->scheduleFlush();
+                                             }
+                                         });
         });
     }
     m_outgoing.insert(m_outgoing.end(), orders.changes.begin(), orders.changes.end());
@@ -405,8 +403,7 @@
             m_instances.move(order.instance, order.pool, authority,
                              [alive, order](std::optional<InstanceFault> fault) {
                                  if (const auto service = alive.lock()) {
-                                     (*service)->m_balancer.answered(order, fault,
-                                                                     steadyTimeNow());
+                                     (*service)->m_balancer.answered(order, fault, steadyTimeNow());
                                      (*service)->scheduleFlush();
                                  }
                              });
--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -74,7 +74,8 @@
         if (const auto service = alive.lock()) {
             const std::int64_t took = steadyTimeNow() - receivedAt;
             // Announcements repeat what is known; only those that change something are logged.
-            const bool routine = (kind == JobCallKind::AnnounceWorker || kind == JobCallKind::Status)
+            const bool routine =
+                    (kind == JobCallKind::AnnounceWorker || kind == JobCallKind::Status)
                     && answer.outcome == JobCallOutcome::Done && answer.reason.empty();
             if (!routine) {
                 (*service)->m_log.line(
@@ -222,9 +223,8 @@
     }
     const QueueConfig *queue = m_book.queueFor(call.host, call.path);
     // A job outlives its queue, and its client must be able to cancel it.
-    const std::string id = queue != nullptr
-            ? call.path.substr(queue->pathPrefix.size())
-            : call.path.substr(call.path.rfind('/') + 1);
+    const std::string id = queue != nullptr ? call.path.substr(queue->pathPrefix.size())
+                                            : call.path.substr(call.path.rfind('/') + 1);
     const JobRecord *job = m_book.job(id);
     if (job == nullptr) {
         if (m_waiters.contains(jobKey(id))) {
@@ -272,8 +272,8 @@
 
 void JobService::announceWorker(const JobCall &call, const JobReply &reply)
 {
-    std::vector<JobChange> changes = m_dispatcher.announced(
-            {call.worker, call.sequence, call.clockMs}, steadyTimeNow());
+    std::vector<JobChange> changes =
+            m_dispatcher.announced({call.worker, call.sequence, call.clockMs}, steadyTimeNow());
     if (changes.empty()) {
         reply(answerOf(JobCallOutcome::Done, {}));
         return;
--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -92,8 +92,7 @@
     const std::string to = target(attempt->tries);
     if (now >= attempt->deadline) {
         JobCallAnswer answer;
-        answer.outcome =
-                attempt->uncertain ? JobCallOutcome::Unknown : JobCallOutcome::NotLeader;
+        answer.outcome = attempt->uncertain ? JobCallOutcome::Unknown : JobCallOutcome::NotLeader;
         answer.reason = to.empty() ? "no-control-instance" : "no-leader-in-time";
         attempt->reply(answer);
         return;
@@ -130,8 +129,7 @@
                             const PeerResult &result)
 {
     if (!isOk(result)) {
-        attempt->uncertain =
-                attempt->uncertain || errorOf(result).kind == PeerErrorKind::NoAnswer;
+        attempt->uncertain = attempt->uncertain || errorOf(result).kind == PeerErrorKind::NoAnswer;
         if (m_leader == target) {
             m_leader.clear();
         }
@@ -147,10 +145,8 @@
         return;
     }
     const JobCallAnswer &answer = valueOf(unpacked);
-    if (answer.outcome == JobCallOutcome::NotLeader
-        || answer.outcome == JobCallOutcome::Unknown) {
-        attempt->uncertain =
-                attempt->uncertain || answer.outcome == JobCallOutcome::Unknown;
+    if (answer.outcome == JobCallOutcome::NotLeader || answer.outcome == JobCallOutcome::Unknown) {
+        attempt->uncertain = attempt->uncertain || answer.outcome == JobCallOutcome::Unknown;
         if (m_leader == target) {
             m_leader.clear();
         }
--- a/Source/Scheduling/ConfigurationRules.cpp
+++ b/Source/Scheduling/ConfigurationRules.cpp
@@ -30,8 +30,8 @@
             return "queue " + queue.name + ": expected a host and a path prefix";
         }
         if (!places.emplace(queue.host, queue.pathPrefix).second) {
-            return "queue " + queue.name + ": another queue has the host and prefix "
-                    + queue.host + queue.pathPrefix;
+            return "queue " + queue.name + ": another queue has the host and prefix " + queue.host
+                    + queue.pathPrefix;
         }
         if (queue.timeoutMs <= 0) {
             return "queue " + queue.name + ": expected a timeout above 0 ms";
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -101,9 +101,9 @@
     Unhealthy,
     Invalid
 };
-inline constexpr EnumNames<CallFault, 10> callFaultNames{
-        {"not-sent", "no-answer", "other-life", "fenced", "old-run", "late", "no-room", "ticket",
-         "unhealthy", "invalid"}};
+inline constexpr EnumNames<CallFault, 10> callFaultNames{{"not-sent", "no-answer", "other-life",
+                                                          "fenced", "old-run", "late", "no-room",
+                                                          "ticket", "unhealthy", "invalid"}};
 
 struct RenewOrder
 {
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -60,8 +60,7 @@
     WorkerView &view = m_workers[worker];
     const std::set<TaskKey> &assigned = m_book.tasksOf(worker);
     std::erase_if(view.runs, [&](const auto &item) {
-        return !assigned.contains(item.first)
-                || m_book.task(item.first)->run != item.second.run;
+        return !assigned.contains(item.first) || m_book.task(item.first)->run != item.second.run;
     });
     for (const TaskKey &task : assigned) {
         const auto [slot, added] = view.runs.try_emplace(task);
@@ -227,7 +226,10 @@
             view.nextRenewAt = now + m_rules.renewWaitMs;
         }
         if (view.renewFailures == 2) {
-            m_notes.push_back({"worker-silent", {}, 0, worker,
+            m_notes.push_back({"worker-silent",
+                               {},
+                               0,
+                               worker,
                                std::string(callFaultNames.name(fault)),
                                view.renewedAt == 0 ? -1 : now - view.renewedAt});
         }
@@ -489,8 +491,8 @@
         const TaskKey key{task.job, task.occurrence, task.step, index};
         const bool works = other != nullptr && record != nullptr && !record->draining
                 && !other->leaving && isFresh(place, now) && other->runs.contains(key)
-                && other->runs.at(key).state == RunState::Running
-                && !other->runs.at(key).stopping && other->runs.at(key).percent >= 100;
+                && other->runs.at(key).state == RunState::Running && !other->runs.at(key).stopping
+                && other->runs.at(key).percent >= 100;
         if (place == worker && works) {
             ++here;
         } else if (!works) {
@@ -508,8 +510,8 @@
     }
     for (auto &[task, run] : found->second.runs) {
         const JobRecord *job = m_book.job(task.job);
-        if (job == nullptr || job->phase != JobPhase::Active
-            || run.state != RunState::Running || run.stopping) {
+        if (job == nullptr || job->phase != JobPhase::Active || run.state != RunState::Running
+            || run.stopping) {
             continue;
         }
         const StepSpec &step = job->spec.steps[task.step];
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -112,9 +112,8 @@
     };
 
     /// Lasting tasks of the task's step that are not at work on another worker, and those here.
-    std::pair<std::uint32_t, std::uint32_t> awayAndHere(const TaskKey &task,
-                                                        const std::string &worker,
-                                                        SteadyTimeMs now) const;
+    std::pair<std::uint32_t, std::uint32_t>
+    awayAndHere(const TaskKey &task, const std::string &worker, SteadyTimeMs now) const;
 
     // Runs and leases.
     void syncRuns(const std::string &worker, SteadyTimeMs now);
@@ -145,8 +144,8 @@
     bool placeGang(const JobRecord &job, const Waiting &waiting,
                    const std::vector<std::string> &workers, SteadyTimeMs now, WallTimeMs wallNow,
                    DispatchOrders &orders);
-    void assign(const TaskKey &task, std::uint32_t run, const std::string &worker,
-                SteadyTimeMs now, DispatchOrders &orders);
+    void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
+                DispatchOrders &orders);
     bool takesWork(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
     const Tickets *ticketsFor(const Waiting &waiting, const std::vector<std::string> &workers,
                               SteadyTimeMs now, DispatchOrders &orders);
@@ -168,7 +167,8 @@
     /// Tasks with a proposed assignment, and its worker.
     std::map<TaskKey, std::string> m_proposed;
     /// Ends that were proposed and are not applied, by worker and number.
-    std::map<std::string, std::map<std::uint64_t, std::pair<TaskKey, std::uint32_t>>> m_endsUnderWay;
+    std::map<std::string, std::map<std::uint64_t, std::pair<TaskKey, std::uint32_t>>>
+            m_endsUnderWay;
     std::set<std::pair<TaskKey, std::uint32_t>> m_proposedEnds;
     std::vector<JobChange> m_changes;
     std::vector<StopOrder> m_strayStops;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -108,8 +108,14 @@
             if (job == nullptr || job->phase != JobPhase::Active) {
                 continue;
             }
-            StartOrder order{id, record->address, task, run.run, job->spec.payload,
-                             extendLease(view, now), m_book.task(task)->checkpoint, {}};
+            StartOrder order{id,
+                             record->address,
+                             task,
+                             run.run,
+                             job->spec.payload,
+                             extendLease(view, now),
+                             m_book.task(task)->checkpoint,
+                             {}};
             const auto tickets = m_tickets.find({task.job, task.occurrence, task.step});
             if (tickets != m_tickets.end() && tickets->second.byWorker.contains(id)) {
                 order.ticket = tickets->second.byWorker.at(id);
@@ -145,7 +151,8 @@
             run.nextStopAt = now + m_rules.stopGraceMs + m_rules.retryMs;
             orders.stops.push_back({id, record->address, task, run.run});
             orders.notes.push_back({"stop", taskName(task), run.run, id,
-                                    ended ? "job-ended" : "placed-elsewhere", now - view.renewedAt});
+                                    ended ? "job-ended" : "placed-elsewhere",
+                                    now - view.renewedAt});
         }
     }
     for (StopOrder &stray : m_strayStops) {
@@ -168,8 +175,7 @@
             }
             // A worker can hang with a good health check; its tasks then make no progress at all,
             // while a long task's percentage moves.
-            if (isFresh(id, now) && now - run.progressAt > m_rules.stallMs
-                && run.reading == 0) {
+            if (isFresh(id, now) && now - run.progressAt > m_rules.stallMs && run.reading == 0) {
                 run.stopping = true;
                 view.avoidUntil = now + m_rules.quarantineMs;
                 m_failedOn[task] = id;
@@ -242,7 +248,11 @@
             continue;
         }
         view.lapsed = true;
-        m_notes.push_back({"worker-lost", {}, 0, id, "lease-ended",
+        m_notes.push_back({"worker-lost",
+                           {},
+                           0,
+                           id,
+                           "lease-ended",
                            view.renewedAt == 0 ? -1 : now - view.renewedAt});
         for (const auto &[task, run] : view.runs) {
             proposeEnd(task, run.run, RunEnd::WorkerLost, {});
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -365,8 +365,8 @@
                 if (spec.lasting || spec.fills) {
                     continue;
                 }
-                const auto left = static_cast<std::int64_t>(
-                        occurrence.steps[step].tasks.size() - occurrence.steps[step].doneCount);
+                const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
+                                                            - occurrence.steps[step].doneCount);
                 const std::int64_t milli = left * spec.need.processorMilli;
                 demand.waitingCoreMs += static_cast<double>(milli)
                         * static_cast<double>(stepMs[step]) / milliPerCore;
@@ -388,8 +388,7 @@
             continue;
         }
         for (const StepSpec &step : job->spec.steps) {
-            const std::uint32_t perWorker =
-                    std::max(step.maxPerWorker, step.maxUnavailable);
+            const std::uint32_t perWorker = std::max(step.maxPerWorker, step.maxUnavailable);
             if (step.lasting && perWorker > 0) {
                 spread = std::max(spread, (step.count + perWorker - 1) / perWorker);
             }
--- a/Source/Scheduling/JobBook.cpp
+++ b/Source/Scheduling/JobBook.cpp
@@ -253,10 +253,9 @@
     std::int64_t &born = m_left[change.worker];
     born = std::max(born, change.born);
     if (m_left.size() > maxLeftWorkers) {
-        m_left.erase(std::min_element(m_left.begin(), m_left.end(),
-                                      [](const auto &left, const auto &right) {
-                                          return left.second < right.second;
-                                      }));
+        m_left.erase(std::min_element(
+                m_left.begin(), m_left.end(),
+                [](const auto &left, const auto &right) { return left.second < right.second; }));
     }
 }
 
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -40,8 +40,7 @@
                            [](const auto &item) { return !item.second.isCompleted(); });
 }
 
-void MaintenancePlanner::listed(const std::vector<ListedInstance> &instances,
-                                SteadyTimeMs readAt)
+void MaintenancePlanner::listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt)
 {
     m_listedAt = readAt;
     m_instances.clear();
@@ -154,8 +153,7 @@
         // A reading from before the order still shows the instance in service. In a standby pool
         // no worker tells the difference.
         const bool back = progress.phase == Phase::Away && m_listedAt > progress.since
-                && listed != m_instances.end()
-                && listed->second.state == InstanceState::InService
+                && listed != m_instances.end() && listed->second.state == InstanceState::InService
                 && (progress.worker.empty() || listed->second.worker != progress.worker);
         const bool overdue =
                 progress.phase == Phase::Away && now - progress.since >= m_rules.returnLimitMs;
@@ -216,8 +214,7 @@
         if (!fault.empty()) {
             progress.nextOrderAt = now + m_rules.retryMs;
             m_dispatcher.evacuateOne(progress.worker, now);
-            orders.notes.push_back(
-                    {"maintenance-waits", instance, 0, progress.worker, fault, 0});
+            orders.notes.push_back({"maintenance-waits", instance, 0, progress.worker, fault, 0});
             continue;
         }
         progress.phase = Phase::Ordered;
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -45,8 +45,8 @@
 class MaintenancePlanner
 {
 public:
-    MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher,
-                       InstanceOrderLog &orderLog, MaintenanceRules rules);
+    MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher, InstanceOrderLog &orderLog,
+                       MaintenanceRules rules);
 
     void lead(std::uint64_t term, SteadyTimeMs now);
     /// `readAt` is when the reading was begun.
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -4,8 +4,7 @@
 
 namespace dandelionloom {
 
-PoolBalancer::PoolBalancer(const JobBook &book, Dispatcher &dispatcher,
-                           InstanceOrderLog &orderLog,
+PoolBalancer::PoolBalancer(const JobBook &book, Dispatcher &dispatcher, InstanceOrderLog &orderLog,
                            const MaintenancePlanner &maintenance, BalanceRules rules)
     : m_book(book), m_dispatcher(dispatcher), m_orderLog(orderLog), m_maintenance(maintenance),
       m_rules(rules)
@@ -35,8 +34,7 @@
     const WorkerView *view = m_dispatcher.view(instance.worker);
     const WorkerRecord *worker = m_book.worker(instance.worker);
     return view != nullptr && worker != nullptr && !worker->draining && view->reserved.empty()
-            && view->runs.empty() && !view->cordoned
-            && m_dispatcher.isFresh(instance.worker, now);
+            && view->runs.empty() && !view->cordoned && m_dispatcher.isFresh(instance.worker, now);
 }
 
 void PoolBalancer::finishArrived(SteadyTimeMs now)
@@ -135,8 +133,7 @@
                     break;
                 }
                 const bool movable = instance.pool == transfer.from && !m_progress.contains(id)
-                        && !m_maintenance.isBusy(id)
-                        && instance.state == InstanceState::InService
+                        && !m_maintenance.isBusy(id) && instance.state == InstanceState::InService
                         && !m_unfit.contains({id, transfer.to})
                         && m_orderLog.mayOrder(id, m_term, now)
                         && ((from != nullptr && from->standby) || isEmpty(instance, now));
--- /dev/null
+++ b/Tests/Consensus/ReplicatedJournalTest.cpp
@@ -0,0 +1,230 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "Consensus/FakePeerNetwork.h"
+#include "Consensus/MemoryLogStorage.h"
+#include "Peers/PeerSupport.h"
+#include "Runtime/ReplicatedJournal.h"
+#include "Support/Section.h"
+
+using namespace dandelionloom;
+using namespace dandelionloom::test;
+
+namespace {
+
+const std::vector<std::string> threeNames = {"a", "b", "c"};
+
+/// The first name that is not the given one.
+std::string anyBut(const std::string &name)
+{
+    return threeNames[0] == name ? threeNames[1] : threeNames[0];
+}
+
+/// Control instances that keep one journal over a fake network.
+class JournalCluster
+{
+public:
+    explicit JournalCluster(std::vector<std::string> founders) : m_founders(std::move(founders)) { }
+
+    ~JournalCluster()
+    {
+        for (auto &[name, node] : m_nodes) {
+            node.journal->stop();
+        }
+    }
+
+    void start(const std::string &name, bool firstStart)
+    {
+        Node &node = m_nodes[name];
+        if (!node.storage) {
+            node.storage = std::make_unique<MemoryLogStorage>(name);
+        }
+        node.transport = network.transport(name);
+        JournalOptions options;
+        options.name = name;
+        options.founders = m_founders;
+        options.mayFound = firstStart;
+        options.seed = std::hash<std::string>{}(name);
+        JournalEvents events;
+        events.committed = [this, name](const std::vector<LogEntry> &entries) {
+            signal.change([&] {
+                for (const LogEntry &entry : entries) {
+                    if (entry.kind == commandEntryKind && !entry.payload.empty()) {
+                        committed[name].insert(entry.payload);
+                    }
+                }
+            });
+        };
+        events.restored = [](std::uint64_t, const std::string &) {};
+        events.status = [this, name](const JournalStatus &status) {
+            signal.change([&] { statuses[name] = status; });
+        };
+        events.snapshotWanted = [] {};
+        events.failed = [](const std::string &) {};
+        node.journal = std::make_unique<ReplicatedJournal>(options, *node.storage, *node.transport,
+                                                           m_log, events);
+        CPPUNIT_ASSERT(isOk(node.journal->open()));
+        network.setUp(name, true);
+        node.journal->start();
+    }
+
+    void stop(const std::string &name)
+    {
+        network.setUp(name, false);
+        m_nodes.at(name).journal->stop();
+        signal.change([&] { statuses.erase(name); });
+    }
+
+    MemoryLogStorage &storage(const std::string &name) { return *m_nodes.at(name).storage; }
+
+    /// The name of the leader once there is one whose lease holds; empty if none appears.
+    std::string leader()
+    {
+        std::string name;
+        signal.waitFor([&] {
+            for (const auto &[each, status] : statuses) {
+                if (status.isLeader && status.leaseUntil > steadyTimeNow()) {
+                    name = each;
+                }
+            }
+            return !name.empty();
+        });
+        return name;
+    }
+
+    /// True once the leader's voter set is this one.
+    bool waitForVoters(const std::set<std::string> &voters)
+    {
+        return signal.waitFor([&] {
+            for (const auto &[name, status] : statuses) {
+                if (status.isLeader
+                    && std::set<std::string>(status.voters.begin(), status.voters.end())
+                            == voters) {
+                    return true;
+                }
+            }
+            return false;
+        });
+    }
+
+    bool waitForRecord(const std::string &name, const std::string &record)
+    {
+        return signal.waitFor([&] { return committed[name].contains(record); });
+    }
+
+    void propose(const std::string &record) { m_nodes.at(leader()).journal->propose(record); }
+
+    FakePeerNetwork network;
+    Signal signal;
+    std::map<std::string, JournalStatus> statuses;
+    std::map<std::string, std::set<std::string>> committed;
+
+private:
+    struct Node
+    {
+        std::unique_ptr<MemoryLogStorage> storage;
+        std::unique_ptr<PeerTransport> transport;
+        std::unique_ptr<ReplicatedJournal> journal;
+    };
+
+    const std::vector<std::string> m_founders;
+    LogRecorder m_log;
+    std::map<std::string, Node> m_nodes;
+};
+
+} // namespace
+
+class ReplicatedJournalTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ReplicatedJournalTest);
+    CPPUNIT_TEST(fourthInstanceReplacesLostVoter);
+    CPPUNIT_TEST(emptiedDisk);
+    CPPUNIT_TEST(noSecondFounding);
+    CPPUNIT_TEST(leaseEndsWithoutQuorum);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a cluster that stays at two voters when one is gone for good.
+    void fourthInstanceReplacesLostVoter()
+    {
+        JournalCluster cluster(threeNames);
+        for (const std::string &name : threeNames) {
+            cluster.start(name, true);
+        }
+        CPPUNIT_ASSERT(cluster.waitForVoters({"a", "b", "c"}));
+        cluster.propose("first");
+        cluster.start("d", false);
+        std::string lost;
+        section("a voter that is not the leader goes", [&] {
+            lost = anyBut(cluster.leader());
+            cluster.stop(lost);
+            std::set<std::string> voters{"a", "b", "c", "d"};
+            voters.erase(lost);
+            CPPUNIT_ASSERT(cluster.waitForVoters(voters));
+            CPPUNIT_ASSERT(cluster.waitForRecord("d", "first"));
+        });
+        section("the replaced one comes back and follows without a vote", [&] {
+            cluster.start(lost, false);
+            cluster.propose("second");
+            CPPUNIT_ASSERT(cluster.waitForRecord(lost, "second"));
+        });
+    }
+
+    /// Guards against a vote under the identity of a disk that was lost, and against a lost record.
+    void emptiedDisk()
+    {
+        JournalCluster cluster(threeNames);
+        for (const std::string &name : threeNames) {
+            cluster.start(name, true);
+        }
+        cluster.propose("first");
+        const std::string wiped = anyBut(cluster.leader());
+        CPPUNIT_ASSERT(cluster.waitForRecord(wiped, "first"));
+        cluster.stop(wiped);
+        cluster.storage(wiped).loseDisk();
+        cluster.committed[wiped].clear();
+        cluster.start(wiped, false);
+        CPPUNIT_ASSERT(cluster.waitForRecord(wiped, "first"));
+        CPPUNIT_ASSERT(cluster.waitForVoters({"a", "b", "c"}));
+    }
+
+    /// Guards against a second, empty journal when an instance starts alone with an empty disk.
+    void noSecondFounding()
+    {
+        JournalCluster cluster({"a"});
+        cluster.start("a", false);
+        const bool led = cluster.signal.waitFor([&] { return cluster.statuses["a"].isLeader; },
+                                                Milliseconds(2500));
+        CPPUNIT_ASSERT(!led);
+    }
+
+    /// Guards against a leader that acts on its authority after it has lost its quorum.
+    void leaseEndsWithoutQuorum()
+    {
+        JournalCluster cluster(threeNames);
+        for (const std::string &name : threeNames) {
+            cluster.start(name, true);
+        }
+        const std::string old = cluster.leader();
+        cluster.network.isolate(old);
+        std::string next;
+        CPPUNIT_ASSERT(cluster.signal.waitFor([&] {
+            for (const auto &[name, status] : cluster.statuses) {
+                if (name != old && status.isLeader && status.leaseUntil > 0) {
+                    next = name;
+                    // The old lease must have ended before another leader has one.
+                    return true;
+                }
+            }
+            return false;
+        }));
+        cluster.signal.change(
+                [&] { CPPUNIT_ASSERT(cluster.statuses[old].leaseUntil <= steadyTimeNow()); });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicatedJournalTest);
--- /dev/null
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -0,0 +1,208 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include "Scheduling/ConfigurationRules.h"
+#include "Support/Section.h"
+#include "Support/TemporaryFolder.h"
+#include "platform/ClientProtocol.h"
+#include "platform/ControlProtocol.h"
+#include "platform/PlatformSettings.h"
+#include "platform/WireJson.h"
+
+using namespace dandelionloom;
+using namespace dandelionloom::platform;
+using dandelionloom::test::section;
+
+namespace {
+
+const std::string workerBody =
+        R"({"service":"s1","address":"10.0.0.1:80","zone":"z","state":"ready","sequence":3,)"
+        R"("capacity":{"cpu":16000,"mem_mb":1024},"labels":["a","r1-3"],"clock_ms":5,"born":77})";
+
+const std::string configurationBody =
+        R"({"version":7,"routes":[{"name":"q","host":"h","path_prefix":"/p/","timeout_ms":3000,)"
+        R"("service":"s1","max_attempts":4,"stretch":2.2,"target_latency_ms":600,)"
+        R"("advice":{"decision_ms":5,"valid_ms":4000}}],"services":[{"name":"s1",)"
+        R"("admission_control":true}],"limits":{}})";
+
+const std::string jobBody =
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900},)"
+        R"({"count":2,"depends_on":[0],"long_running":true,"max_unavailable":1,"fills":true}]})";
+
+int statusOf(const std::variant<TimedJobCall, HttpAnswer> &decoded)
+{
+    const auto *answer = std::get_if<HttpAnswer>(&decoded);
+    return answer == nullptr ? 0 : answer->status;
+}
+
+/// Cuts, repeats and overwrites bytes.
+std::string damaged(std::string bytes, std::mt19937_64 &random)
+{
+    for (int change = 0; change < 4 && !bytes.empty(); ++change) {
+        const std::size_t at = random() % bytes.size();
+        switch (random() % 4) {
+        case 0:
+            bytes.resize(at);
+            break;
+        case 1:
+            bytes[at] = static_cast<char>(random() % 256);
+            break;
+        case 2:
+            bytes.insert(at, bytes.substr(at / 2, random() % 20));
+            break;
+        default:
+            bytes.erase(at, 1 + random() % 6);
+            break;
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+class PlatformProtocolsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformProtocolsTest);
+    CPPUNIT_TEST(clients);
+    CPPUNIT_TEST(workers);
+    CPPUNIT_TEST(configurations);
+    CPPUNIT_TEST(damagedInput);
+    CPPUNIT_TEST(settings);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against fields that are lost on their way into the product's types.
+    void clients()
+    {
+        ClientProtocol protocol;
+        const auto decoded =
+                protocol.decode({"POST",
+                                 "/p/5c0e",
+                                 "",
+                                 {{"Host", "h:80"}, {"X-Dandelionloom-Deadline-Ms", "700"}},
+                                 jobBody});
+        const auto &timed = std::get<TimedJobCall>(decoded);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(700), timed.waitMs);
+        CPPUNIT_ASSERT_EQUAL(std::string("h"), timed.call.host);
+        CPPUNIT_ASSERT_EQUAL(4U, timed.call.spec.steps[0].count);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(500), timed.call.spec.steps[0].need.processorMilli);
+        CPPUNIT_ASSERT(timed.call.spec.steps[1].lasting && timed.call.spec.steps[1].fills);
+        CPPUNIT_ASSERT_EQUAL(1U, timed.call.spec.steps[1].maxUnavailable);
+        section("answers say what is known", [&] {
+            JobCall call;
+            call.kind = JobCallKind::Submit;
+            JobCallAnswer answer = answerOf(JobCallOutcome::Unknown, "leadership-lost");
+            CPPUNIT_ASSERT_EQUAL(504, protocol.encode(call, answer).status);
+            answer = answerOf(JobCallOutcome::NotLeader, "no-leader-in-time");
+            CPPUNIT_ASSERT_EQUAL(503, protocol.encode(call, answer).status);
+            answer = answerOf(JobCallOutcome::Busy, "backlog");
+            answer.retryAfterMs = 1200;
+            const HttpAnswer refused = protocol.encode(call, answer);
+            CPPUNIT_ASSERT_EQUAL(429, refused.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("2"), *headerValue(refused.headers, "Retry-After"));
+        });
+    }
+
+    /// Guards against a worker that is used though its announcement can't be read.
+    void workers()
+    {
+        ControlProtocol protocol(8623);
+        const auto announce = [&](const std::string &body) {
+            return protocol.decode({"PUT", "/v1/instances/i-1", "", {}, body});
+        };
+        const auto decoded = announce(workerBody);
+        const WorkerRecord &worker = std::get<TimedJobCall>(decoded).call.worker;
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), worker.id);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), worker.rack);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(77), worker.born);
+        CPPUNIT_ASSERT(!worker.draining);
+        CPPUNIT_ASSERT_EQUAL(400, statusOf(announce("{\"service\":\"s1\"}")));
+        CPPUNIT_ASSERT_EQUAL(400, statusOf(announce("\x01\x02")));
+        std::string odd = workerBody;
+        odd.replace(odd.find("ready"), 5, "asleep");
+        CPPUNIT_ASSERT_EQUAL(400, statusOf(announce(odd)));
+        JobCall call;
+        call.kind = JobCallKind::AnnounceWorker;
+        protocol.setLeader("10.0.0.9");
+        CPPUNIT_ASSERT(
+                protocol.encode(call, answerOf(JobCallOutcome::Done, {})).body.find("10.0.0.9:8623")
+                != std::string::npos);
+    }
+
+    /// Guards against invalid configurations that are acknowledged.
+    void configurations()
+    {
+        const FleetConfiguration read = decodeConfiguration(configurationBody);
+        CPPUNIT_ASSERT_EQUAL(std::string(), configurationFault(read));
+        CPPUNIT_ASSERT(read.queues[0].needsAdvice);
+        CPPUNIT_ASSERT_EQUAL(4U, read.queues[0].maxAttempts);
+        CPPUNIT_ASSERT_EQUAL(configurationBody, read.document);
+        ControlProtocol protocol(1);
+        const auto refused = [&](const std::string &from, const std::string &to) {
+            std::string body = configurationBody;
+            body.replace(body.find(from), from.size(), to);
+            return statusOf(protocol.decode({"PUT", "/v1/config", "", {}, body}));
+        };
+        CPPUNIT_ASSERT_EQUAL(400, refused("\"service\":\"s1\"", "\"service\":\"s2\""));
+        CPPUNIT_ASSERT_EQUAL(400, refused("3000", "0"));
+        CPPUNIT_ASSERT_EQUAL(400, refused("\"limits\":{}}", ""));
+        CPPUNIT_ASSERT_EQUAL(400, refused("\"version\":7", "\"version\":\"seven\""));
+        FleetConfiguration twice = read;
+        twice.queues.push_back(twice.queues[0]);
+        twice.queues[1].name = "other";
+        CPPUNIT_ASSERT(configurationFault(twice).find("another queue has the host and prefix")
+                       != std::string::npos);
+    }
+
+    /// Guards against bytes from other writers that end the process.
+    void damagedInput()
+    {
+        constexpr std::uint64_t seed = 20261204;
+        std::cout << " seed " << seed;
+        std::mt19937_64 random(seed);
+        ClientProtocol clients;
+        ControlProtocol control(1);
+        for (int round = 0; round < 4000; ++round) {
+            (void)clients.decode({"POST", "/p/1", "", {}, damaged(jobBody, random)});
+            (void)control.decode({"PUT", "/v1/instances/i", "", {}, damaged(workerBody, random)});
+            (void)control.decode({"PUT", "/v1/config", "", {}, damaged(configurationBody, random)});
+            (void)control.decode({"POST",
+                                  "/v1/wave-start",
+                                  "",
+                                  {},
+                                  damaged(R"({"wave":1,"machines":["m"],"duration_s":20,)"
+                                          R"("max_count":1})",
+                                          random)});
+            try {
+                (void)taskKey(damaged("5c0e7a21d94b36f8.0.1.17", random));
+            } catch (const WireError &) {
+                // The expected answer to most of the names.
+            }
+        }
+    }
+
+    /// Guards against a start with settings that were not understood.
+    void settings()
+    {
+        test::TemporaryFolder folder;
+        const std::string path = folder.path() + "/settings.toml";
+        CPPUNIT_ASSERT(!isOk(readPlatformSettings(path)));
+        std::ofstream(path) << "ip = \"10.1.0.9\"\nzone = \"z\"\nbootstrap = true\n"
+                               "internal_port_range = [7060, 7075]\n"
+                               "seeds = [\"10.1.0.12:8623\"]\nunknown = 1\n[bounds]\n"
+                               "status_s = 0.5\n[bind_addrs]\ncontrol = \"10.1.0.9:8623\"\n";
+        const auto read = readPlatformSettings(path);
+        CPPUNIT_ASSERT(isOk(read));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(500), valueOf(read).retentionMs);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.12"), hostsOf(valueOf(read).seeds)[0]);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8623), platform::portOf(valueOf(read).controlAddress));
+        std::ofstream(path) << "ip = ";
+        CPPUNIT_ASSERT(!isOk(readPlatformSettings(path)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolsTest);
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -179,8 +179,9 @@
             setUpFleet(world, 3, 2);
             world.fails = [](const TaskKey &task, const std::string &) { return task.index == 0; };
             world.submit("a", "quotes", {shortStep(3)});
-            world.runUntil("the failure", 5000,
-                           [&] { return world.book.job("a") && world.phaseOf("a") == JobPhase::Failed; });
+            world.runUntil("the failure", 5000, [&] {
+                return world.book.job("a") && world.phaseOf("a") == JobPhase::Failed;
+            });
             world.run(2000);
             CPPUNIT_ASSERT_EQUAL(4U, world.starts);
         });
@@ -256,8 +257,9 @@
         world.runUntil("the job", 14000, [&] { return isCompleted(world, "a"); });
     }
 
-    /// Guards against double runs, lost tasks and early starts under troubles drawn by seed: leaders
-    /// change, workers crash, are cut off, restart and lose answers. FleetWorld checks each start.
+    /// Guards against double runs, lost tasks and early starts under troubles drawn by seed:
+    /// leaders change, workers crash, are cut off, restart and lose answers. FleetWorld checks each
+    /// start.
     void randomTroubles()
     {
         for (std::uint64_t seed = 100; seed < 140; ++seed) {
--- a/Tests/Scheduling/FleetWorld.cpp
+++ b/Tests/Scheduling/FleetWorld.cpp
@@ -86,8 +86,8 @@
     const ServiceConfig *pool = book.service(service);
     const bool standby = pool != nullptr && pool->standby;
     const std::string instance = "m" + std::to_string(m_lastWorker);
-    instances[instance] = {instance, service, InstanceState::InService, "zone",
-                           standby ? "" : id, worker.record.capacity};
+    instances[instance] = {instance, service,           InstanceState::InService,
+                           "zone",   standby ? "" : id, worker.record.capacity};
     if (standby) {
         workers.erase(id);
     } else if (dispatcher) {
@@ -111,9 +111,8 @@
 void FleetWorld::announce(const std::string &worker)
 {
     const FakeWorker &fake = workers.at(worker);
-    for (JobChange &change :
-         dispatcher->announced({fake.record, static_cast<std::uint64_t>(now), now - fake.bootedAt},
-                               now)) {
+    for (JobChange &change : dispatcher->announced(
+                 {fake.record, static_cast<std::uint64_t>(now), now - fake.bootedAt}, now)) {
         propose(std::move(change));
     }
 }
@@ -124,10 +123,10 @@
     dispatcher = std::make_unique<Dispatcher>(book, rules);
     MaintenanceRules maintenanceRules;
     BalanceRules balanceRules;
-    maintenance = std::make_unique<MaintenancePlanner>(book, *dispatcher, orderLog,
-                                                       maintenanceRules);
-    balancer = std::make_unique<PoolBalancer>(book, *dispatcher, orderLog, *maintenance,
-                                              balanceRules);
+    maintenance =
+            std::make_unique<MaintenancePlanner>(book, *dispatcher, orderLog, maintenanceRules);
+    balancer =
+            std::make_unique<PoolBalancer>(book, *dispatcher, orderLog, *maintenance, balanceRules);
     dispatcher->lead(now);
     maintenance->lead(term, now);
     balancer->lead(term, now);
@@ -316,8 +315,8 @@
             const std::int64_t percent = run.hangs ? 0
                     : run.endsAt == 0
                     ? (passed >= startupMs ? 100 : 0)
-                    : std::min<std::int64_t>(99, passed * 100 / std::max<std::int64_t>(
-                                                                run.durationMs, 1));
+                    : std::min<std::int64_t>(
+                            99, passed * 100 / std::max<std::int64_t>(run.durationMs, 1));
             answer.running.push_back({task, run.run, {}, percent, run.hangs ? 0 : 10});
         }
         dispatcher->renewed(id, answer, now);
@@ -345,8 +344,7 @@
         const auto run = worker.running.find(order.task);
         if (worker.up && run != worker.running.end()
             && (id != order.worker || run->second.run != order.run)) {
-            violated("runs twice: " + taskName(order.task) + " on " + id + " and "
-                     + order.worker);
+            violated("runs twice: " + taskName(order.task) + " on " + id + " and " + order.worker);
         }
         if (id != order.worker) {
             continue;
@@ -391,9 +389,9 @@
     }
     ++starts;
     worker.highestRun[order.task] = order.run;
-    worker.leaseUntil = std::max(
-            worker.leaseUntil,
-            std::min(order.leaseUntilMs + worker.bootedAt, now + rules.maxLeaseMs));
+    worker.leaseUntil =
+            std::max(worker.leaseUntil,
+                     std::min(order.leaseUntilMs + worker.bootedAt, now + rules.maxLeaseMs));
     FakeWorker::Run run;
     run.run = order.run;
     run.startedAt = now;
@@ -434,8 +432,8 @@
             worker.fence = std::max(worker.fence, term);
             if (order.leaseUntilMs) {
                 worker.leaseUntil = std::max(
-                        worker.leaseUntil, std::min(*order.leaseUntilMs + worker.bootedAt,
-                                                    now + rules.maxLeaseMs));
+                        worker.leaseUntil,
+                        std::min(*order.leaseUntilMs + worker.bootedAt, now + rules.maxLeaseMs));
             }
         }
     }
--- a/Tests/Scheduling/FleetWorld.h
+++ b/Tests/Scheduling/FleetWorld.h
@@ -73,8 +73,8 @@
     /// Tasks that end as failed.
     std::function<bool(const TaskKey &, const std::string &worker)> fails;
 
-    void configure(const std::vector<QueueConfig> &queues,
-                   const std::vector<std::string> &services, const std::string &standby = {});
+    void configure(const std::vector<QueueConfig> &queues, const std::vector<std::string> &services,
+                   const std::string &standby = {});
     std::string addWorker(const std::string &service, std::int64_t milli = 16000);
     void start();
     /// Another instance takes over with what the journal holds.
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -17,14 +17,21 @@
 constexpr int pools = 4;
 constexpr int instancesPerPool = 9;
 
+struct Replay
+{
+    int jobs = 0;
+    int inTime = 0;
+    std::uint32_t moves = 0;
+};
+
 std::string poolName(int pool)
 {
     return "pool" + std::to_string(pool);
 }
 
 /// Four queues in turn ask for 1.4 times what their pool holds, for four seconds each, and for a
-/// twentieth in between. Returns the share of the jobs that meet their objective.
-double servedShare(std::uint64_t seed, bool balances)
+/// twentieth in between.
+Replay replayTurns(std::uint64_t seed, bool balances)
 {
     FleetWorld world(seed);
     world.balances = balances;
@@ -66,15 +73,15 @@
         world.run(10);
     }
     world.run(15000);
-    int inTime = 0;
+    Replay replay{jobs, 0, world.moves};
     for (const auto &[id, acceptedAt] : world.acceptedAt) {
         const auto completed = world.completedAt.find(id);
         // Stretch 1.6 of a chain of 680 ms, and 600 ms more.
         if (completed != world.completedAt.end() && completed->second - acceptedAt <= 1688) {
-            ++inTime;
+            ++replay.inTime;
         }
     }
-    return static_cast<double>(inTime) / jobs;
+    return replay;
 }
 
 } // namespace
@@ -111,9 +118,8 @@
         spare.pool = "spare";
         spare.standby = true;
         spare.instances = 5;
-        section("long chains with few tasks that can run ask for few instances", [&] {
-            CPPUNIT_ASSERT(wantedInstances(busy, rules) <= 4U);
-        });
+        section("long chains with few tasks that can run ask for few instances",
+                [&] { CPPUNIT_ASSERT(wantedInstances(busy, rules) <= 4U); });
         section("what can run is served from idle pools first, then from standby", [&] {
             busy.runnableMilli = 1000000;
             const auto planned = planTransfers({busy, idle, spare}, rules, 100);
@@ -138,12 +144,15 @@
     void peaksByTurns()
     {
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            const double fixed = servedShare(seed, false);
-            const double balanced = servedShare(seed, true);
-            std::cout << " seed " << seed << ": in time " << fixed << " without moves, " << balanced
-                      << " with";
-            // At least half of what the fixed pools serve late is served in time.
-            CPPUNIT_ASSERT(balanced > fixed + (1 - fixed) / 2);
+            const Replay fixed = replayTurns(seed, false);
+            const Replay balanced = replayTurns(seed, true);
+            std::cout << " seed " << seed << ": " << fixed.inTime << " of " << fixed.jobs
+                      << " in time without moves, " << balanced.inTime << " with " << balanced.moves
+                      << " moves";
+            // The prices of Chamdakam: a job in time earns 0.45 more than a late one, a move costs
+            // 0.088 and its start and call 0.03.
+            const double gain = (balanced.inTime - fixed.inTime) * 0.45;
+            CPPUNIT_ASSERT(gain > balanced.moves * 0.118);
         }
     }
 
