--- a/Source/Scheduling/StepRanking.cpp
+++ b/Source/Scheduling/StepRanking.cpp
@@ -31,7 +31,7 @@
     }
     const WallTimeMs latestStart = objectiveAt(facts) - facts.remainingChainMs;
     if (latestStart >= nowMs) {
-        return {onTimeGroup, facts.priority, static_cast<double>(latestStart)};
+        return {onTimeGroup, facts.priority, facts.remainingWork};
     }
     return {lateGroup, facts.priority, facts.remainingWork};
 }
