--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -95,6 +95,8 @@
     JournalOptions journal;
     journal.name = peers.name;
     journal.founders = peers.controlInstances;
+    // A quorum of 2n + 1 voters survives the loss of n.
+    journal.targetVoters = 2 * m_settings.toleratedLosses + 1;
     journal.mayFound = m_settings.firstStart;
     journal.seed = std::hash<std::string>{}(peers.name);
     m_journal = std::make_unique<ReplicatedJournal>(journal, *m_storage, *m_transport, m_log,
--- a/Source/Program/ControlInstance.h
+++ b/Source/Program/ControlInstance.h
@@ -21,6 +21,8 @@
     std::uint64_t diskBytes = 0;
     /// True only on the first start of the whole system.
     bool firstStart = false;
+    /// Instances with a disk that may be lost at the same time.
+    std::size_t toleratedLosses = 1;
     JobServiceOptions service;
     std::int64_t stopMs = 0;
 };
