--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -1,6 +1,7 @@
 #include "Runtime/JobService.h"
 
 #include <algorithm>
+#include <chrono>
 
 // Leadership, orders and timers. Calls are in JobServiceCalls.cpp.
 
@@ -12,6 +13,8 @@
 /// step looks at all waiting jobs.
 constexpr Milliseconds idleStepInterval{50};
 constexpr std::int64_t stepPauseMs = 8;
+/// Pause after a step in units of the time it took.
+constexpr std::int64_t stepPauseShare = 3;
 
 constexpr std::int64_t maintenanceIntervalMs = 100;
 
@@ -249,11 +252,16 @@
 {
     const SteadyTimeMs now = steadyTimeNow();
     m_nextStep = now + stepPauseMs;
+    const auto begin = std::chrono::steady_clock::now();
     // Without a lease another leader may act: nothing is ordered and nothing is decided.
     if (!leads()) {
         return;
     }
     carryOut(m_dispatcher.step(now, wallTimeNow()));
+    // A backlog makes steps long; calls and renewals need most of the processor meanwhile.
+    const auto took =
+            std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
+    m_nextStep += took.count() * stepPauseShare;
     if (now >= m_nextMaintenance) {
         m_nextMaintenance = now + maintenanceIntervalMs;
         carryOut(m_maintenance.step(now, wallTimeNow()));
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -108,6 +108,13 @@
         SteadyTimeMs askAgainAt = 0;
         std::map<std::string, std::string> byWorker;
     };
+    /// A worker that takes tasks, looked up once a pass.
+    struct Candidate
+    {
+        const WorkerRecord *worker = nullptr;
+        const WorkerView *view = nullptr;
+    };
+    using Candidates = std::vector<Candidate>;
     struct Waiting
     {
         StepKey key;
@@ -140,23 +147,22 @@
     void placeWaiting(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
     void collectWaiting(const JobRecord &job, WallTimeMs wallNow,
                         std::map<std::string, std::vector<Waiting>> &byService) const;
-    void placeStep(const Waiting &waiting, const std::vector<std::string> &workers,
-                   SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
+    void placeStep(const Waiting &waiting, const Candidates &candidates, SteadyTimeMs now,
+                   WallTimeMs wallNow, DispatchOrders &orders);
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
-                                            const std::vector<std::string> &workers,
-                                            const Tickets *tickets, WallTimeMs wallNow) const;
-    bool placeGang(const JobRecord &job, const Waiting &waiting,
-                   const std::vector<std::string> &workers, SteadyTimeMs now, WallTimeMs wallNow,
-                   DispatchOrders &orders);
+                                            const Candidates &candidates, const Tickets *tickets,
+                                            WallTimeMs wallNow) const;
+    bool placeGang(const JobRecord &job, const Waiting &waiting, const Candidates &candidates,
+                   SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
                 DispatchOrders &orders);
     bool takesWork(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
-    const Tickets *ticketsFor(const Waiting &waiting, const std::vector<std::string> &workers,
+    const Tickets *ticketsFor(const Waiting &waiting, const Candidates &candidates,
                               SteadyTimeMs now, DispatchOrders &orders);
     std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
     std::string serviceOf(const JobRecord &job) const;
-    std::uint32_t runsOfStepOn(const std::string &worker, const TaskKey &task) const;
-    bool servesUsers(const std::string &worker) const;
+    static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
+    bool servesUsers(const WorkerView &view) const;
     void noteEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
 
     const JobBook &m_book;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -134,16 +134,16 @@
     if (byService.empty()) {
         return;
     }
-    std::map<std::string, std::vector<std::string>> workersOf;
+    std::map<std::string, Candidates> candidatesOf;
     for (const auto &[id, worker] : m_book.workers()) {
         const auto found = m_workers.find(id);
         if (found != m_workers.end() && takesWork(worker, found->second, now)) {
-            workersOf[worker.service].push_back(id);
+            candidatesOf[worker.service].push_back({&worker, &found->second});
         }
     }
     for (auto &[service, steps] : byService) {
-        const std::vector<std::string> &workers = workersOf[service];
-        if (workers.empty()) {
+        const Candidates &candidates = candidatesOf[service];
+        if (candidates.empty()) {
             continue;
         }
         std::sort(steps.begin(), steps.end(), [](const Waiting &left, const Waiting &right) {
@@ -152,7 +152,7 @@
         std::uint32_t fruitless = 0;
         for (const Waiting &waiting : steps) {
             const std::size_t before = m_proposed.size();
-            placeStep(waiting, workers, now, wallNow, orders);
+            placeStep(waiting, candidates, now, wallNow, orders);
             if (m_proposed.size() == before && ++fruitless >= fruitlessSteps) {
                 break;
             }
@@ -160,24 +160,24 @@
     }
 }
 
-void Dispatcher::placeStep(const Waiting &waiting, const std::vector<std::string> &workers,
-                           SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
+void Dispatcher::placeStep(const Waiting &waiting, const Candidates &candidates, SteadyTimeMs now,
+                           WallTimeMs wallNow, DispatchOrders &orders)
 {
     const JobRecord &job = *m_book.job(waiting.key.job);
     const Tickets *tickets = nullptr;
     if (job.queue.needsAdvice) {
-        tickets = ticketsFor(waiting, workers, now, orders);
+        tickets = ticketsFor(waiting, candidates, now, orders);
         if (tickets == nullptr) {
             return;
         }
     }
     if (job.spec.steps[waiting.key.step].gang) {
-        placeGang(job, waiting, workers, now, wallNow, orders);
+        placeGang(job, waiting, candidates, now, wallNow, orders);
         return;
     }
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
-        const auto worker = chooseWorker(job, task, workers, tickets, wallNow);
+        const auto worker = chooseWorker(job, task, candidates, tickets, wallNow);
         if (!worker) {
             return;
         }
@@ -185,9 +185,9 @@
     }
 }
 
-std::uint32_t Dispatcher::runsOfStepOn(const std::string &worker, const TaskKey &task) const
+std::uint32_t Dispatcher::runsOfStepOn(const WorkerView &view, const TaskKey &task)
 {
-    const auto &reserved = m_workers.at(worker).reserved;
+    const auto &reserved = view.reserved;
     std::uint32_t count = 0;
     for (auto row = reserved.lower_bound({task.job, task.occurrence, task.step, 0});
          row != reserved.end() && row->first.job == task.job
@@ -198,10 +198,9 @@
     return count;
 }
 
-bool Dispatcher::servesUsers(const std::string &worker) const
+bool Dispatcher::servesUsers(const WorkerView &view) const
 {
-    const auto &reserved = m_workers.at(worker).reserved;
-    return std::any_of(reserved.begin(), reserved.end(), [this](const auto &item) {
+    return std::any_of(view.reserved.begin(), view.reserved.end(), [this](const auto &item) {
         const JobRecord *job = m_book.job(item.first.job);
         return job != nullptr && job->spec.steps[item.first.step].targetMs > 0
                 && !job->spec.steps[item.first.step].fills;
@@ -209,7 +208,7 @@
 }
 
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
-                                                    const std::vector<std::string> &workers,
+                                                    const Candidates &candidates,
                                                     const Tickets *tickets,
                                                     WallTimeMs wallNow) const
 {
@@ -219,11 +218,12 @@
         need.processorMilli = 0;
     }
     const auto failedOn = m_failedOn.find(task);
-    std::optional<std::string> best;
+    const std::string *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
-    for (const std::string &id : workers) {
-        const WorkerRecord &worker = *m_book.worker(id);
-        const WorkerView &view = m_workers.at(id);
+    for (const Candidate &candidate : candidates) {
+        const WorkerRecord &worker = *candidate.worker;
+        const WorkerView &view = *candidate.view;
+        const std::string &id = worker.id;
         const TaskResources room = worker.capacity - view.used;
         if (!fits(need, room) || (tickets != nullptr && !tickets->byWorker.contains(id))) {
             continue;
@@ -233,7 +233,7 @@
                     == worker.labels.end()) {
             continue;
         }
-        if (step.maxPerWorker > 0 && runsOfStepOn(id, task) >= step.maxPerWorker) {
+        if (step.maxPerWorker > 0 && runsOfStepOn(view, task) >= step.maxPerWorker) {
             continue;
         }
         // The tightest fit, on workers that lasting tasks hold anyway, leaves whole instances for
@@ -248,7 +248,7 @@
         }
         score -= view.failuresInRow;
         if (step.lasting && step.maxUnavailable > 0
-            && runsOfStepOn(id, task) >= step.maxUnavailable) {
+            && runsOfStepOn(view, task) >= step.maxUnavailable) {
             // Maintenance of the worker would take away more of the step than it allows.
             if (wallNow - job.acceptedAtMs < m_rules.spreadWaitMs) {
                 continue;
@@ -258,20 +258,20 @@
         if (!step.dataRack.empty() && worker.rack == step.dataRack) {
             score += 4;
         }
-        if ((step.fills || step.targetMs > 0) && servesUsers(id) && step.fills) {
+        if ((step.fills || step.targetMs > 0) && servesUsers(view) && step.fills) {
             score -= 2;
         }
         if (score > bestScore) {
             bestScore = score;
-            best = id;
+            best = &id;
         }
     }
-    return best;
+    return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
 bool Dispatcher::placeGang(const JobRecord &job, const Waiting &waiting,
-                           const std::vector<std::string> &workers, SteadyTimeMs now,
-                           WallTimeMs wallNow, DispatchOrders &orders)
+                           const Candidates &candidates, SteadyTimeMs now, WallTimeMs wallNow,
+                           DispatchOrders &orders)
 {
     const StepSpec &step = job.spec.steps[waiting.key.step];
     if (waiting.indices.size() < step.count) {
@@ -283,7 +283,7 @@
     std::uint32_t run = 0;
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
-        const auto worker = chooseWorker(job, task, workers, nullptr, wallNow);
+        const auto worker = chooseWorker(job, task, candidates, nullptr, wallNow);
         if (!worker) {
             for (auto &[id, view] : before) {
                 m_workers[id] = std::move(view);
@@ -327,8 +327,8 @@
 }
 
 const Dispatcher::Tickets *Dispatcher::ticketsFor(const Waiting &waiting,
-                                                  const std::vector<std::string> &workers,
-                                                  SteadyTimeMs now, DispatchOrders &orders)
+                                                  const Candidates &candidates, SteadyTimeMs now,
+                                                  DispatchOrders &orders)
 {
     Tickets &tickets = m_tickets[{waiting.key.job, waiting.key.occurrence, waiting.key.step}];
     if (now < tickets.validUntil && !tickets.byWorker.empty()) {
@@ -337,13 +337,16 @@
     if (!tickets.asked && now >= tickets.askAgainAt) {
         tickets.asked = true;
         // Workers with the most room first: an approved worker without room is of no use.
-        std::vector<std::string> asked = workers;
-        std::stable_sort(asked.begin(), asked.end(),
-                         [this](const std::string &left, const std::string &right) {
-                             return m_workers.at(left).used.processorMilli
-                                     < m_workers.at(right).used.processorMilli;
-                         });
-        asked.resize(std::min(asked.size(), adviceWorkers));
+        Candidates sorted = candidates;
+        std::stable_sort(
+                sorted.begin(), sorted.end(), [](const Candidate &left, const Candidate &right) {
+                    return left.view->used.processorMilli < right.view->used.processorMilli;
+                });
+        sorted.resize(std::min(sorted.size(), adviceWorkers));
+        std::vector<std::string> asked;
+        for (const Candidate &candidate : sorted) {
+            asked.push_back(candidate.worker->id);
+        }
         orders.advice.push_back(
                 {waiting.key.job, waiting.key.occurrence, waiting.key.step, std::move(asked)});
     }
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -26,7 +26,7 @@
     std::int64_t instanceMs = 4000;
     /// Part of a wave's duration in which it is to be done, so that a loss of the leader or a
     /// task that forbids a step does not make it late.
-    double durationShare = 0.4;
+    double durationShare = 0.5;
     /// Readings of the list without an instance after which it is gone.
     std::uint32_t missingReadings = 3;
 };
