Dispatcher: Start no run whose end is under way

Ruled out: a start that a partition held up past its lease; the start is new. Tests fail first: DispatcherTest::lostWorkers, PlannersTest::repeatedOrder.

--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -37,6 +37,20 @@
     return "wave/" + std::to_string(wave);
 }
 
+/// The queue that a client's call names; without one the call is answered.
+const QueueConfig *queueOf(const JobBook &book, const JobCall &call, const JobReply &reply)
+{
+    if (book.configuration().version == 0) {
+        reply(answerOf(JobCallOutcome::Busy, "no-configuration"));
+        return nullptr;
+    }
+    const QueueConfig *queue = book.queueFor(call.host, call.path);
+    if (queue == nullptr) {
+        reply(answerOf(JobCallOutcome::NotFound, "no-queue"));
+    }
+    return queue;
+}
+
 /// Empty if the job can be stored.
 std::string jobFault(const JobSpec &spec)
 {
@@ -155,13 +169,8 @@
 
 void JobService::submit(const JobCall &call, const JobReply &reply)
 {
-    if (m_book.configuration().version == 0) {
-        reply(answerOf(JobCallOutcome::Busy, "no-configuration"));
-        return;
-    }
-    const QueueConfig *queue = m_book.queueFor(call.host, call.path);
+    const QueueConfig *queue = queueOf(m_book, call, reply);
     if (queue == nullptr) {
-        reply(answerOf(JobCallOutcome::NotFound, "no-queue"));
         return;
     }
     JobSpec spec = call.spec;
@@ -187,13 +196,8 @@
 
 void JobService::status(const JobCall &call, const JobReply &reply)
 {
-    if (m_book.configuration().version == 0) {
-        reply(answerOf(JobCallOutcome::Busy, "no-configuration"));
-        return;
-    }
-    const QueueConfig *queue = m_book.queueFor(call.host, call.path);
+    const QueueConfig *queue = queueOf(m_book, call, reply);
     if (queue == nullptr) {
-        reply(answerOf(JobCallOutcome::NotFound, "no-queue"));
         return;
     }
     JobCallAnswer answer;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -493,9 +493,9 @@
         const WorkerRecord *record = m_book.worker(place);
         const TaskKey key{task.job, task.occurrence, task.step, index};
         const bool works = other != nullptr && record != nullptr && !record->draining
-                && !other->leaving && isFresh(place, now) && other->runs.contains(key)
-                && other->runs.at(key).state == RunState::Running && !other->runs.at(key).stopping
-                && other->runs.at(key).percent >= 100;
+                && (place == worker || !other->leaving) && isFresh(place, now)
+                && other->runs.contains(key) && other->runs.at(key).state == RunState::Running
+                && !other->runs.at(key).stopping && other->runs.at(key).percent >= 100;
         if (place == worker && works) {
             ++here;
         } else if (!works) {
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -101,7 +101,10 @@
             continue;
         }
         for (auto &[task, run] : view.runs) {
-            if (run.state != RunState::ToSend || run.stopping || now < run.nextSendAt) {
+            // A run whose end is under way must not begin: its task may already be assigned anew
+            // when the start arrives.
+            if (run.state != RunState::ToSend || run.stopping || now < run.nextSendAt
+                || m_proposedEnds.contains({task, run.run})) {
                 continue;
             }
             const JobRecord *job = m_book.job(task.job);
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -216,7 +216,10 @@
             continue;
         }
         if (progress.phase == Phase::Ordered) {
-            if (progress.nextOrderAt != 0 && now >= progress.nextOrderAt) {
+            // The order that got no answer may not have arrived, and another task of a step may
+            // have gone away since.
+            if (progress.nextOrderAt != 0 && now >= progress.nextOrderAt
+                && m_dispatcher.takeAwayFault(progress.worker, now).empty()) {
                 progress.nextOrderAt = 0;
                 orders.begin.push_back({instance, wave.id});
             }
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -120,6 +120,21 @@
             world.run(12000);
             CPPUNIT_ASSERT_EQUAL(std::size_t(8), world.runningCount("a"));
         });
+        section("a worker that is back while its loss is recorded gets no start of a lost run", [] {
+            // The loss and the second start are committed while the first run would begin
+            // (chamdakam-loom trouble-3, seed 620090730925).
+            FleetWorld world(17);
+            world.durationOf = [](const TaskKey &) { return 5000; };
+            setUpFleet(world, 2);
+            world.submit("a", "quotes", {shortStep(8)});
+            // The assignment is under way, the start is not sent yet.
+            world.run(30);
+            world.workers.at("w1").cutOff = true;
+            world.commitMs = 400;
+            world.runUntil("the loss", 12000, [&] { return world.dispatcher->view("w1")->lapsed; });
+            world.workers.at("w1").cutOff = false;
+            world.runUntil("the job", 20000, [&] { return isCompleted(world, "a"); });
+        });
         section("a worker that starts again under its id gives its tasks back at once", [] {
             FleetWorld world(8);
             world.durationOf = [](const TaskKey &) { return 1000; };
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(maintenanceWave);
     CPPUNIT_TEST(maintenanceBudget);
     CPPUNIT_TEST(crowdedWorker);
+    CPPUNIT_TEST(repeatedOrder);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST_SUITE_END();
 
@@ -224,6 +225,33 @@
         });
     }
 
+    /// Guards against an order that is repeated after a lost answer though another task of the step
+    /// has gone away meanwhile.
+    void repeatedOrder()
+    {
+        FleetWorld world(24);
+        world.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        for (int index = 0; index < 5; ++index) {
+            world.addWorker("pricing");
+        }
+        world.start();
+        world.run(100);
+        world.submit("a", "quotes", {lastingStep(4, 1)});
+        world.run(1500);
+        std::vector<std::string> holders;
+        for (const auto &[id, worker] : world.workers) {
+            if (!worker.running.empty()) {
+                holders.push_back(id);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), holders.size());
+        world.dispatcher->setLeaving(holders[0], true);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.dispatcher->takeAwayFault(holders[0], world.now));
+        world.crash(holders[1]);
+        world.run(4000);
+        CPPUNIT_ASSERT(!world.dispatcher->takeAwayFault(holders[0], world.now).empty());
+    }
+
     /// Guards against maintenance that never comes to a worker with more of a step than it allows
     /// to be away (chamdakam-loom quiet-1, five tasks on one worker).
     void crowdedWorker()
