Dispatcher: Count a task that has just started as perhaps at work

Ruled out: two planners on one instance, the claims exclude that. Test: PlannersTest::startingTask fails without the change.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -493,10 +493,13 @@
         const WorkerRecord *record = m_book.worker(place);
         const TaskKey key{task.job, task.occurrence, task.step, index};
         const bool works = other != nullptr && record != nullptr && !record->draining
-                && (place == worker || !other->leaving) && isFresh(place, now)
-                && other->runs.contains(key) && other->runs.at(key).state == RunState::Running
-                && !other->runs.at(key).stopping && other->runs.at(key).percent >= 100;
-        if (place == worker && works) {
+                && !other->leaving && isFresh(place, now) && other->runs.contains(key)
+                && other->runs.at(key).state == RunState::Running && !other->runs.at(key).stopping
+                && other->runs.at(key).percent >= 100;
+        const bool stopping =
+                other != nullptr && other->runs.contains(key) && other->runs.at(key).stopping;
+        if (place == worker && !stopping) {
+            // A task here counts even if its last reading, up to a second old, was below 100%.
             ++here;
         } else if (!works) {
             ++away;
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(maintenanceWave);
     CPPUNIT_TEST(maintenanceBudget);
     CPPUNIT_TEST(crowdedWorker);
+    CPPUNIT_TEST(startingTask);
     CPPUNIT_TEST(repeatedOrder);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST_SUITE_END();
@@ -225,6 +226,27 @@
         });
     }
 
+    /// Guards against maintenance that trusts an old reading: a task that has just started may be
+    /// at work when the order arrives (chamdakam-loom-grown quiet-1, AVAIL).
+    void startingTask()
+    {
+        FleetWorld world(25);
+        world.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        world.addWorker("pricing");
+        world.addWorker("pricing");
+        world.start();
+        world.run(100);
+        world.submit("a", "quotes", {lastingStep(2, 1)});
+        world.runUntil("both starts", 1000, [&] { return world.runningCount("a") == 2; });
+        for (const auto &[id, worker] : world.workers) {
+            CPPUNIT_ASSERT(!world.dispatcher->takeAwayFault(id, world.now).empty());
+        }
+        world.run(2500);
+        for (const auto &[id, worker] : world.workers) {
+            CPPUNIT_ASSERT_EQUAL(std::string(), world.dispatcher->takeAwayFault(id, world.now));
+        }
+    }
+
     /// Guards against an order that is repeated after a lost answer though another task of the step
     /// has gone away meanwhile.
     void repeatedOrder()
