Maintenance: Count orders of an earlier leader, and look again before sending

Reading for what could take two tasks of one step away found two gaps: a new leader did not know of the order that its predecessor had sent and that the provider may still carry out, and an order whose record was confirmed late was sent without a second look at the step's budget.

Ruled out: a move of an instance with tasks (moves need an empty worker); a stale reading of a lost worker (readings count for 2.6 s, the rule for 4.5 s).

Change: instances with a recorded order of another term count as leaving and take no tasks until the pause between two holders has passed. mayBegin() checks the budget when the record is confirmed.

Before: PlannersTest::earlierLeadersOrder and slowRecord fail (2 of 4 tasks at work; an order sent after a task of the step had crashed). After: both pass.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -412,7 +412,7 @@
     const OrderAuthority authority{m_options.name, m_status.term};
     for (const MaintenanceOrder &order : orders.begin) {
         recordOrder(order.instance, [this, alive, authority, order](bool mayAct) {
-            if (!mayAct) {
+            if (!mayAct || !m_maintenance.mayBegin(order, steadyTimeNow())) {
                 m_maintenance.answered(order, InstanceFault::NotSent, steadyTimeNow());
                 return;
             }
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -46,10 +46,37 @@
     m_instances.clear();
     m_missing.clear();
     m_progress.clear();
+    m_orderedEarlier.clear();
     m_changes.clear();
     m_notes.clear();
 }
 
+bool MaintenancePlanner::mayBegin(const MaintenanceOrder &order, SteadyTimeMs now) const
+{
+    const auto found = m_progress.find(order.instance);
+    return found != m_progress.end()
+            && m_dispatcher.takeAwayFault(found->second.worker, now).empty();
+}
+
+void MaintenancePlanner::reviewEarlierOrders(SteadyTimeMs now)
+{
+    for (const auto &[id, instance] : m_instances) {
+        if (!m_orderLog.mayOrder(id, m_term, now) && !instance.worker.empty()
+            && m_orderedEarlier.emplace(id, instance.worker).second) {
+            m_dispatcher.setCordoned(instance.worker, true);
+            m_dispatcher.setLeaving(instance.worker, true);
+        }
+    }
+    std::erase_if(m_orderedEarlier, [&](const auto &item) {
+        if (!m_orderLog.mayOrder(item.first, m_term, now)) {
+            return false;
+        }
+        m_dispatcher.setCordoned(item.second, false);
+        m_dispatcher.setLeaving(item.second, false);
+        return true;
+    });
+}
+
 bool MaintenancePlanner::hasWork() const
 {
     return !m_progress.empty()
@@ -188,6 +215,7 @@
 MaintenanceOrders MaintenancePlanner::step(SteadyTimeMs now, WallTimeMs wallNow)
 {
     MaintenanceOrders orders;
+    reviewEarlierOrders(now);
     finishReturned(now, orders);
     for (const auto &[id, wave] : m_book.waves()) {
         if (!wave.isCompleted()) {
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -63,6 +63,9 @@
     void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt);
     void answered(const MaintenanceOrder &order, std::optional<InstanceFault> fault,
                   SteadyTimeMs now);
+    /// True if the order may still be sent once its record is in the journal: other tasks of a step
+    /// may have gone away meanwhile.
+    bool mayBegin(const MaintenanceOrder &order, SteadyTimeMs now) const;
     MaintenanceOrders step(SteadyTimeMs now, WallTimeMs wallNow);
     bool hasWork() const;
     /// True while the instance is prepared for maintenance or under it.
@@ -82,6 +85,9 @@
     void stepWave(const MaintenanceWave &wave, SteadyTimeMs now, WallTimeMs wallNow,
                   MaintenanceOrders &orders);
     void finishReturned(SteadyTimeMs now, MaintenanceOrders &orders);
+    /// Instances that an earlier leader may have ordered count as leaving, as the provider may
+    /// carry the order out late.
+    void reviewEarlierOrders(SteadyTimeMs now);
     std::uint32_t awayCount(const MaintenanceWave &wave) const;
     std::vector<std::string> candidates(const MaintenanceWave &wave, SteadyTimeMs now) const;
     void release(const std::string &instance);
@@ -96,6 +102,8 @@
     SteadyTimeMs m_listedAt = 0;
     std::map<std::string, std::uint32_t> m_missing;
     std::map<std::string, Progress> m_progress;
+    /// Worker of each instance that an earlier leader may have ordered.
+    std::map<std::string, std::string> m_orderedEarlier;
     std::vector<JobChange> m_changes;
     std::vector<DispatchNote> m_notes;
 };
--- a/Tests/Scheduling/FleetWorld.cpp
+++ b/Tests/Scheduling/FleetWorld.cpp
@@ -1,6 +1,7 @@
 #include "Scheduling/FleetWorld.h"
 
 #include <algorithm>
+#include <ctime>
 #include <stdexcept>
 
 namespace dandelionloom::test {
@@ -15,6 +16,13 @@
 /// A lasting task is at work this long after its start.
 constexpr std::int64_t startupMs = 300;
 
+double processorSeconds()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
 } // namespace
 
 StepSpec shortStep(std::uint32_t count, std::int64_t milli)
@@ -169,13 +177,22 @@
     m_commits.push_back({now + commitMs, std::move(change)});
 }
 
+void FleetWorld::measured(const std::function<void()> &call)
+{
+    const double before = processorSeconds();
+    call();
+    schedulerSeconds += processorSeconds() - before;
+}
+
 void FleetWorld::commitDue()
 {
     while (!m_commits.empty() && m_commits.front().at <= now) {
         const JobChange change = std::move(m_commits.front().change);
         m_commits.pop_front();
-        book.apply(change);
-        dispatcher->applied(change, now);
+        measured([&] {
+            book.apply(change);
+            dispatcher->applied(change, now);
+        });
         if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
             acceptedAt.try_emplace(accepted->spec.id, accepted->atMs);
         }
@@ -239,6 +256,13 @@
 {
     now += tickMs;
     returnInstances();
+    std::erase_if(m_delayedMaintenance, [this](const auto &delayed) {
+        if (delayed.first > now) {
+            return false;
+        }
+        takeAway(delayed.second);
+        return true;
+    });
     for (auto &[id, worker] : workers) {
         advanceWorker(worker);
     }
@@ -253,10 +277,20 @@
         maintenance->listed(list, now);
         balancer->listed(list);
     }
-    carryOut(dispatcher->step(now, now));
-    carryOut(maintenance->step(now, now));
+    if (now < m_nextStep) {
+        return;
+    }
+    m_nextStep = now + stepMs;
+    DispatchOrders dispatchOrders;
+    measured([&] { dispatchOrders = dispatcher->step(now, now); });
+    carryOut(dispatchOrders);
+    MaintenanceOrders maintenanceOrders;
+    measured([&] { maintenanceOrders = maintenance->step(now, now); });
+    carryOut(maintenanceOrders);
     if (balances) {
-        carryOut(balancer->step(now));
+        BalanceOrders balanceOrders;
+        measured([&] { balanceOrders = balancer->step(now); });
+        carryOut(balanceOrders);
     }
 }
 
@@ -319,7 +353,7 @@
                             99, passed * 100 / std::max<std::int64_t>(run.durationMs, 1));
             answer.running.push_back({task, run.run, {}, percent, run.hangs ? 0 : 10});
         }
-        dispatcher->renewed(id, answer, now);
+        measured([&, &id = id] { dispatcher->renewed(id, answer, now); });
     }
 }
 
@@ -406,7 +440,10 @@
 void FleetWorld::carryOut(const DispatchOrders &orders)
 {
     for (const StartOrder &order : orders.starts) {
-        dispatcher->startAnswered(order.worker, order.task, order.run, startRun(order), now);
+        const std::optional<CallFault> fault = startRun(order);
+        measured([&] {
+            dispatcher->startAnswered(order.worker, order.task, order.run, fault, now);
+        });
     }
     for (const StopOrder &order : orders.stops) {
         const auto found = workers.find(order.worker);
@@ -445,20 +482,55 @@
 void FleetWorld::carryOut(const MaintenanceOrders &orders)
 {
     for (const MaintenanceOrder &order : orders.begin) {
-        ListedInstance &instance = instances.at(order.instance);
-        if (instance.state != InstanceState::InService) {
-            maintenance->answered(order, InstanceFault::Busy, now);
-            continue;
-        }
-        maintained.push_back(order.instance);
-        workers.erase(instance.worker);
-        instance.state = InstanceState::Maintenance;
-        returning[order.instance] = {now + maintenanceMs, instance.pool};
-        maintenance->answered(order, std::nullopt, now);
+        m_recordedOrders.push_back({now + orderCommitMs, term, order});
     }
     for (const JobChange &change : orders.changes) {
         propose(change);
     }
+    std::vector<DelayedOrder> due;
+    std::erase_if(m_recordedOrders, [&](const DelayedOrder &delayed) {
+        if (delayed.at <= now && delayed.term == term) {
+            due.push_back(delayed);
+        }
+        return delayed.at <= now || delayed.term != term;
+    });
+    for (const DelayedOrder &delayed : due) {
+        orderLog.applied({delayed.order.instance, delayed.term}, now);
+        if (maintenance->mayBegin(delayed.order, now)) {
+            beginMaintenance(delayed.order);
+        } else {
+            maintenance->answered(delayed.order, InstanceFault::NotSent, now);
+        }
+    }
+}
+
+void FleetWorld::beginMaintenance(const MaintenanceOrder &order)
+{
+    ++ordersGiven;
+    lastOrderedWorker = instances.at(order.instance).worker;
+    if (maintenanceDelayMs > 0) {
+        m_delayedMaintenance.emplace_back(now + maintenanceDelayMs, order.instance);
+        maintenance->answered(order, InstanceFault::NoAnswer, now);
+        return;
+    }
+    if (instances.at(order.instance).state != InstanceState::InService) {
+        maintenance->answered(order, InstanceFault::Busy, now);
+        return;
+    }
+    takeAway(order.instance);
+    maintenance->answered(order, std::nullopt, now);
+}
+
+void FleetWorld::takeAway(const std::string &id)
+{
+    ListedInstance &instance = instances.at(id);
+    if (instance.state != InstanceState::InService) {
+        return;
+    }
+    maintained.push_back(id);
+    workers.erase(instance.worker);
+    instance.state = InstanceState::Maintenance;
+    returning[id] = {now + maintenanceMs, instance.pool};
 }
 
 void FleetWorld::carryOut(const BalanceOrders &orders)
--- a/Tests/Scheduling/FleetWorld.h
+++ b/Tests/Scheduling/FleetWorld.h
@@ -68,6 +68,12 @@
     std::int64_t commitMs = 20;
     DispatchRules rules;
     bool balances = false;
+    /// If above 0, the provider answers no maintenance order and carries it out after this time.
+    std::int64_t maintenanceDelayMs = 0;
+    /// Time between a maintenance order and the journal's confirmation of its record.
+    std::int64_t orderCommitMs = 0;
+    /// Interval of the scheduler's steps.
+    std::int64_t stepMs = 5;
     /// Run time of a task; 680 ms unless a test sets it.
     std::function<std::int64_t(const TaskKey &)> durationOf;
     /// Tasks that end as failed.
@@ -105,9 +111,14 @@
     std::uint32_t starts = 0;
     std::uint32_t moves = 0;
     std::vector<std::string> maintained;
+    /// Maintenance orders that reached the provider, and the worker of the last one.
+    std::size_t ordersGiven = 0;
+    std::string lastOrderedWorker;
     std::map<std::string, SteadyTimeMs> acceptedAt;
     std::map<std::string, SteadyTimeMs> completedAt;
     std::uint64_t term = 0;
+    /// Processor time that the dispatcher and the planners have used.
+    double schedulerSeconds = 0;
 
 private:
     struct Commit
@@ -128,16 +139,30 @@
     void endRun(FakeWorker &worker, const TaskKey &task, RunEnd how);
     void answerHolds();
     void carryOut(const MaintenanceOrders &orders);
+    void beginMaintenance(const MaintenanceOrder &order);
+    void takeAway(const std::string &instance);
     void carryOut(const BalanceOrders &orders);
     void returnInstances();
+    /// Runs `call` and adds its processor time to schedulerSeconds.
+    void measured(const std::function<void()> &call);
     std::string instanceOf(const std::string &worker) const;
     void announce(const std::string &worker);
 
     const std::uint64_t m_seed;
     std::mt19937_64 m_random;
     std::deque<Commit> m_commits;
+    struct DelayedOrder
+    {
+        SteadyTimeMs at = 0;
+        std::uint64_t term = 0;
+        MaintenanceOrder order;
+    };
+    std::vector<DelayedOrder> m_recordedOrders;
+    /// Instances that the provider takes away later.
+    std::vector<std::pair<SteadyTimeMs, std::string>> m_delayedMaintenance;
     std::uint32_t m_lastWorker = 0;
     SteadyTimeMs m_nextList = 0;
+    SteadyTimeMs m_nextStep = 0;
 };
 
 StepSpec shortStep(std::uint32_t count, std::int64_t milli = 1000);
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -97,6 +97,8 @@
     CPPUNIT_TEST(crowdedWorker);
     CPPUNIT_TEST(startingTask);
     CPPUNIT_TEST(repeatedOrder);
+    CPPUNIT_TEST(earlierLeadersOrder);
+    CPPUNIT_TEST(slowRecord);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST_SUITE_END();
 
@@ -274,6 +276,65 @@
         CPPUNIT_ASSERT(!world.dispatcher->takeAwayFault(holders[0], world.now).empty());
     }
 
+    /// Guards against a new leader that takes a task away while the provider still carries out an
+    /// order of the leader before it, which counts against the same step (chamdakam-loom scale-1,
+    /// AVAIL).
+    void earlierLeadersOrder()
+    {
+        FleetWorld world(26);
+        world.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        for (int index = 0; index < 6; ++index) {
+            world.addWorker("pricing");
+        }
+        world.start();
+        world.run(100);
+        world.submit("a", "quotes", {lastingStep(4, 1)});
+        world.run(1500);
+        world.maintenanceDelayMs = 2500;
+        world.startWave({"m1", "m2", "m3", "m4"}, 4);
+        const std::size_t ordersBefore = world.ordersGiven;
+        world.runUntil("an order for a worker with a task", 8000, [&] {
+            const auto worker = world.workers.find(world.lastOrderedWorker);
+            return world.ordersGiven > ordersBefore && worker != world.workers.end()
+                    && !worker->second.running.empty();
+        });
+        world.changeLeader();
+        const SteadyTimeMs end = world.now + 4000;
+        while (world.now < end) {
+            world.run(5);
+            CPPUNIT_ASSERT(world.runningCount("a") >= 3);
+        }
+    }
+
+    /// Guards against an order that is sent once its record is confirmed though a task of the step
+    /// went away while the journal had no quorum.
+    void slowRecord()
+    {
+        FleetWorld world(27);
+        world.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        for (int index = 0; index < 5; ++index) {
+            world.addWorker("pricing");
+        }
+        world.start();
+        world.run(100);
+        world.submit("a", "quotes", {lastingStep(4, 1)});
+        world.run(1500);
+        std::vector<std::string> holders;
+        for (const auto &[id, worker] : world.workers) {
+            if (!worker.running.empty()) {
+                holders.push_back(id);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), holders.size());
+        world.orderCommitMs = 4000;
+        world.startWave({"m" + holders[0].substr(1)}, 1);
+        world.run(1000);
+        world.crash(holders[1]);
+        world.run(4500);
+        CPPUNIT_ASSERT(world.workers.contains(holders[0]));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.workers.at(holders[0]).running.size());
+    }
+
     /// Guards against maintenance that never comes to a worker with more of a step than it allows
     /// to be away (chamdakam-loom quiet-1, five tasks on one worker).
     void crowdedWorker()
