Dispatcher: Let each change cost what it touches

Change: runs are added and dropped one by one; workers with runs to send or stop and jobs with waiting tasks are kept in sets; readings are looked at when they arrive; the demand of all pools comes from one pass. An end of a gang releases all of its members. The event loop skips epoll_ctl calls that change nothing, and does not wake itself.

--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -223,7 +223,7 @@
 void EventedHttpClient::receive(std::uint64_t id)
 {
     Connection &connection = *m_connections.at(id);
-    std::array<char, readBytes> buffer{};
+    std::array<char, readBytes> buffer;
     bool ended = false;
     for (;;) {
         const ssize_t count = ::recv(connection.descriptor, buffer.data(), buffer.size(), 0);
--- a/Source/Adapters/Http/EventedHttpServer.cpp
+++ b/Source/Adapters/Http/EventedHttpServer.cpp
@@ -209,7 +209,7 @@
 void EventedHttpServer::readInput(std::uint64_t id)
 {
     Connection &connection = *m_connections.at(id);
-    std::array<char, readBytes> buffer{};
+    std::array<char, readBytes> buffer;
     for (;;) {
         const ssize_t count = ::recv(connection.descriptor, buffer.data(), buffer.size(), 0);
         if (count > 0) {
--- a/Source/Adapters/Peers/EventLoop.cpp
+++ b/Source/Adapters/Peers/EventLoop.cpp
@@ -62,7 +62,8 @@
             return;
         }
         m_posted.push_back(std::move(task));
-        if (m_posted.size() > 1) {
+        // The loop's own thread looks for posted tasks before it waits.
+        if (m_posted.size() > 1 || std::this_thread::get_id() == m_threadId) {
             return;
         }
     }
@@ -101,16 +102,17 @@
     if (::epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event) != 0) {
         throw std::system_error(errno, std::generic_category(), "epoll_ctl");
     }
-    m_watches.emplace(id, std::make_shared<Watch>(Watch{descriptor, std::move(callback)}));
+    m_watches.emplace(id, std::make_shared<Watch>(Watch{descriptor, events, std::move(callback)}));
     return id;
 }
 
 void EventLoop::changeEvents(WatchId watch, std::uint32_t events)
 {
     const auto found = m_watches.find(watch);
-    if (found == m_watches.end()) {
+    if (found == m_watches.end() || found->second->events == events) {
         return;
     }
+    found->second->events = events;
     epoll_event event{};
     event.events = events;
     event.data.u64 = watch;
@@ -129,6 +131,10 @@
 
 void EventLoop::run()
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_threadId = std::this_thread::get_id();
+    }
     std::array<epoll_event, 64> events{};
     for (;;) {
         const int count = ::epoll_wait(m_epoll, events.data(), events.size(), waitMs());
@@ -176,8 +182,14 @@
     }
 }
 
-int EventLoop::waitMs() const
+int EventLoop::waitMs()
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_posted.empty()) {
+            return 0;
+        }
+    }
     if (m_timers.empty()) {
         return maxWaitMs;
     }
--- a/Source/Adapters/Peers/EventLoop.h
+++ b/Source/Adapters/Peers/EventLoop.h
@@ -49,18 +49,20 @@
     struct Watch
     {
         int descriptor = -1;
+        std::uint32_t events = 0;
         std::function<void(std::uint32_t)> callback;
     };
 
     void run();
     void runPosted();
     void runTimers();
-    int waitMs() const;
+    int waitMs();
     void wake() const;
 
     int m_epoll = -1;
     int m_wake = -1;
     std::thread m_thread;
+    std::thread::id m_threadId;
     std::mutex m_mutex;
     std::vector<Task> m_posted;
     bool m_stopping = false;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -26,15 +26,15 @@
     m_leadAt = now;
     m_placementDirty = true;
     for (const auto &[id, worker] : m_book.workers()) {
-        m_workers[id];
-        for (const TaskKey &task : m_book.tasksOf(id)) {
-            syncRuns(id, now);
-            m_workers[id].runs[task].state = RunState::Unknown;
+        syncRuns(id);
+        for (auto &[task, run] : m_workers[id].runs) {
+            run.state = RunState::Unknown;
         }
     }
     for (const auto &[id, job] : m_book.jobs()) {
         if (job.phase == JobPhase::Active) {
             m_activeJobs.insert(id);
+            m_waitingJobs.insert(id);
         }
     }
 }
@@ -46,50 +46,187 @@
     m_sequences.clear();
     m_proposed.clear();
     m_endsUnderWay.clear();
+    m_endSources.clear();
     m_proposedEnds.clear();
+    m_placeOf.clear();
+    m_startWorkers.clear();
+    m_stopWorkers.clear();
+    m_answeredWorkers.clear();
     m_changes.clear();
     m_strayStops.clear();
     m_tickets.clear();
     m_failedOn.clear();
     m_startedAt.clear();
     m_activeJobs.clear();
+    m_waitingJobs.clear();
 }
 
-void Dispatcher::syncRuns(const std::string &worker, SteadyTimeMs)
+TaskResources Dispatcher::needOf(const TaskKey &task) const
+{
+    const StepSpec &step = m_book.job(task.job)->spec.steps[task.step];
+    TaskResources need = step.need;
+    if (step.fills) {
+        need.processorMilli = 0;
+    }
+    return need;
+}
+
+bool Dispatcher::isLasting(const TaskKey &task) const
+{
+    const JobRecord *job = m_book.job(task.job);
+    return job != nullptr && job->spec.steps[task.step].lasting;
+}
+
+void Dispatcher::reserve(WorkerView &view, const TaskKey &task)
+{
+    const auto [slot, added] = view.reserved.try_emplace(task, needOf(task));
+    if (!added) {
+        return;
+    }
+    view.used = view.used + slot->second;
+    if (isLasting(task)) {
+        ++view.lastingRuns;
+        view.lastingMilli += slot->second.processorMilli;
+    }
+}
+
+void Dispatcher::release(WorkerView &view, const TaskKey &task)
+{
+    const auto found = view.reserved.find(task);
+    if (found == view.reserved.end()) {
+        return;
+    }
+    view.used = view.used - found->second;
+    // A job's record outlives all of its runs.
+    if (isLasting(task)) {
+        --view.lastingRuns;
+        view.lastingMilli -= found->second.processorMilli;
+    }
+    view.reserved.erase(found);
+}
+
+void Dispatcher::addRun(const std::string &worker, const TaskKey &task)
+{
+    WorkerView &view = m_workers[worker];
+    const auto [slot, added] = view.runs.try_emplace(task);
+    if (added) {
+        slot->second.run = m_book.task(task)->run;
+    }
+    m_placeOf[task] = worker;
+    reserve(view, task);
+    reviewWorker(worker);
+}
+
+void Dispatcher::dropRun(const TaskKey &task)
+{
+    const auto place = m_placeOf.find(task);
+    if (place == m_placeOf.end()) {
+        return;
+    }
+    const auto worker = m_workers.find(place->second);
+    if (worker != m_workers.end()) {
+        worker->second.runs.erase(task);
+        release(worker->second, task);
+    }
+    m_placeOf.erase(place);
+}
+
+void Dispatcher::reviewWorker(const std::string &worker)
+{
+    m_startWorkers.insert(worker);
+    m_stopWorkers.insert(worker);
+}
+
+void Dispatcher::syncRuns(const std::string &worker)
 {
     WorkerView &view = m_workers[worker];
     const std::set<TaskKey> &assigned = m_book.tasksOf(worker);
-    std::erase_if(view.runs, [&](const auto &item) {
-        return !assigned.contains(item.first) || m_book.task(item.first)->run != item.second.run;
-    });
-    for (const TaskKey &task : assigned) {
-        const auto [slot, added] = view.runs.try_emplace(task);
-        if (added) {
-            slot->second.run = m_book.task(task)->run;
+    std::vector<TaskKey> gone;
+    for (const auto &[task, run] : view.runs) {
+        if (!assigned.contains(task) || m_book.task(task)->run != run.run) {
+            gone.push_back(task);
         }
     }
-    std::erase_if(view.reserved, [&](const auto &item) {
-        const auto proposed = m_proposed.find(item.first);
-        return !assigned.contains(item.first)
-                && (proposed == m_proposed.end() || proposed->second != worker);
-    });
+    for (const TaskKey &task : gone) {
+        dropRun(task);
+    }
     for (const TaskKey &task : assigned) {
-        const StepSpec &step = m_book.job(task.job)->spec.steps[task.step];
-        TaskResources need = step.need;
-        if (step.fills) {
-            need.processorMilli = 0;
+        addRun(worker, task);
+    }
+}
+
+void Dispatcher::reviewEndedJob(const std::string &job)
+{
+    const JobRecord *record = m_book.job(job);
+    if (record == nullptr || record->phase == JobPhase::Active || record->assignedCount == 0) {
+        return;
+    }
+    for (auto place = m_placeOf.lower_bound({job, 0, 0, 0});
+         place != m_placeOf.end() && place->first.job == job; ++place) {
+        m_stopWorkers.insert(place->second);
+    }
+}
+
+void Dispatcher::onAssigned(const RunAssigned &assigned)
+{
+    m_proposed.erase(assigned.task);
+    const TaskRecord *task = m_book.task(assigned.task);
+    if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == assigned.run
+        && task->worker == assigned.worker) {
+        addRun(assigned.worker, assigned.task);
+        return;
+    }
+    // The job has ended or the worker has left since the proposal.
+    const auto worker = m_workers.find(assigned.worker);
+    if (worker != m_workers.end() && !worker->second.runs.contains(assigned.task)) {
+        release(worker->second, assigned.task);
+    }
+    m_waitingJobs.insert(assigned.task.job);
+}
+
+void Dispatcher::onEnded(const RunEnded &ended, SteadyTimeMs now)
+{
+    const RunKey key{ended.task, ended.run};
+    m_proposedEnds.erase(key);
+    if (const auto source = m_endSources.extract(key)) {
+        const auto &[worker, number] = source.mapped();
+        const auto numbers = m_endsUnderWay.find(worker);
+        if (numbers != m_endsUnderWay.end()) {
+            numbers->second.erase(number);
         }
-        view.reserved.try_emplace(task, need);
     }
-    view.used = {};
-    view.lastingRuns = 0;
-    for (const auto &[task, need] : view.reserved) {
-        view.used = view.used + need;
-        const JobRecord *job = m_book.job(task.job);
-        if (job != nullptr && job->spec.steps[task.step].lasting) {
-            ++view.lastingRuns;
+    const auto place = m_placeOf.find(ended.task);
+    if (place != m_placeOf.end()) {
+        const std::string worker = place->second;
+        const auto view = m_workers.find(worker);
+        const auto run = view == m_workers.end() ? std::map<TaskKey, RunView>::iterator()
+                                                 : view->second.runs.find(ended.task);
+        const bool known = view != m_workers.end() && run != view->second.runs.end();
+        if (known && run->second.run == ended.run) {
+            noteEnd(ended, worker, now);
+        }
+        const TaskRecord *task = m_book.task(ended.task);
+        if (task == nullptr || task->phase != TaskPhase::Assigned || !known
+            || task->run != run->second.run) {
+            dropRun(ended.task);
+        }
+    }
+    const JobRecord *job = m_book.job(ended.task.job);
+    if (job != nullptr && job->spec.steps[ended.task.step].gang) {
+        // One end stands for all members.
+        for (std::uint32_t index = 0; index < job->spec.steps[ended.task.step].count; ++index) {
+            const TaskKey member{ended.task.job, ended.task.occurrence, ended.task.step, index};
+            if (m_book.task(member)->phase == TaskPhase::Done) {
+                dropRun(member);
+            }
         }
     }
+    if (job != nullptr && job->phase == JobPhase::Active) {
+        m_waitingJobs.insert(ended.task.job);
+    } else {
+        m_activeJobs.erase(ended.task.job);
+    }
+    reviewEndedJob(ended.task.job);
 }
 
 void Dispatcher::applied(const JobChange &change, SteadyTimeMs now)
@@ -100,39 +237,46 @@
     m_placementDirty = true;
     if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
         m_activeJobs.insert(accepted->spec.id);
+        m_waitingJobs.insert(accepted->spec.id);
     } else if (const auto *assigned = std::get_if<RunAssigned>(&change)) {
-        m_proposed.erase(assigned->task);
-        syncRuns(assigned->worker, now);
+        onAssigned(*assigned);
     } else if (const auto *ended = std::get_if<RunEnded>(&change)) {
-        m_proposedEnds.erase({ended->task, ended->run});
-        for (auto &[id, view] : m_workers) {
-            const auto run = view.runs.find(ended->task);
-            if (run == view.runs.end()) {
-                continue;
-            }
-            if (run->second.run == ended->run) {
-                noteEnd(*ended, id, now);
-            }
-            syncRuns(id, now);
-        }
-        for (auto &[id, ends] : m_endsUnderWay) {
-            std::erase_if(ends, [&](const auto &item) {
-                return item.second.first == ended->task && item.second.second == ended->run;
-            });
-        }
+        onEnded(*ended, now);
+    } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
+        m_activeJobs.erase(cancelled->job);
+        reviewEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
-        syncRuns(joined->worker.id, now);
+        if (m_book.worker(joined->worker.id) != nullptr) {
+            syncRuns(joined->worker.id);
+        }
+        m_waitingJobs = m_activeJobs;
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_book.worker(left->worker) == nullptr) {
-            m_workers.erase(left->worker);
-            m_endsUnderWay.erase(left->worker);
+            forgetWorker(left->worker);
         }
+        m_waitingJobs = m_activeJobs;
     } else if (const auto *forgotten = std::get_if<JobForgotten>(&change)) {
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
     }
 }
 
+void Dispatcher::forgetWorker(const std::string &worker)
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end()) {
+        std::vector<TaskKey> lost;
+        for (const auto &[task, run] : found->second.runs) {
+            lost.push_back(task);
+        }
+        for (const TaskKey &task : lost) {
+            dropRun(task);
+        }
+        m_workers.erase(found);
+    }
+    m_endsUnderWay.erase(worker);
+}
+
 void Dispatcher::noteEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
 {
     WorkerView &view = m_workers[worker];
@@ -203,8 +347,7 @@
             }
             changes.emplace_back(WorkerLeft{id, other.born});
         }
-        m_workers.erase(worker.id);
-        m_endsUnderWay.erase(worker.id);
+        forgetWorker(worker.id);
     }
     changes.emplace_back(WorkerJoined{worker});
     return changes;
@@ -246,13 +389,15 @@
             m_changes.emplace_back(WorkerJoined{again});
             m_notes.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
             const bool cordoned = view.cordoned;
-            view = {};
-            view.cordoned = cordoned;
-            m_endsUnderWay.erase(worker);
+            forgetWorker(worker);
+            m_workers[worker].cordoned = cordoned;
+            m_workers[worker].nextRenewAt = now + m_rules.retryMs;
+            return;
         }
         view.nextRenewAt = now + m_rules.retryMs;
         return;
     }
+    m_answeredWorkers.insert(worker);
     if (view.renewFailures >= 2) {
         m_notes.push_back({"worker-back", {}, 0, worker, "answered", -1});
     }
@@ -316,7 +461,8 @@
     if (!assigned && !doneAfterAll) {
         return;
     }
-    m_endsUnderWay[worker][row.number] = {row.task, row.run};
+    m_endsUnderWay[worker].insert(row.number);
+    m_endSources[{row.task, row.run}] = {worker, row.number};
     proposeEnd(row.task, row.run, row.how, row.checkpoint);
 }
 
@@ -334,6 +480,7 @@
     // The worker refuses a run that ended there, so sending it again is safe, and it tells whether
     // an unanswered start arrived.
     run.state = RunState::ToSend;
+    m_startWorkers.insert(worker);
     m_notes.push_back({"resend", taskName(task), run.run, worker, "not-listed", 0});
 }
 
@@ -411,6 +558,7 @@
     }
     started.state = RunState::ToSend;
     started.nextSendAt = now + m_rules.retryMs;
+    m_startWorkers.insert(worker);
 }
 
 void Dispatcher::paceFailed(const PaceOrder &order)
@@ -418,6 +566,7 @@
     const auto found = m_workers.find(order.worker);
     if (found != m_workers.end() && found->second.runs.contains(order.task)) {
         found->second.runs.at(order.task).pacePercent = -1;
+        m_answeredWorkers.insert(order.worker);
     }
 }
 
@@ -466,18 +615,8 @@
 
 std::size_t Dispatcher::shortRunsOn(const std::string &worker) const
 {
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end()) {
-        return 0;
-    }
-    std::size_t count = 0;
-    for (const auto &[task, need] : found->second.reserved) {
-        const JobRecord *job = m_book.job(task.job);
-        if (job != nullptr && !job->spec.steps[task.step].lasting) {
-            ++count;
-        }
-    }
-    return count;
+    const WorkerView *known = view(worker);
+    return known == nullptr ? 0 : known->reserved.size() - known->lastingRuns;
 }
 
 std::pair<std::uint32_t, std::uint32_t>
@@ -524,6 +663,7 @@
         const auto [away, here] = awayAndHere(task, worker, now);
         if (step.lasting && here > step.maxUnavailable && away < step.maxUnavailable) {
             run.stopping = true;
+            m_stopWorkers.insert(worker);
             return true;
         }
     }
@@ -557,9 +697,10 @@
 std::size_t Dispatcher::pendingJobs(const std::string &queue) const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_book.jobs().begin(), m_book.jobs().end(), [&](const auto &item) {
-                const JobRecord &job = item.second;
-                return job.spec.queue == queue && job.phase == JobPhase::Active && !job.started;
+            std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
+                const JobRecord *job = m_book.job(id);
+                return job != nullptr && job->spec.queue == queue && job->phase == JobPhase::Active
+                        && !job->started;
             }));
 }
 
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -34,6 +34,8 @@
     /// Thousandths of a core of all tasks that run or could start now. More room than this is of
     /// no use, however long the work that depends on them.
     std::int64_t runnableMilli = 0;
+    /// Workers that the widest step of lasting tasks needs to be spread as it asks.
+    std::uint32_t lastingSpread = 0;
 };
 
 /// Decides for the leader which task runs where, and keeps workers' leases. A step function without
@@ -48,7 +50,6 @@
     void lead(SteadyTimeMs now);
     void resign();
     bool leads() const { return m_leads; }
-    SteadyTimeMs leadsSince() const { return m_leadAt; }
 
     /// Call after JobBook::apply() with the same change.
     void applied(const JobChange &change, SteadyTimeMs now);
@@ -82,11 +83,8 @@
     bool evacuateOne(const std::string &worker, SteadyTimeMs now);
     /// Jobs without times whose tasks wait, and no task has started.
     std::size_t pendingJobs(const std::string &queue) const;
-    ServiceDemand demandOf(const std::string &service) const;
-    /// Workers that the widest step of lasting tasks needs to be spread as it asks.
-    std::uint32_t lastingSpread(const std::string &service) const;
-    /// Thousandths of a core that lasting tasks hold on the worker.
-    std::int64_t lastingProcessors(const std::string &worker) const;
+    /// Demand of all services with jobs, by service.
+    std::map<std::string, ServiceDemand> demands() const;
     const WorkerView *view(const std::string &worker) const;
 
 private:
@@ -126,9 +124,20 @@
     std::pair<std::uint32_t, std::uint32_t>
     awayAndHere(const TaskKey &task, const std::string &worker, SteadyTimeMs now) const;
 
-    // Runs and leases.
-    void syncRuns(const std::string &worker, SteadyTimeMs now);
-    void dropRun(const std::string &worker, const TaskKey &task);
+    // Runs and leases. Each change costs what it touches, as a deployment of 350 workers has about
+    // 2,000 a second.
+    /// Rebuilds what is known of a worker from the book, after a new life or a new term.
+    void syncRuns(const std::string &worker);
+    void addRun(const std::string &worker, const TaskKey &task);
+    void dropRun(const TaskKey &task);
+    void reserve(WorkerView &view, const TaskKey &task);
+    void release(WorkerView &view, const TaskKey &task);
+    void onAssigned(const RunAssigned &assigned);
+    void onEnded(const RunEnded &ended, SteadyTimeMs now);
+    /// The next step looks for runs to stop on all workers of a job that has ended.
+    void reviewEndedJob(const std::string &job);
+    void reviewWorker(const std::string &worker);
+    void forgetWorker(const std::string &worker);
     void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
                       SteadyTimeMs now);
     void onEndedRow(const std::string &worker, WorkerView &view, const EndedRun &row);
@@ -138,14 +147,26 @@
     void emitRenewals(SteadyTimeMs now, DispatchOrders &orders);
     void emitStarts(SteadyTimeMs now, DispatchOrders &orders);
     void emitStops(SteadyTimeMs now, DispatchOrders &orders);
-    void emitPaces(SteadyTimeMs now, DispatchOrders &orders);
+    /// True while a run waits to be sent.
+    bool emitStartsOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
+                      DispatchOrders &orders);
+    /// True while a run there must end.
+    bool emitStopsOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
+                     DispatchOrders &orders);
+    /// What the readings of the last answers call for: stalled runs stop, tasks that fill are
+    /// paced.
+    void reviewAnswers(SteadyTimeMs now, DispatchOrders &orders);
+    void stopStalledRuns(const std::string &id, WorkerView &view, SteadyTimeMs now);
+    void emitPacesOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
+                     DispatchOrders &orders);
     void loseLapsedRuns(SteadyTimeMs now);
     void forgetOldJobs(WallTimeMs wallNow);
     std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
 
     // Placement.
     void placeWaiting(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
-    void collectWaiting(const JobRecord &job, WallTimeMs wallNow,
+    /// True if the job has tasks that wait, or will have some without a further change.
+    bool collectWaiting(const JobRecord &job, WallTimeMs wallNow,
                         std::map<std::string, std::vector<Waiting>> &byService) const;
     void placeStep(const Waiting &waiting, const Candidates &candidates, SteadyTimeMs now,
                    WallTimeMs wallNow, DispatchOrders &orders);
@@ -161,6 +182,8 @@
                               SteadyTimeMs now, DispatchOrders &orders);
     std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
     std::string serviceOf(const JobRecord &job) const;
+    TaskResources needOf(const TaskKey &task) const;
+    bool isLasting(const TaskKey &task) const;
     static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
     bool servesUsers(const WorkerView &view) const;
     void noteEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
@@ -176,10 +199,19 @@
     std::map<std::string, std::uint64_t> m_sequences;
     /// Tasks with a proposed assignment, and its worker.
     std::map<TaskKey, std::string> m_proposed;
-    /// Ends that were proposed and are not applied, by worker and number.
-    std::map<std::string, std::map<std::uint64_t, std::pair<TaskKey, std::uint32_t>>>
-            m_endsUnderWay;
-    std::set<std::pair<TaskKey, std::uint32_t>> m_proposedEnds;
+    using RunKey = std::pair<TaskKey, std::uint32_t>;
+    /// Numbers of the ends that were proposed and are not applied, by worker.
+    std::map<std::string, std::set<std::uint64_t>> m_endsUnderWay;
+    /// Worker and number of these ends, by run.
+    std::map<RunKey, std::pair<std::string, std::uint64_t>> m_endSources;
+    std::set<RunKey> m_proposedEnds;
+    /// Worker of each run that is assigned, as far as WorkerView::runs has it.
+    std::map<TaskKey, std::string> m_placeOf;
+    /// Workers with runs to send, and with runs to stop.
+    std::set<std::string> m_startWorkers;
+    std::set<std::string> m_stopWorkers;
+    /// Workers whose last answer was not looked at for stalled and pressed tasks.
+    std::set<std::string> m_answeredWorkers;
     std::vector<JobChange> m_changes;
     std::vector<StopOrder> m_strayStops;
     std::vector<DispatchNote> m_notes;
@@ -195,6 +227,8 @@
     };
     std::map<std::string, Duration> m_durations;
     std::set<std::string> m_activeJobs;
+    /// Those among them that may have waiting tasks.
+    std::set<std::string> m_waitingJobs;
 };
 
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -25,9 +25,6 @@
     if (!m_leads) {
         return orders;
     }
-    for (const auto &[id, worker] : m_book.workers()) {
-        m_workers.try_emplace(id);
-    }
     loseLapsedRuns(now);
     if (m_placementDirty || now >= m_nextPlacement) {
         placeWaiting(now, wallNow, orders);
@@ -35,8 +32,8 @@
         m_nextPlacement = now + placementIntervalMs;
     }
     emitStarts(now, orders);
+    reviewAnswers(now, orders);
     emitStops(now, orders);
-    emitPaces(now, orders);
     emitRenewals(now, orders);
     forgetOldJobs(wallNow);
     std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
@@ -56,8 +53,11 @@
 void Dispatcher::emitRenewals(SteadyTimeMs now, DispatchOrders &orders)
 {
     for (auto &[id, view] : m_workers) {
+        if (view.renewing || now < view.nextRenewAt) {
+            continue;
+        }
         const WorkerRecord *record = m_book.worker(id);
-        if (record == nullptr || view.renewing || now < view.nextRenewAt) {
+        if (record == nullptr) {
             continue;
         }
         RenewOrder order{id, record->address, view.proposedEnd, std::nullopt, 0};
@@ -71,7 +71,7 @@
             if (leaseIsLong) {
                 continue;
             }
-            order.ackCursor = ends->second.begin()->first - 1;
+            order.ackCursor = *ends->second.begin() - 1;
         }
         order.ackCursor = std::max(order.ackCursor, view.ackCursor);
         view.ackCursor = order.ackCursor;
@@ -94,70 +94,61 @@
 
 void Dispatcher::emitStarts(SteadyTimeMs now, DispatchOrders &orders)
 {
-    for (auto &[id, view] : m_workers) {
-        const WorkerRecord *record = m_book.worker(id);
-        // Before the first answer of a term the worker may still take an earlier leader's orders.
-        if (record == nullptr || view.renewedAt == 0 || !view.clockMs || view.renewFailures > 0) {
+    std::erase_if(m_startWorkers, [&](const std::string &id) {
+        const auto found = m_workers.find(id);
+        return found == m_workers.end() || !emitStartsOn(id, found->second, now, orders);
+    });
+}
+
+bool Dispatcher::emitStartsOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
+                              DispatchOrders &orders)
+{
+    const WorkerRecord *record = m_book.worker(id);
+    // Before the first answer of a term the worker may still take an earlier leader's orders.
+    const bool maySend =
+            record != nullptr && view.renewedAt != 0 && view.clockMs && view.renewFailures == 0;
+    bool waits = false;
+    for (auto &[task, run] : view.runs) {
+        if (run.state != RunState::ToSend || run.stopping) {
             continue;
         }
-        for (auto &[task, run] : view.runs) {
-            // A run whose end is under way must not begin: its task may already be assigned anew
-            // when the start arrives.
-            if (run.state != RunState::ToSend || run.stopping || now < run.nextSendAt
-                || m_proposedEnds.contains({task, run.run})) {
-                continue;
-            }
-            const JobRecord *job = m_book.job(task.job);
-            if (job == nullptr || job->phase != JobPhase::Active) {
-                continue;
-            }
-            StartOrder order{id,
-                             record->address,
-                             task,
-                             run.run,
-                             job->spec.payload,
-                             extendLease(view, now),
-                             m_book.task(task)->checkpoint,
-                             {}};
+        // A run whose end is under way must not begin: its task may already be assigned anew
+        // when the start arrives.
+        if (!maySend || now < run.nextSendAt || m_proposedEnds.contains({task, run.run})) {
+            waits = true;
+            continue;
+        }
+        const JobRecord *job = m_book.job(task.job);
+        if (job == nullptr || job->phase != JobPhase::Active) {
+            continue;
+        }
+        StartOrder order{id,
+                         record->address,
+                         task,
+                         run.run,
+                         job->spec.payload,
+                         extendLease(view, now),
+                         m_book.task(task)->checkpoint,
+                         {}};
+        if (job->queue.needsAdvice) {
             const auto tickets = m_tickets.find({task.job, task.occurrence, task.step});
             if (tickets != m_tickets.end() && tickets->second.byWorker.contains(id)) {
                 order.ticket = tickets->second.byWorker.at(id);
             }
-            run.state = RunState::Sent;
-            ++run.sends;
-            orders.starts.push_back(std::move(order));
         }
+        run.state = RunState::Sent;
+        ++run.sends;
+        orders.starts.push_back(std::move(order));
     }
+    return waits;
 }
 
 void Dispatcher::emitStops(SteadyTimeMs now, DispatchOrders &orders)
 {
-    for (auto &[id, view] : m_workers) {
-        const WorkerRecord *record = m_book.worker(id);
-        if (record == nullptr) {
-            continue;
-        }
-        for (auto &[task, run] : view.runs) {
-            const JobRecord *job = m_book.job(task.job);
-            const bool ended = job == nullptr || job->phase != JobPhase::Active;
-            if (!ended && !run.stopping) {
-                continue;
-            }
-            if (run.state == RunState::ToSend && run.sends == 0) {
-                proposeEnd(task, run.run, RunEnd::Refused, {});
-                continue;
-            }
-            if (now < run.nextStopAt || view.renewedAt == 0) {
-                continue;
-            }
-            run.stopping = true;
-            run.nextStopAt = now + m_rules.stopGraceMs + m_rules.retryMs;
-            orders.stops.push_back({id, record->address, task, run.run});
-            orders.notes.push_back({"stop", taskName(task), run.run, id,
-                                    ended ? "job-ended" : "placed-elsewhere",
-                                    now - view.renewedAt});
-        }
-    }
+    std::erase_if(m_stopWorkers, [&](const std::string &id) {
+        const auto found = m_workers.find(id);
+        return found == m_workers.end() || !emitStopsOn(id, found->second, now, orders);
+    });
     for (StopOrder &stray : m_strayStops) {
         const WorkerRecord *record = m_book.worker(stray.worker);
         if (record != nullptr) {
@@ -168,65 +159,106 @@
         }
     }
     m_strayStops.clear();
-    for (auto &[id, view] : m_workers) {
-        for (auto &[task, run] : view.runs) {
-            const JobRecord *job = m_book.job(task.job);
-            if (job == nullptr || run.state != RunState::Running || run.stopping
-                || run.percent >= 100 || job->spec.steps[task.step].lasting
-                || job->spec.steps[task.step].gang) {
-                continue;
-            }
-            // A worker can hang with a good health check; its tasks then make no progress at all,
-            // while a long task's percentage moves.
-            if (isFresh(id, now) && now - run.progressAt > m_rules.stallMs && run.reading == 0) {
-                run.stopping = true;
-                view.avoidUntil = now + m_rules.quarantineMs;
-                m_failedOn[task] = id;
-            }
+}
+
+bool Dispatcher::emitStopsOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
+                             DispatchOrders &orders)
+{
+    const WorkerRecord *record = m_book.worker(id);
+    bool waits = false;
+    for (auto &[task, run] : view.runs) {
+        const JobRecord *job = m_book.job(task.job);
+        const bool ended = job == nullptr || job->phase != JobPhase::Active;
+        if (!ended && !run.stopping) {
+            continue;
+        }
+        // Until its end is recorded the stop is repeated.
+        waits = true;
+        if (run.state == RunState::ToSend && run.sends == 0) {
+            proposeEnd(task, run.run, RunEnd::Refused, {});
+            continue;
+        }
+        if (record == nullptr || now < run.nextStopAt || view.renewedAt == 0) {
+            continue;
         }
+        run.stopping = true;
+        run.nextStopAt = now + m_rules.stopGraceMs + m_rules.retryMs;
+        orders.stops.push_back({id, record->address, task, run.run});
+        orders.notes.push_back({"stop", taskName(task), run.run, id,
+                                ended ? "job-ended" : "placed-elsewhere", now - view.renewedAt});
     }
+    return waits;
 }
 
-void Dispatcher::emitPaces(SteadyTimeMs now, DispatchOrders &orders)
+void Dispatcher::reviewAnswers(SteadyTimeMs now, DispatchOrders &orders)
 {
-    for (auto &[id, view] : m_workers) {
-        const WorkerRecord *record = m_book.worker(id);
-        if (record == nullptr || view.renewedAt == 0) {
-            continue;
+    for (const std::string &id : m_answeredWorkers) {
+        const auto found = m_workers.find(id);
+        if (found != m_workers.end() && m_book.worker(id) != nullptr) {
+            stopStalledRuns(id, found->second, now);
+            emitPacesOn(id, found->second, now, orders);
         }
-        bool pressed = false;
-        bool anyFills = false;
-        for (const auto &[task, run] : view.runs) {
-            const JobRecord *job = m_book.job(task.job);
-            if (job == nullptr) {
-                continue;
-            }
-            const StepSpec &step = job->spec.steps[task.step];
-            anyFills = anyFills || step.fills;
-            pressed = pressed
-                    || (step.targetMs > 0 && !step.fills && run.state == RunState::Running
-                        && static_cast<double>(run.reading)
-                                > static_cast<double>(step.targetMs) * m_rules.paceTargetShare);
+    }
+    m_answeredWorkers.clear();
+}
+
+void Dispatcher::stopStalledRuns(const std::string &id, WorkerView &view, SteadyTimeMs now)
+{
+    for (auto &[task, run] : view.runs) {
+        // A worker can hang with a good health check; its tasks then make no progress at all,
+        // while a long task's percentage moves.
+        if (run.state != RunState::Running || run.stopping || run.percent >= 100 || run.reading != 0
+            || now - run.progressAt <= m_rules.stallMs) {
+            continue;
         }
-        if (!anyFills) {
+        const JobRecord *job = m_book.job(task.job);
+        if (job == nullptr || job->spec.steps[task.step].lasting
+            || job->spec.steps[task.step].gang) {
             continue;
         }
-        if (pressed) {
-            view.paceRestoreAt = now + m_rules.paceRestoreMs;
+        run.stopping = true;
+        view.avoidUntil = now + m_rules.quarantineMs;
+        m_failedOn[task] = id;
+        m_stopWorkers.insert(id);
+    }
+}
+
+void Dispatcher::emitPacesOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
+                             DispatchOrders &orders)
+{
+    bool pressed = false;
+    bool anyFills = false;
+    for (const auto &[task, run] : view.runs) {
+        const JobRecord *job = m_book.job(task.job);
+        if (job == nullptr) {
+            continue;
         }
-        const std::int64_t percent = now < view.paceRestoreAt ? 0 : 100;
-        for (auto &[task, run] : view.runs) {
-            const JobRecord *job = m_book.job(task.job);
-            if (job == nullptr || !job->spec.steps[task.step].fills
-                || run.state != RunState::Running || run.pacePercent == percent) {
-                continue;
-            }
-            run.pacePercent = percent;
-            orders.paces.push_back({id, record->address, task, run.run, percent});
-            orders.notes.push_back({"pace", taskName(task), run.run, id,
-                                    percent == 0 ? "target-pressed" : "target-relieved",
-                                    now - view.renewedAt});
+        const StepSpec &step = job->spec.steps[task.step];
+        anyFills = anyFills || step.fills;
+        pressed = pressed
+                || (step.targetMs > 0 && !step.fills && run.state == RunState::Running
+                    && static_cast<double>(run.reading)
+                            > static_cast<double>(step.targetMs) * m_rules.paceTargetShare);
+    }
+    if (!anyFills) {
+        return;
+    }
+    if (pressed) {
+        view.paceRestoreAt = now + m_rules.paceRestoreMs;
+    }
+    const std::int64_t percent = now < view.paceRestoreAt ? 0 : 100;
+    const std::string address = m_book.worker(id)->address;
+    for (auto &[task, run] : view.runs) {
+        const JobRecord *job = m_book.job(task.job);
+        if (job == nullptr || !job->spec.steps[task.step].fills || run.state != RunState::Running
+            || run.pacePercent == percent) {
+            continue;
         }
+        run.pacePercent = percent;
+        orders.paces.push_back({id, address, task, run.run, percent});
+        orders.notes.push_back({"pace", taskName(task), run.run, id,
+                                percent == 0 ? "target-pressed" : "target-relieved",
+                                now - view.renewedAt});
     }
 }
 
@@ -238,8 +270,8 @@
             / (1 - m_rules.clockDrift));
     for (auto &[id, view] : m_workers) {
         // A worker that answers tells itself what has ended.
-        if (view.lapsed || view.runs.empty() || now - m_leadAt < earlierMs
-            || view.renewFailures == 0) {
+        if (view.renewFailures == 0 || view.lapsed || view.runs.empty()
+            || now - m_leadAt < earlierMs) {
             continue;
         }
         if (view.clockMs
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -46,19 +46,21 @@
 std::vector<std::int64_t> Dispatcher::expectedStepMs(const JobRecord &job) const
 {
     const auto known = m_durations.find(job.spec.queue);
+    const bool trusted = known != m_durations.end() && known->second.runs >= trustedRuns;
     std::vector<std::int64_t> expected;
+    expected.reserve(job.spec.steps.size());
     for (const StepSpec &step : job.spec.steps) {
-        const bool trusted = known != m_durations.end() && known->second.runs >= trustedRuns;
         expected.push_back(trusted ? static_cast<std::int64_t>(known->second.meanMs)
                                    : step.estimateMs);
     }
     return expected;
 }
 
-void Dispatcher::collectWaiting(const JobRecord &job, WallTimeMs wallNow,
+bool Dispatcher::collectWaiting(const JobRecord &job, WallTimeMs wallNow,
                                 std::map<std::string, std::vector<Waiting>> &byService) const
 {
     const std::vector<std::int64_t> stepMs = expectedStepMs(job);
+    bool found = false;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const OccurrenceRecord &record = job.occurrences[occurrence];
         if (record.stepsDone == record.steps.size()) {
@@ -68,7 +70,7 @@
         if (job.spec.repeatCount > 0) {
             dueAt = job.spec.startAtMs + occurrence * job.spec.intervalMs;
             if (wallNow < dueAt) {
-                break;
+                return true;
             }
         }
         double work = 0;
@@ -81,7 +83,7 @@
         for (std::uint32_t step = 0; step < record.steps.size(); ++step) {
             const StepSpec &spec = job.spec.steps[step];
             const StepRecord &state = record.steps[step];
-            if (!isReady(spec, record) || state.doneCount == state.tasks.size()) {
+            if (state.doneCount == state.tasks.size() || !isReady(spec, record)) {
                 continue;
             }
             Waiting waiting{{job.spec.id, occurrence, step}, {}, {}};
@@ -107,8 +109,10 @@
             facts.started = job.started;
             waiting.rank = rankStep(facts, wallNow);
             byService[serviceOf(job)].push_back(std::move(waiting));
+            found = true;
         }
     }
+    return found;
 }
 
 bool Dispatcher::takesWork(const WorkerRecord &worker, const WorkerView &view,
@@ -122,15 +126,11 @@
 void Dispatcher::placeWaiting(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
     std::map<std::string, std::vector<Waiting>> byService;
-    for (auto id = m_activeJobs.begin(); id != m_activeJobs.end();) {
-        const JobRecord *job = m_book.job(*id);
-        if (job == nullptr || job->phase != JobPhase::Active) {
-            id = m_activeJobs.erase(id);
-            continue;
-        }
-        collectWaiting(*job, wallNow, byService);
-        ++id;
-    }
+    std::erase_if(m_waitingJobs, [&](const std::string &id) {
+        const JobRecord *job = m_book.job(id);
+        return job == nullptr || job->phase != JobPhase::Active
+                || !collectWaiting(*job, wallNow, byService);
+    });
     if (byService.empty()) {
         return;
     }
@@ -258,7 +258,7 @@
         if (!step.dataRack.empty() && worker.rack == step.dataRack) {
             score += 4;
         }
-        if ((step.fills || step.targetMs > 0) && servesUsers(view) && step.fills) {
+        if (step.fills && servesUsers(view)) {
             score -= 2;
         }
         if (score > bestScore) {
@@ -278,52 +278,38 @@
         // Members of the last run have not ended yet; all start together.
         return false;
     }
-    std::map<std::string, WorkerView> before;
     std::vector<std::pair<TaskKey, std::string>> chosen;
     std::uint32_t run = 0;
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
         const auto worker = chooseWorker(job, task, candidates, nullptr, wallNow);
         if (!worker) {
-            for (auto &[id, view] : before) {
-                m_workers[id] = std::move(view);
-            }
-            return false;
+            break;
         }
-        before.try_emplace(*worker, m_workers.at(*worker));
-        WorkerView &view = m_workers.at(*worker);
-        view.reserved[task] = step.need;
-        view.used = view.used + step.need;
+        reserve(m_workers.at(*worker), task);
         chosen.emplace_back(task, *worker);
         run = std::max(run, m_book.task(task)->run + 1);
     }
-    for (auto &[id, view] : before) {
-        m_workers[id] = std::move(view);
-    }
+    const bool whole = chosen.size() == waiting.indices.size();
     for (const auto &[task, worker] : chosen) {
-        assign(task, run, worker, now, orders);
+        if (whole) {
+            assign(task, run, worker, now, orders);
+        } else {
+            release(m_workers.at(worker), task);
+        }
     }
-    return true;
+    return whole;
 }
 
 void Dispatcher::assign(const TaskKey &task, std::uint32_t run, const std::string &worker,
                         SteadyTimeMs now, DispatchOrders &orders)
 {
     const StepSpec &step = m_book.job(task.job)->spec.steps[task.step];
-    TaskResources need = step.need;
-    if (step.fills) {
-        need.processorMilli = 0;
-    }
-    WorkerView &view = m_workers.at(worker);
-    view.reserved[task] = need;
-    view.used = view.used + need;
-    if (step.lasting) {
-        ++view.lastingRuns;
-    }
+    reserve(m_workers.at(worker), task);
     m_proposed[task] = worker;
     orders.changes.emplace_back(RunAssigned{task, run, worker});
     orders.notes.push_back({"place", taskName(task), run, worker, step.lasting ? "lasting" : "room",
-                            now - view.renewedAt});
+                            now - m_workers.at(worker).renewedAt});
 }
 
 const Dispatcher::Tickets *Dispatcher::ticketsFor(const Waiting &waiting,
@@ -353,15 +339,23 @@
     return nullptr;
 }
 
-ServiceDemand Dispatcher::demandOf(const std::string &service) const
+std::map<std::string, ServiceDemand> Dispatcher::demands() const
 {
-    ServiceDemand demand;
+    std::map<std::string, ServiceDemand> demands;
     for (const std::string &id : m_activeJobs) {
         const JobRecord *job = m_book.job(id);
-        if (job == nullptr || job->phase != JobPhase::Active || serviceOf(*job) != service) {
+        if (job == nullptr || job->phase != JobPhase::Active) {
             continue;
         }
+        ServiceDemand &demand = demands[serviceOf(*job)];
         const std::vector<std::int64_t> stepMs = expectedStepMs(*job);
+        for (const StepSpec &step : job->spec.steps) {
+            const std::uint32_t perWorker = std::max(step.maxPerWorker, step.maxUnavailable);
+            if (step.lasting && perWorker > 0) {
+                demand.lastingSpread =
+                        std::max(demand.lastingSpread, (step.count + perWorker - 1) / perWorker);
+            }
+        }
         for (const OccurrenceRecord &occurrence : job->occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepSpec &spec = job->spec.steps[step];
@@ -379,41 +373,7 @@
             }
         }
     }
-    return demand;
-}
-
-std::uint32_t Dispatcher::lastingSpread(const std::string &service) const
-{
-    std::uint32_t spread = 0;
-    for (const std::string &id : m_activeJobs) {
-        const JobRecord *job = m_book.job(id);
-        if (job == nullptr || job->phase != JobPhase::Active || serviceOf(*job) != service) {
-            continue;
-        }
-        for (const StepSpec &step : job->spec.steps) {
-            const std::uint32_t perWorker = std::max(step.maxPerWorker, step.maxUnavailable);
-            if (step.lasting && perWorker > 0) {
-                spread = std::max(spread, (step.count + perWorker - 1) / perWorker);
-            }
-        }
-    }
-    return spread;
-}
-
-std::int64_t Dispatcher::lastingProcessors(const std::string &worker) const
-{
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end()) {
-        return 0;
-    }
-    std::int64_t total = 0;
-    for (const auto &[task, need] : found->second.reserved) {
-        const JobRecord *job = m_book.job(task.job);
-        if (job != nullptr && job->spec.steps[task.step].lasting) {
-            total += need.processorMilli;
-        }
-    }
-    return total;
+    return demands;
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -62,12 +62,13 @@
 std::vector<PoolFacts> PoolBalancer::facts(SteadyTimeMs now)
 {
     std::map<std::string, PoolFacts> pools;
+    std::map<std::string, ServiceDemand> demands = m_dispatcher.demands();
     for (const ServiceConfig &service : m_book.configuration().services) {
         PoolFacts &pool = pools[service.name];
         pool.pool = service.name;
         pool.standby = service.standby;
-        pool.lastingSpread = m_dispatcher.lastingSpread(service.name);
-        const ServiceDemand demand = m_dispatcher.demandOf(service.name);
+        const ServiceDemand &demand = demands[service.name];
+        pool.lastingSpread = demand.lastingSpread;
         pool.waitingCoreMs = demand.waitingCoreMs;
         pool.runnableMilli = demand.runnableMilli;
     }
@@ -98,9 +99,8 @@
         }
         ++facts.instances;
         facts.instanceMilli = std::max(facts.instanceMilli, worker->capacity.processorMilli);
-        const std::int64_t lasting = m_dispatcher.lastingProcessors(instance.worker);
-        facts.lastingMilli += lasting;
-        if (view->reserved.size() > m_dispatcher.shortRunsOn(instance.worker)) {
+        facts.lastingMilli += view->lastingMilli;
+        if (view->lastingRuns > 0) {
             ++facts.pinned;
         } else if (isEmpty(instance, now)) {
             ++facts.empty;
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -63,6 +63,8 @@
     std::map<TaskKey, TaskResources> reserved;
     /// Lasting tasks among them.
     std::uint32_t lastingRuns = 0;
+    /// Thousandths of a core that these hold.
+    std::int64_t lastingMilli = 0;
     std::uint32_t failuresInRow = 0;
     std::set<std::string> failedJobs;
     SteadyTimeMs avoidUntil = 0;
