--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -55,6 +55,8 @@
     };
     events.snapshotWanted = [this] { m_loop.post([this] { m_service->onSnapshotWanted(); }); };
     events.failed = m_fatal;
+    // An instance that no settings name calls first: it has no other way to become known.
+    events.probed = [this](const std::string &name) { addControlInstances({name}); };
     return events;
 }
 
@@ -70,7 +72,7 @@
 
 void ControlInstance::addPeer(const std::string &name)
 {
-    if (name == m_settings.peers.name) {
+    if (name == m_settings.peers.name || !m_knownPeers.insert(name).second) {
         return;
     }
     m_leader->addControlInstance(name);
--- a/Source/Program/ControlInstance.h
+++ b/Source/Program/ControlInstance.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "Adapters/Disk/DiskLogStorage.h"
@@ -73,6 +74,7 @@
     std::unique_ptr<EventedHttpServer> m_server;
     std::unique_ptr<EventedHttpServer> m_metricsServer;
     std::uint64_t m_requests = 0;
+    std::set<std::string> m_knownPeers;
 };
 
 } // namespace dandelionloom
--- a/Source/Runtime/ReplicatedJournal.cpp
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -163,6 +163,9 @@
     if (!added) {
         reply(std::string());
     }
+    if (message.kind == RaftMessageKind::Probe && m_events.probed) {
+        m_events.probed(message.from.name);
+    }
     m_raft->receive(message, steadyTimeNow());
 }
 
--- a/Source/Runtime/ReplicatedJournal.h
+++ b/Source/Runtime/ReplicatedJournal.h
@@ -62,6 +62,8 @@
     std::function<void()> snapshotWanted;
     /// The process must stop: the disk failed. Called once.
     std::function<void(std::string)> failed;
+    /// An instance asks to be admitted. The owner makes it reachable: the journal is sent to it.
+    std::function<void(std::string name)> probed;
 };
 
 /// An agreed, durable sequence of opaque records kept by the instances with a disk. One thread owns
--- /dev/null
+++ b/Tests/Consensus/ControlInstancesTest.cpp
@@ -0,0 +1,177 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Adapters/Metrics/PrometheusMetrics.h"
+#include "Adapters/Peers/PeerSockets.h"
+#include "Peers/PeerSupport.h"
+#include "Program/ControlInstance.h"
+#include "Support/TemporaryFolder.h"
+
+using namespace dandelionloom;
+using namespace dandelionloom::test;
+
+namespace {
+
+constexpr std::size_t instanceCount = 6;
+constexpr std::size_t seedCount = 3;
+
+/// A deployment of six control instances has two losses to survive, so five voters.
+constexpr std::size_t toleratedLosses = 2;
+
+/// Elections, two changes of voters and the probes before them take about 2 s.
+constexpr Milliseconds admissionLimit{20000};
+
+class NoCalls : public JobProtocol
+{
+public:
+    std::variant<TimedJobCall, HttpAnswer> decode(const HttpRequest &) override
+    {
+        return HttpAnswer{404, {}, {}};
+    }
+    HttpAnswer encode(const JobCall &, const JobCallAnswer &) override { return {404, {}, {}}; }
+    void setLeader(const std::string &) override { }
+};
+
+class NoWorkers : public WorkerCalls
+{
+public:
+    void renew(const RenewOrder &, std::uint64_t, Renewed done) override
+    {
+        done(CallFault::NotSent);
+    }
+    void start(const StartOrder &, std::uint64_t, Ordered done) override
+    {
+        done(CallFault::NotSent);
+    }
+    void stop(const StopOrder &, std::uint64_t, Ordered done) override { done(CallFault::NotSent); }
+    void pace(const PaceOrder &, std::uint64_t, Ordered done) override { done(CallFault::NotSent); }
+    void advise(const AdviceOrder &, Advised done) override { done(std::nullopt); }
+};
+
+class NoInstances : public InstanceCalls
+{
+public:
+    void list(Listed done) override { done(InstanceFault::NotSent); }
+    void beginMaintenance(const std::string &, std::uint64_t, const OrderAuthority &,
+                          Ordered done) override
+    {
+        done(InstanceFault::NotSent);
+    }
+    void move(const std::string &, const std::string &, const OrderAuthority &,
+              Ordered done) override
+    {
+        done(InstanceFault::NotSent);
+    }
+};
+
+std::string addressOf(std::size_t index)
+{
+    return "127.0.1." + std::to_string(index + 1);
+}
+
+/// A port that was free a moment ago.
+std::uint16_t freePort()
+{
+    const auto listener = listenOn(*parseSocketAddress(addressOf(0) + ":0"));
+    CPPUNIT_ASSERT(isOk(listener));
+    const std::uint16_t port = portOf(localAddress(valueOf(listener)));
+    ::close(valueOf(listener));
+    return port;
+}
+
+struct Member
+{
+    TemporaryFolder folder;
+    NoCalls protocol;
+    JsonLineLog log{"member", STDERR_FILENO + 1000};
+    std::unique_ptr<ControlInstance> instance;
+};
+
+} // namespace
+
+class ControlInstancesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ControlInstancesTest);
+    CPPUNIT_TEST(admitsUnnamedInstances);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against instances that no settings name and that are never admitted, so that the loss
+    /// of two disks ends the journal (chamdakam-loom-grown trouble-2: LOST, CONFIG and RECOVER).
+    void admitsUnnamedInstances()
+    {
+        PeerSettings peers;
+        peers.availabilityZone = "zone";
+        peers.controlPort = freePort();
+        peers.ownPort = peers.controlPort;
+        const std::uint16_t callPort = freePort();
+        const std::uint16_t metricsPort = freePort();
+        for (std::size_t index = 0; index < seedCount; ++index) {
+            peers.controlInstances.push_back(addressOf(index));
+        }
+        std::vector<std::unique_ptr<Member>> members;
+        for (std::size_t index = 0; index < instanceCount; ++index) {
+            auto member = std::make_unique<Member>();
+            ControlSettings settings;
+            settings.peers = peers;
+            settings.peers.name = addressOf(index);
+            settings.controlAddress = addressOf(index) + ":" + std::to_string(callPort);
+            settings.metricsAddress = addressOf(index) + ":" + std::to_string(metricsPort);
+            settings.dataFolder = member->folder.path();
+            settings.firstStart = true;
+            settings.toleratedLosses = toleratedLosses;
+            settings.service.name = settings.peers.name;
+            member->instance = std::make_unique<ControlInstance>(
+                    settings, member->protocol, member->log, [](const std::string &) {});
+            const auto started = member->instance->start([](EventLoop &) {
+                return OutgoingCalls{std::make_unique<NoWorkers>(),
+                                     std::make_unique<NoInstances>()};
+            });
+            CPPUNIT_ASSERT(isOk(started));
+            members.push_back(std::move(member));
+        }
+        CPPUNIT_ASSERT_EQUAL(2 * toleratedLosses + 1, votersAfter(peers));
+    }
+
+private:
+    /// Voters that the first instance knows, once there are enough or the limit has passed.
+    static std::size_t votersAfter(const PeerSettings &peers)
+    {
+        PeerSettings self = peers;
+        self.name = addressOf(instanceCount);
+        LogRecorder log;
+        PrometheusMetrics metrics;
+        Http2PeerTransport observer(peerIdentity(self), self.name + ":0",
+                                    {controlAddress(peers, addressOf(0))}, peerTransportOptions(),
+                                    log, metrics);
+        CPPUNIT_ASSERT(isOk(observer.start()));
+        Signal signal;
+        std::size_t voters = 0;
+        const SteadyTimeMs end = steadyTimeNow() + admissionLimit.count();
+        while (voters < 2 * toleratedLosses + 1 && steadyTimeNow() < end) {
+            bool answered = false;
+            observer.call(addressOf(0), PeerMessageKind::Locate, {}, Milliseconds(500),
+                          [&](const PeerResult &result) {
+                              signal.change([&] {
+                                  answered = true;
+                                  if (!isOk(result)) {
+                                      return;
+                                  }
+                                  const auto found = unpackMessage<LocateAnswer>(valueOf(result));
+                                  voters = isOk(found) ? valueOf(found).voters.size() : voters;
+                              });
+                          });
+            CPPUNIT_ASSERT(signal.waitFor([&] { return answered; }));
+        }
+        observer.stop();
+        return voters;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlInstancesTest);
