Maintenance: Take for leaving only the worker that an order was given for

After an election every instance that had been moved in the last 4 s took no tasks, although its new worker shows that the move was carried out.

Change: an order's record names the worker that ran on the instance. Another worker there is free at once.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -319,9 +319,10 @@
             });
 }
 
-void JobService::recordOrder(const std::string &instance, std::function<void(bool)> send)
+void JobService::recordOrder(const std::string &instance, const std::string &worker,
+                             std::function<void(bool)> send)
 {
-    m_outgoing.emplace_back(InstanceOrdered{instance, m_status.term});
+    m_outgoing.emplace_back(InstanceOrdered{instance, m_status.term, worker});
     m_recordedOrders[instance] = std::move(send);
 }
 
@@ -411,7 +412,7 @@
     const std::weak_ptr<JobService *> alive = m_alive;
     const OrderAuthority authority{m_options.name, m_status.term};
     for (const MaintenanceOrder &order : orders.begin) {
-        recordOrder(order.instance, [this, alive, authority, order](bool mayAct) {
+        recordOrder(order.instance, order.worker, [this, alive, authority, order](bool mayAct) {
             if (!mayAct || !m_maintenance.mayBegin(order, steadyTimeNow())) {
                 m_maintenance.answered(order, InstanceFault::NotSent, steadyTimeNow());
                 return;
@@ -436,7 +437,7 @@
     const std::weak_ptr<JobService *> alive = m_alive;
     const OrderAuthority authority{m_options.name, m_status.term};
     for (const MoveOrder &order : orders.moves) {
-        recordOrder(order.instance, [this, alive, authority, order](bool mayAct) {
+        recordOrder(order.instance, order.worker, [this, alive, authority, order](bool mayAct) {
             if (!mayAct) {
                 m_balancer.answered(order, InstanceFault::NotSent, steadyTimeNow());
                 return;
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -87,7 +87,8 @@
     void carryOut(DispatchOrders orders);
     void carryOut(const MaintenanceOrders &orders);
     void carryOut(const BalanceOrders &orders);
-    void recordOrder(const std::string &instance, std::function<void(bool)> send);
+    void recordOrder(const std::string &instance, const std::string &worker,
+                     std::function<void(bool)> send);
     void writeNotes(const std::vector<DispatchNote> &notes);
 
     void submit(const JobCall &call, const JobReply &reply);
--- a/Source/Scheduling/InstanceOrderLog.h
+++ b/Source/Scheduling/InstanceOrderLog.h
@@ -23,7 +23,7 @@
     /// which errs on the safe side.
     void applied(const InstanceOrdered &order, SteadyTimeMs now)
     {
-        m_last[order.instance] = {order.term, now};
+        m_last[order.instance] = {order.term, now, order.worker};
     }
 
     bool mayOrder(const std::string &instance, std::uint64_t term, SteadyTimeMs now) const
@@ -33,6 +33,13 @@
                 || now - last->second.at >= m_pauseMs;
     }
 
+    /// The worker that an order of another term may still end; empty if there is none.
+    std::string endangeredWorker(const std::string &instance, std::uint64_t term,
+                                 SteadyTimeMs now) const
+    {
+        return mayOrder(instance, term, now) ? std::string() : m_last.at(instance).worker;
+    }
+
     /// Reserves an instance for one planner; false if another one has it.
     bool claim(const std::string &instance) { return m_claimed.insert(instance).second; }
     void release(const std::string &instance) { m_claimed.erase(instance); }
@@ -44,6 +51,7 @@
     {
         std::uint64_t term = 0;
         SteadyTimeMs at = 0;
+        std::string worker;
     };
 
     const std::int64_t m_pauseMs;
--- a/Source/Scheduling/JobChanges.h
+++ b/Source/Scheduling/JobChanges.h
@@ -91,7 +91,10 @@
 {
     std::string instance;
     std::uint64_t term = 0;
-    MSGPACK_DEFINE_ARRAY(instance, term)
+    /// Worker that ran on the instance; empty for none. Another one shows that the order was
+    /// carried out.
+    std::string worker;
+    MSGPACK_DEFINE_ARRAY(instance, term, worker)
 };
 
 /// The position is on disk: only append.
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -61,8 +61,9 @@
 void MaintenancePlanner::reviewEarlierOrders(SteadyTimeMs now)
 {
     for (const auto &[id, instance] : m_instances) {
-        if (!m_orderLog.mayOrder(id, m_term, now) && !instance.worker.empty()
-            && m_orderedEarlier.emplace(id, instance.worker).second) {
+        const std::string worker = m_orderLog.endangeredWorker(id, m_term, now);
+        if (!worker.empty() && worker == instance.worker
+            && m_orderedEarlier.emplace(id, worker).second) {
             m_dispatcher.setCordoned(instance.worker, true);
             m_dispatcher.setLeaving(instance.worker, true);
         }
@@ -249,7 +250,7 @@
             if (progress.nextOrderAt != 0 && now >= progress.nextOrderAt
                 && m_dispatcher.takeAwayFault(progress.worker, now).empty()) {
                 progress.nextOrderAt = 0;
-                orders.begin.push_back({instance, wave.id});
+                orders.begin.push_back({instance, wave.id, progress.worker});
             }
             continue;
         }
@@ -271,7 +272,7 @@
         m_dispatcher.setLeaving(progress.worker, true);
         ++away;
         --preparing;
-        orders.begin.push_back({instance, wave.id});
+        orders.begin.push_back({instance, wave.id, progress.worker});
         orders.notes.push_back({"maintenance", instance, 0, progress.worker,
                                 "wave-" + std::to_string(wave.id), now - progress.since});
     }
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -35,6 +35,8 @@
 {
     std::string instance;
     std::uint64_t wave = 0;
+    /// Worker that the order ends; empty for none.
+    std::string worker;
 };
 
 struct MaintenanceOrders
@@ -102,7 +104,7 @@
     SteadyTimeMs m_listedAt = 0;
     std::map<std::string, std::uint32_t> m_missing;
     std::map<std::string, Progress> m_progress;
-    /// Worker of each instance that an earlier leader may have ordered.
+    /// Worker of each instance that an order of an earlier leader may still end.
     std::map<std::string, std::string> m_orderedEarlier;
     std::vector<JobChange> m_changes;
     std::vector<DispatchNote> m_notes;
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -153,7 +153,7 @@
     for (auto &[id, progress] : m_progress) {
         if (!progress.ordered && progress.nextOrderAt != 0 && now >= progress.nextOrderAt) {
             progress.nextOrderAt = 0;
-            orders.moves.push_back({id, progress.pool});
+            orders.moves.push_back({id, progress.pool, progress.worker});
         }
     }
     std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
--- a/Source/Scheduling/PoolBalancer.h
+++ b/Source/Scheduling/PoolBalancer.h
@@ -30,6 +30,8 @@
 {
     std::string instance;
     std::string pool;
+    /// Worker that the order ends; empty for none.
+    std::string worker;
 };
 
 struct BalanceOrders
--- a/Tests/Scheduling/FleetWorld.cpp
+++ b/Tests/Scheduling/FleetWorld.cpp
@@ -510,7 +510,7 @@
         return delayed.at <= now || delayed.term != term;
     });
     for (const DelayedOrder &delayed : due) {
-        orderLog.applied({delayed.order.instance, delayed.term}, now);
+        orderLog.applied({delayed.order.instance, delayed.term, delayed.order.worker}, now);
         if (maintenance->mayBegin(delayed.order, now)) {
             beginMaintenance(delayed.order);
         } else {
