Balancer: Fetch instances by the rate of arriving jobs

Load: a queue's turn begins at once with five times its mean, and a move takes 1.5 s. The need was taken from the backlog, which has to build up first.

Change: four or more jobs within 0.4 s count as a rate, and the pool asks for the room that such jobs keep busy, and 0.3 of it more.

--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -59,6 +59,10 @@
     /// into the pool arrive within it, and it is well below the 3 s after which the task counts as
     /// neglected.
     std::int64_t spreadWaitMs = 2000;
+    /// Time over which the rate of arriving jobs is taken, and the least jobs in it that count as a
+    /// rate: between its peaks a queue hands in less than one job in this time.
+    std::int64_t arrivalWindowMs = 400;
+    std::size_t arrivalsOfPeak = 4;
     /// Share of a task's latency target at which the tasks that fill beside it are paused, so that
     /// the target holds with the 0.5 s that a reading is old and the 0.1 s that pacing takes.
     double paceTargetShare = 0.7;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -59,6 +59,7 @@
     m_startedAt.clear();
     m_activeJobs.clear();
     m_waitingJobs.clear();
+    m_arrivals.clear();
 }
 
 TaskResources Dispatcher::needOf(const TaskKey &task) const
@@ -167,6 +168,31 @@
     }
 }
 
+void Dispatcher::onAccepted(const JobAccepted &accepted, SteadyTimeMs now)
+{
+    const JobRecord *job = m_book.job(accepted.spec.id);
+    if (job == nullptr || !m_activeJobs.insert(accepted.spec.id).second) {
+        return;
+    }
+    m_waitingJobs.insert(accepted.spec.id);
+    if (job->spec.repeatCount > 0) {
+        return;
+    }
+    const std::vector<std::int64_t> stepMs = expectedStepMs(*job);
+    double coreMs = 0;
+    for (std::size_t step = 0; step < stepMs.size(); ++step) {
+        const StepSpec &spec = job->spec.steps[step];
+        if (!spec.lasting && !spec.fills) {
+            coreMs += static_cast<double>(spec.count)
+                    * static_cast<double>(spec.need.processorMilli)
+                    * static_cast<double>(stepMs[step]) / milliPerCore;
+        }
+    }
+    if (coreMs > 0) {
+        m_arrivals[serviceOf(*job)].push_back({now, coreMs});
+    }
+}
+
 void Dispatcher::onAssigned(const RunAssigned &assigned)
 {
     m_proposed.erase(assigned.task);
@@ -236,8 +262,7 @@
     }
     m_placementDirty = true;
     if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
-        m_activeJobs.insert(accepted->spec.id);
-        m_waitingJobs.insert(accepted->spec.id);
+        onAccepted(*accepted, now);
     } else if (const auto *assigned = std::get_if<RunAssigned>(&change)) {
         onAssigned(*assigned);
     } else if (const auto *ended = std::get_if<RunEnded>(&change)) {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -34,6 +34,8 @@
     /// Thousandths of a core of all tasks that run or could start now. More room than this is of
     /// no use, however long the work that depends on them.
     std::int64_t runnableMilli = 0;
+    /// Thousandths of a core that the jobs accepted lately keep busy if more follow at their rate.
+    std::int64_t arrivingMilli = 0;
     /// Workers that the widest step of lasting tasks needs to be spread as it asks.
     std::uint32_t lastingSpread = 0;
 };
@@ -84,7 +86,7 @@
     /// Jobs without times whose tasks wait, and no task has started.
     std::size_t pendingJobs(const std::string &queue) const;
     /// Demand of all services with jobs, by service.
-    std::map<std::string, ServiceDemand> demands() const;
+    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now);
     const WorkerView *view(const std::string &worker) const;
 
 private:
@@ -132,6 +134,7 @@
     void dropRun(const TaskKey &task);
     void reserve(WorkerView &view, const TaskKey &task);
     void release(WorkerView &view, const TaskKey &task);
+    void onAccepted(const JobAccepted &accepted, SteadyTimeMs now);
     void onAssigned(const RunAssigned &assigned);
     void onEnded(const RunEnded &ended, SteadyTimeMs now);
     /// The next step looks for runs to stop on all workers of a job that has ended.
@@ -226,6 +229,13 @@
         std::uint32_t runs = 0;
     };
     std::map<std::string, Duration> m_durations;
+    struct Arrival
+    {
+        SteadyTimeMs at = 0;
+        double coreMs = 0;
+    };
+    /// Jobs accepted within DispatchRules::arrivalWindowMs, by service.
+    std::map<std::string, std::deque<Arrival>> m_arrivals;
     std::set<std::string> m_activeJobs;
     /// Those among them that may have waiting tasks.
     std::set<std::string> m_waitingJobs;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -22,8 +22,6 @@
 /// Workers named in one call to the advice service.
 constexpr std::size_t adviceWorkers = 30;
 
-constexpr double milliPerCore = 1000;
-
 /// True if all steps that the step depends on have ended.
 bool isReady(const StepSpec &step, const OccurrenceRecord &occurrence)
 {
@@ -349,9 +347,22 @@
     return nullptr;
 }
 
-std::map<std::string, ServiceDemand> Dispatcher::demands() const
+std::map<std::string, ServiceDemand> Dispatcher::demands(SteadyTimeMs now)
 {
     std::map<std::string, ServiceDemand> demands;
+    for (auto &[service, arrivals] : m_arrivals) {
+        while (!arrivals.empty() && now - arrivals.front().at > m_rules.arrivalWindowMs) {
+            arrivals.pop_front();
+        }
+        if (arrivals.size() >= m_rules.arrivalsOfPeak) {
+            double coreMs = 0;
+            for (const Arrival &arrival : arrivals) {
+                coreMs += arrival.coreMs;
+            }
+            demands[service].arrivingMilli = static_cast<std::int64_t>(
+                    coreMs * milliPerCore / static_cast<double>(m_rules.arrivalWindowMs));
+        }
+    }
     for (const std::string &id : m_activeJobs) {
         const JobRecord *job = m_book.job(id);
         if (job == nullptr || job->phase != JobPhase::Active) {
--- a/Source/Scheduling/JobTypes.h
+++ b/Source/Scheduling/JobTypes.h
@@ -13,6 +13,8 @@
 
 namespace dandelionloom {
 
+inline constexpr double milliPerCore = 1000;
+
 /// What a task asks of a worker.
 struct TaskResources
 {
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -62,7 +62,7 @@
 std::vector<PoolFacts> PoolBalancer::facts(SteadyTimeMs now)
 {
     std::map<std::string, PoolFacts> pools;
-    std::map<std::string, ServiceDemand> demands = m_dispatcher.demands();
+    std::map<std::string, ServiceDemand> demands = m_dispatcher.demands(now);
     for (const ServiceConfig &service : m_book.configuration().services) {
         PoolFacts &pool = pools[service.name];
         pool.pool = service.name;
@@ -71,6 +71,7 @@
         pool.lastingSpread = demand.lastingSpread;
         pool.waitingCoreMs = demand.waitingCoreMs;
         pool.runnableMilli = demand.runnableMilli;
+        pool.arrivingMilli = demand.arrivingMilli;
     }
     for (const auto &[id, instance] : m_instances) {
         const auto moving = m_progress.find(id);
--- a/Source/Scheduling/PoolDemand.cpp
+++ b/Source/Scheduling/PoolDemand.cpp
@@ -38,8 +38,10 @@
 std::uint32_t wantedInstances(const PoolFacts &pool, const PoolDemandRules &rules)
 {
     const double drainMilli = pool.waitingCoreMs / rules.drainSeconds;
-    const double coresMilli = std::min(drainMilli * rules.headroom,
-                                       static_cast<double>(pool.runnableMilli) * rules.growth)
+    const double backlogMilli = std::min(drainMilli * rules.headroom,
+                                         static_cast<double>(pool.runnableMilli) * rules.growth);
+    const double coresMilli =
+            std::max(backlogMilli, static_cast<double>(pool.arrivingMilli) * rules.arrivalShare)
             + static_cast<double>(pool.lastingMilli);
     const auto instances = static_cast<std::uint32_t>(std::ceil(
             coresMilli / static_cast<double>(std::max<std::int64_t>(pool.instanceMilli, 1))));
--- a/Source/Scheduling/PoolDemand.h
+++ b/Source/Scheduling/PoolDemand.h
@@ -18,6 +18,10 @@
     double headroom = 1.15;
     /// Room for tasks that can run now, and for those that follow while an instance moves.
     double growth = 2.0;
+    /// Room for arriving jobs that is fetched before they wait, as a share of what they keep busy.
+    /// A peak lasts for seconds and a move takes 1.5 s, so waiting for a backlog loses the peak's
+    /// first third; beyond 1, as work varies and rounding loses part of an instance.
+    double arrivalShare = 1.3;
     /// Surplus must have lasted this long before an instance is parked. A move and its way back
     /// cost as much as an instance that idles for about three seconds.
     std::int64_t parkAfterMs = 2500;
@@ -41,6 +45,8 @@
     double waitingCoreMs = 0;
     /// Thousandths of a core of all short tasks that run or could start now.
     std::int64_t runnableMilli = 0;
+    /// Thousandths of a core that jobs keep busy if they go on to arrive as lately.
+    std::int64_t arrivingMilli = 0;
     /// Thousandths of a core that lasting tasks hold.
     std::int64_t lastingMilli = 0;
     /// Thousandths of a core of one instance.
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -143,6 +143,13 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), planned.size());
             CPPUNIT_ASSERT(planned[0] == (PoolTransfer{"idle", "spare", 6}));
         });
+        section("jobs that arrive at a peak's rate are served before they wait", [&] {
+            PoolFacts rising = busy;
+            rising.waitingCoreMs = 1000;
+            rising.runnableMilli = 2000;
+            rising.arrivingMilli = 160000;
+            CPPUNIT_ASSERT(wantedInstances(rising, rules) >= 10U);
+        });
         section("a pool keeps what its lasting tasks are spread over", [&] {
             idle.lastingSpread = 5;
             CPPUNIT_ASSERT_EQUAL(5U, wantedInstances(idle, rules));
