Dispatcher: Do not resend a run that a renewal has listed

A start whose answer was lost was sent again although a renewal had meanwhile listed the run.

Change: the lost answer of a listed run changes nothing but the count of unanswered orders.

Conclusion: kept, as it saves calls.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -584,6 +584,10 @@
         if (++view.unansweredOrders >= m_rules.suspectOrders) {
             view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
         }
+        if (started.state == RunState::Running) {
+            // A renewal has listed the run meanwhile.
+            return;
+        }
         // The order has waited for its answer already.
         started.state = RunState::ToSend;
         m_startWorkers.insert(worker);
