--- a/Source/Program/ControlInstance.h
+++ b/Source/Program/ControlInstance.h
@@ -18,8 +18,6 @@
     std::string controlAddress;
     std::string metricsAddress;
     std::string dataFolder;
-    /// Size of the disk; the log is compacted long before it is full.
-    std::uint64_t diskBytes = 0;
     /// True only on the first start of the whole system.
     bool firstStart = false;
     /// Instances with a disk that may be lost at the same time.
--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -57,11 +57,6 @@
     m_leader = name;
 }
 
-std::vector<std::string> LeaderClient::controlInstances() const
-{
-    return {m_instances.begin(), m_instances.end()};
-}
-
 bool LeaderClient::isReady(SteadyTimeMs now) const
 {
     return m_answeredAt != 0 && now - m_answeredAt < readyMs;
--- a/Source/Runtime/LeaderClient.h
+++ b/Source/Runtime/LeaderClient.h
@@ -36,7 +36,6 @@
     /// True if a leader has answered lately.
     bool isReady(SteadyTimeMs now) const;
     const std::string &leader() const { return m_leader; }
-    std::vector<std::string> controlInstances() const;
 
 private:
     struct Attempt
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -135,6 +135,8 @@
     void syncRuns(const std::string &worker);
     void addRun(const std::string &worker, const TaskKey &task);
     void dropRun(const TaskKey &task);
+    /// Null if the worker has no run of the task.
+    const RunView *runOn(const std::string &worker, const TaskKey &task) const;
     void reserve(WorkerView &view, const TaskKey &task);
     void release(WorkerView &view, const TaskKey &task);
     void onAccepted(const JobAccepted &accepted, SteadyTimeMs now);
