Maintenance: Log which workers an earlier leader's order may still end

The belief changed without a line in the log. The ranks of candidates are an enum class like all others. PlannersTest passes.

--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -70,6 +70,7 @@
             && m_orderedEarlier.emplace(id, worker).second) {
             m_dispatcher.setCordoned(instance.worker, true);
             m_dispatcher.setLeaving(instance.worker, true);
+            m_notes.push_back({"earlier-order", id, 0, worker, "counts-as-leaving", -1});
         }
     }
     std::erase_if(m_orderedEarlier, [&](const auto &item) {
@@ -78,6 +79,7 @@
         }
         m_dispatcher.setCordoned(item.second, false);
         m_dispatcher.setLeaving(item.second, false);
+        m_notes.push_back({"earlier-order", item.first, 0, item.second, "pause-over", -1});
         return true;
     });
 }
@@ -193,7 +195,7 @@
 {
     // Workers of which a task may be taken away now come first: the steps' budgets are what a wave
     // waits for in the end. Those that must wait come last.
-    enum Rank { MayLeave, Empty, MustWait };
+    enum class Rank { MayLeave, Empty, MustWait };
     std::vector<std::tuple<Rank, std::int64_t, std::string>> ranked;
     std::size_t examined = 0;
     for (const std::string &instance : wave.instances) {
@@ -204,11 +206,11 @@
             continue;
         }
         const WorkerView *view = m_dispatcher.view(listed->second.worker);
-        Rank rank = Empty;
+        Rank rank = Rank::Empty;
         if (view != nullptr && view->lastingRuns > 0) {
             const bool mayLeave = examined++ < examinedCandidates
                     && m_dispatcher.takeAwayFault(listed->second.worker, now).empty();
-            rank = mayLeave ? MayLeave : MustWait;
+            rank = mayLeave ? Rank::MayLeave : Rank::MustWait;
         }
         ranked.emplace_back(rank, view == nullptr ? -1 : view->used.processorMilli, instance);
     }
