Maintenance: Hold a worker for gone only when the instance list shows it

A leader froze right after it had ordered maintenance, and its successor repeated the order 4 s later. The provider confirms an order that it has carried out before and does nothing, but the successor held the worker that had come since for gone and started its lasting task elsewhere: run 3 at 8.04 s beside run 2 of 5.69 s.

Ruled out: the lease (it ended at 12.4 s); a refused start (the worker was cut off one way and could not answer); a move (only empty workers are moved).

Change: a confirmed order begins the maintenance for the wave; the worker ends in the book once a reading that began later shows the instance out of service or with another worker. A reading is asked for at once.

Before: PlannersTest::orderCarriedOutBefore finds a live worker gone. After: it passes.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -422,6 +422,8 @@
                                              if (const auto service = alive.lock()) {
                                                  (*service)->m_maintenance.answered(
                                                          order, fault, steadyTimeNow());
+                                                 // A reading tells whether the worker has ended.
+                                                 (*service)->listInstances();
                                                  (*service)->m_nextMaintenance = 0;
                                                  (*service)->scheduleFlush();
                                              }
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -151,9 +151,8 @@
         progress.phase = Phase::Away;
         progress.since = now;
         m_changes.emplace_back(MaintenanceBegun{order.wave, order.instance});
-        if (const WorkerRecord *worker = m_book.worker(progress.worker)) {
-            m_changes.emplace_back(WorkerLeft{worker->id, worker->born});
-        }
+        // The provider also confirms what it had done for an earlier leader. Then the worker of
+        // today runs on; confirmGone() tells by the next reading of the list.
         return;
     }
     m_notes.push_back({"maintenance-refused", order.instance, 0, progress.worker,
@@ -223,6 +222,15 @@
     return instances;
 }
 
+void MaintenancePlanner::confirmGone(Progress &progress)
+{
+    const WorkerRecord *worker = m_book.worker(progress.worker);
+    if (worker != nullptr && !progress.gone) {
+        progress.gone = true;
+        m_changes.emplace_back(WorkerLeft{worker->id, worker->born});
+    }
+}
+
 void MaintenancePlanner::finishReturned(SteadyTimeMs now, MaintenanceOrders &orders)
 {
     for (auto item = m_progress.begin(); item != m_progress.end();) {
@@ -230,9 +238,23 @@
         const auto listed = m_instances.find(item->first);
         // A reading from before the order still shows the instance in service. In a standby pool
         // no worker tells the difference.
-        const bool back = progress.phase == Phase::Away && m_listedAt > progress.since
-                && listed != m_instances.end() && listed->second.state == InstanceState::InService
-                && (progress.worker.empty() || listed->second.worker != progress.worker);
+        const bool wasRead = progress.phase == Phase::Away && m_listedAt >= progress.since;
+        const bool inService =
+                listed != m_instances.end() && listed->second.state == InstanceState::InService;
+        const bool sameWorker = inService && listed->second.worker == progress.worker;
+        if (wasRead && sameWorker && !progress.worker.empty()) {
+            orders.notes.push_back({"maintenance-ended", item->first, 0, progress.worker,
+                                    "carried-out-before", now - progress.since});
+            m_dispatcher.setCordoned(progress.worker, false);
+            m_dispatcher.setLeaving(progress.worker, false);
+            m_orderLog.release(item->first);
+            item = m_progress.erase(item);
+            continue;
+        }
+        if (wasRead) {
+            confirmGone(progress);
+        }
+        const bool back = wasRead && inService && (progress.worker.empty() || !sameWorker);
         const bool overdue =
                 progress.phase == Phase::Away && now - progress.since >= m_rules.returnLimitMs;
         if (back || overdue) {
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -82,10 +82,14 @@
         SteadyTimeMs since = 0;
         SteadyTimeMs nextOrderAt = 0;
         std::string worker;
+        /// The end of the worker was proposed.
+        bool gone = false;
     };
 
     void stepWave(const MaintenanceWave &wave, SteadyTimeMs now, WallTimeMs wallNow,
                   MaintenanceOrders &orders);
+    /// Proposes the end of the worker, once a reading of the list shows that it has ended.
+    void confirmGone(Progress &progress);
     void finishReturned(SteadyTimeMs now, MaintenanceOrders &orders);
     /// Instances that an earlier leader may have ordered count as leaving, as the provider may
     /// carry the order out late.
--- a/Tests/Scheduling/FleetWorld.cpp
+++ b/Tests/Scheduling/FleetWorld.cpp
@@ -136,6 +136,7 @@
     balancer =
             std::make_unique<PoolBalancer>(book, *dispatcher, orderLog, *maintenance, balanceRules);
     dispatcher->lead(now);
+    orderLog.releaseAll();
     maintenance->lead(term, now);
     balancer->lead(term, now);
     m_nextList = now;
@@ -523,6 +524,10 @@
 {
     ++ordersGiven;
     lastOrderedWorker = instances.at(order.instance).worker;
+    if (m_takenAway.contains(order.instance)) {
+        maintenance->answered(order, std::nullopt, now);
+        return;
+    }
     if (maintenanceDelayMs > 0) {
         m_delayedMaintenance.emplace_back(now + maintenanceDelayMs, order.instance);
         maintenance->answered(order, InstanceFault::NoAnswer, now);
@@ -543,6 +548,7 @@
         return;
     }
     maintained.push_back(id);
+    m_takenAway.insert(id);
     workers.erase(instance.worker);
     instance.state = InstanceState::Maintenance;
     returning[id] = {now + maintenanceMs, instance.pool};
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(repeatedOrder);
     CPPUNIT_TEST(earlierLeadersOrder);
     CPPUNIT_TEST(slowRecord);
+    CPPUNIT_TEST(orderCarriedOutBefore);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST(spreadOfLastingTasks);
     CPPUNIT_TEST_SUITE_END();
@@ -378,6 +379,33 @@
         }
     }
 
+    /// Guards against a second run of a task whose worker is held for gone because the provider
+    /// confirms an order that it had carried out for an earlier leader (chamdakam-loom scale-1,
+    /// seed 777177528407, TWICE).
+    void orderCarriedOutBefore()
+    {
+        FleetWorld world(30);
+        world.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        world.addWorker("pricing");
+        world.start();
+        world.run(1000);
+        world.maintenanceDelayMs = 50;
+        world.startWave({"m1"}, 1);
+        world.runUntil("the order", 3000, [&] { return world.ordersGiven == 1; });
+        world.changeLeader();
+        world.run(2500);
+        world.submit("a", "quotes", {lastingStep(2, 2)});
+        world.runUntil("the tasks", 2000, [&] { return world.runningCount("a") == 2; });
+        const std::uint32_t starts = world.starts;
+        world.runUntil("the wave", 10000, [&] { return world.book.waves().at(1).isCompleted(); });
+        world.run(3000);
+        for (const auto &[id, worker] : world.workers) {
+            CPPUNIT_ASSERT(world.book.worker(id) != nullptr);
+        }
+        CPPUNIT_ASSERT_EQUAL(starts, world.starts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.runningCount("a"));
+    }
+
     /// Guards against an order that is sent once its record is confirmed though a task of the step
     /// went away while the journal had no quorum.
     void slowRecord()
