--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -296,6 +296,16 @@
                       });
 }
 
+void JobService::listAfterOrder()
+{
+    // Only a reading that begins later than the confirmation counts; times are in milliseconds.
+    m_loop.startTimer(Milliseconds(1), [alive = std::weak_ptr(m_alive)] {
+        if (const auto service = alive.lock()) {
+            (*service)->listInstances();
+        }
+    });
+}
+
 void JobService::listInstances()
 {
     if (!leads() || m_listing) {
@@ -422,8 +432,7 @@
                                              if (const auto service = alive.lock()) {
                                                  (*service)->m_maintenance.answered(
                                                          order, fault, steadyTimeNow());
-                                                 // A reading tells whether the worker has ended.
-                                                 (*service)->listInstances();
+                                                 (*service)->listAfterOrder();
                                                  (*service)->m_nextMaintenance = 0;
                                                  (*service)->scheduleFlush();
                                              }
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -84,6 +84,8 @@
     void scheduleTick();
     void scheduleList();
     void listInstances();
+    /// A reading tells whether the worker of an ordered instance has ended.
+    void listAfterOrder();
     void carryOut(DispatchOrders orders);
     void carryOut(const MaintenanceOrders &orders);
     void carryOut(const BalanceOrders &orders);
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -238,7 +238,7 @@
         const auto listed = m_instances.find(item->first);
         // A reading from before the order still shows the instance in service. In a standby pool
         // no worker tells the difference.
-        const bool wasRead = progress.phase == Phase::Away && m_listedAt >= progress.since;
+        const bool wasRead = progress.phase == Phase::Away && m_listedAt > progress.since;
         const bool inService =
                 listed != m_instances.end() && listed->second.state == InstanceState::InService;
         const bool sameWorker = inService && listed->second.worker == progress.worker;
