--- a/Tests/Scheduling/FleetWorld.h
+++ b/Tests/Scheduling/FleetWorld.h
@@ -173,7 +173,8 @@
     std::vector<DelayedOrder> m_recordedOrders;
     /// Instances that the provider takes away later.
     std::vector<std::pair<SteadyTimeMs, std::string>> m_delayedMaintenance;
-    /// Instances that the provider has taken away for the wave; it confirms further orders for them.
+    /// Instances that the provider has taken away for the wave; it confirms further orders for
+    /// them.
     std::set<std::string> m_takenAway;
     std::uint32_t m_lastWorker = 0;
     SteadyTimeMs m_nextList = 0;
