Maintenance: Drop a member that nothing reads

MaintenancePlanner kept the start of its term and never used it. PlannersTest had the search for workers with tasks twice. No check changes.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -176,7 +176,7 @@
     m_leading = true;
     m_dispatcher.lead(now);
     m_orderLog.releaseAll();
-    m_maintenance.lead(m_status.term, now);
+    m_maintenance.lead(m_status.term);
     m_balancer.lead(m_status.term, now);
     m_log.line(LogSeverity::Info, "lead",
                {{"term", static_cast<std::int64_t>(m_status.term)},
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -43,10 +43,9 @@
     : m_book(book), m_dispatcher(dispatcher), m_orderLog(orderLog), m_rules(rules)
 { }
 
-void MaintenancePlanner::lead(std::uint64_t term, SteadyTimeMs now)
+void MaintenancePlanner::lead(std::uint64_t term)
 {
     m_term = term;
-    m_leadAt = now;
     m_instances.clear();
     m_missing.clear();
     m_progress.clear();
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -60,7 +60,7 @@
     MaintenancePlanner(const JobBook &book, Dispatcher &dispatcher, InstanceOrderLog &orderLog,
                        MaintenanceRules rules);
 
-    void lead(std::uint64_t term, SteadyTimeMs now);
+    void lead(std::uint64_t term);
     /// `readAt` is when the reading was begun.
     void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt);
     void answered(const MaintenanceOrder &order, std::optional<InstanceFault> fault,
@@ -103,7 +103,6 @@
     Dispatcher &m_dispatcher;
     InstanceOrderLog &m_orderLog;
     const MaintenanceRules m_rules;
-    SteadyTimeMs m_leadAt = 0;
     std::uint64_t m_term = 0;
     std::map<std::string, ListedInstance> m_instances;
     SteadyTimeMs m_listedAt = 0;
--- a/Tests/Scheduling/FleetWorld.cpp
+++ b/Tests/Scheduling/FleetWorld.cpp
@@ -137,7 +137,7 @@
             std::make_unique<PoolBalancer>(book, *dispatcher, orderLog, *maintenance, balanceRules);
     dispatcher->lead(now);
     orderLog.releaseAll();
-    maintenance->lead(term, now);
+    maintenance->lead(term);
     balancer->lead(term, now);
     m_nextList = now;
 }
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -87,6 +87,17 @@
     return replay;
 }
 
+std::vector<std::string> workersWithTasks(const FleetWorld &world)
+{
+    std::vector<std::string> holders;
+    for (const auto &[id, worker] : world.workers) {
+        if (!worker.running.empty()) {
+            holders.push_back(id);
+        }
+    }
+    return holders;
+}
+
 } // namespace
 
 class PlannersTest : public CppUnit::TestFixture
@@ -335,12 +346,7 @@
         world.run(100);
         world.submit("a", "quotes", {lastingStep(4, 1)});
         world.run(1500);
-        std::vector<std::string> holders;
-        for (const auto &[id, worker] : world.workers) {
-            if (!worker.running.empty()) {
-                holders.push_back(id);
-            }
-        }
+        const std::vector<std::string> holders = workersWithTasks(world);
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), holders.size());
         world.dispatcher->setLeaving(holders[0], true);
         CPPUNIT_ASSERT_EQUAL(std::string(), world.dispatcher->takeAwayFault(holders[0], world.now));
@@ -419,12 +425,7 @@
         world.run(100);
         world.submit("a", "quotes", {lastingStep(4, 1)});
         world.run(1500);
-        std::vector<std::string> holders;
-        for (const auto &[id, worker] : world.workers) {
-            if (!worker.running.empty()) {
-                holders.push_back(id);
-            }
-        }
+        const std::vector<std::string> holders = workersWithTasks(world);
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), holders.size());
         world.orderCommitMs = 4000;
         world.startWave({"m" + holders[0].substr(1)}, 1);
