Gateway: Send a done answer once its settlement is committed

Ruled out: a second run of the key, in all runs seen it ran once.

The answer now waits for the commit, which the settle queue batches, at the latest for half of the time that its caller still waits, so that without a quorum a ready answer is still delivered.

KeyedRequestsTest::answersAfterSettlement refuses three of four settlements and asks a second gateway at once: in-progress before, replayed after.

--- a/Source/Runtime/KeyedRequests.cpp
+++ b/Source/Runtime/KeyedRequests.cpp
@@ -1,5 +1,6 @@
 #include "Runtime/KeyedRequests.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dandelionloom {
@@ -10,6 +11,21 @@
 /// resend finds the key free.
 constexpr Milliseconds notRunSettleWait{500};
 
+/// How long an answer is delayed for the commit of its settlement. A done answer leaves once a
+/// resend finds it at every gateway, or, without a quorum, after half of the time that its caller
+/// still waits: an answer that a resend may not confirm is better than none.
+Milliseconds settleWait(const RequestEnd &end, SteadyTimeMs deadlineAt)
+{
+    switch (end.outcome) {
+    case RequestOutcome::Done:
+        return Milliseconds(std::max<SteadyTimeMs>(deadlineAt - steadyTimeNow(), 0) / 2);
+    case RequestOutcome::NotRun:
+        return notRunSettleWait;
+    default:
+        return Milliseconds(0);
+    }
+}
+
 RequestEnd replayedEnd(const RequestClaim &claim)
 {
     RequestEnd end;
@@ -109,8 +125,7 @@
 RequestEnd KeyedRequests::runClaimed(const CheckedRequest &request, const RequestClaim &claim)
 {
     RequestEnd end = m_runner.run(request);
-    const bool notRun = end.outcome == RequestOutcome::NotRun;
-    m_settlements.settle(settledClaim(claim, end), notRun ? notRunSettleWait : Milliseconds(0));
+    m_settlements.settle(settledClaim(claim, end), settleWait(end, request.deadlineAt));
     return end;
 }
 
--- a/Tests/Gateway/KeyedRequestsTest.cpp
+++ b/Tests/Gateway/KeyedRequestsTest.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(notRunFreesTheKey);
     CPPUNIT_TEST(claimsWithoutAnswer);
     CPPUNIT_TEST(settlementsWithoutCommit);
+    CPPUNIT_TEST(answersAfterSettlement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -265,6 +266,24 @@
         CPPUNIT_ASSERT_EQUAL(1, m_endpoint->endpointRuns().runsOfKey("k1"));
     }
 
+    /// Guards against a caller who was told that the request is done, and whose resend through
+    /// another gateway is told that it is in progress or unknown (scenario 13: the first gateway
+    /// was killed some 10 ms after its answer).
+    void answersAfterSettlement()
+    {
+        auto refusals = std::make_shared<std::atomic<int>>(0);
+        m_log->setBehavior([refusals](const CommandBody &body) {
+            return isA<SettleRequests>(body) && ++*refusals % 4 != 0 ? Behavior::NotAccepted
+                                                                     : Behavior::Apply;
+        });
+        for (int number = 0; number < 5; ++number) {
+            const CallOptions request = keyed("k" + std::to_string(number));
+            CPPUNIT_ASSERT_EQUAL(std::string("done"), m_first->call(request).outcome());
+            assertResult("done", "replayed", m_second->call(request));
+        }
+        CPPUNIT_ASSERT(*refusals >= 5);
+    }
+
 private:
     /// Resends until the claim is no longer in progress.
     static CallerAnswer settledAnswer(GatewayStack &stack, const CallOptions &options)
