Peers: Log unexpected errors of event loop tasks and go on

Cause: an exception that no handler caught, for example a missing key after a malformed message, left the loop's thread and ended the process; the next leader could end in the same way.

A loop with an error handler logs the exception and runs the next task. A watch whose callback failed is removed, as its event would be reported again at once. Without a handler, as in tests, an exception still ends the process, so that no check of a test is lost. runAndWait() passes the exception to its caller in place of waiting for ever.

--- a/Source/Adapters/Peers/EventLoop.cpp
+++ b/Source/Adapters/Peers/EventLoop.cpp
@@ -43,6 +43,11 @@
     ::close(m_epollDescriptor);
 }
 
+void EventLoop::setErrorHandler(std::function<void(const std::string &message)> handler)
+{
+    m_onError = std::move(handler);
+}
+
 void EventLoop::start()
 {
     m_thread = std::thread([this] { run(); });
@@ -81,10 +86,14 @@
 {
     std::promise<void> finished;
     post([&] {
-        task();
-        finished.set_value();
+        try {
+            task();
+            finished.set_value();
+        } catch (...) {
+            finished.set_exception(std::current_exception());
+        }
     });
-    finished.get_future().wait();
+    finished.get_future().get();
 }
 
 EventLoop::TimerId EventLoop::startTimer(Milliseconds delay, Task task)
@@ -156,7 +165,11 @@
             const auto found = m_watches.find(event.data.u64);
             if (found != m_watches.end()) {
                 const std::shared_ptr<Watch> watch = found->second;
-                watch->callback(event.events);
+                if (!runGuarded([&] { watch->callback(event.events); })) {
+                    // The event would be reported again at once. The timers of the connection
+                    // close it.
+                    unwatch(event.data.u64);
+                }
             }
         }
         runPosted();
@@ -168,6 +181,21 @@
     }
 }
 
+bool EventLoop::runGuarded(const Task &task)
+{
+    if (!m_onError) {
+        task();
+        return true;
+    }
+    try {
+        task();
+        return true;
+    } catch (const std::exception &error) {
+        m_onError(error.what());
+        return false;
+    }
+}
+
 void EventLoop::runPosted()
 {
     std::vector<Task> tasks;
@@ -175,8 +203,8 @@
         const std::lock_guard lock(m_mutex);
         tasks.swap(m_posted);
     }
-    for (Task &task : tasks) {
-        task();
+    for (const Task &task : tasks) {
+        runGuarded(task);
     }
 }
 
@@ -186,7 +214,7 @@
     while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
         const Task task = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
-        task();
+        runGuarded(task);
     }
 }
 
@@ -205,6 +233,13 @@
     return static_cast<int>(std::clamp<SteadyTimeMs>(remaining, 0, maxWaitMs));
 }
 
+std::function<void(const std::string &message)> errorLogger(DecisionLog &log)
+{
+    return [&log](const std::string &message) {
+        log.event(LogSeverity::Error, "event-loop", "unexpected error: " + message);
+    };
+}
+
 void EventLoop::wake() const
 {
     const std::uint64_t one = 1;
--- a/Source/Adapters/Peers/EventLoop.h
+++ b/Source/Adapters/Peers/EventLoop.h
@@ -6,11 +6,13 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include "Model/Time.h"
+#include "Ports/DecisionLog.h"
 
 namespace dandelionloom {
 
@@ -29,12 +31,17 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
+    /// Sets the function that reports an exception which a task or callback did not handle; the
+    /// loop then goes on with the next one. Without it, such an exception ends the process. Must be
+    /// called before start().
+    void setErrorHandler(std::function<void(const std::string &message)> handler);
     void start();
     /// Runs the tasks posted so far, then joins the thread. Tasks posted later are discarded.
     void stop();
 
     void post(Task task);
-    /// Posts a task and waits until it has run. Must not be called on the loop's thread.
+    /// Posts a task and waits until it has run. Rethrows its exception. Must not be called on the
+    /// loop's thread.
     void runAndWait(const Task &task);
 
     TimerId startTimer(Milliseconds delay, Task task);
@@ -54,6 +61,8 @@
     };
 
     void run();
+    /// Runs a task. Returns false if it failed with an exception.
+    bool runGuarded(const Task &task);
     void runPosted();
     void runTimers();
     int waitMs();
@@ -72,6 +81,10 @@
     /// one batch of events, the new watch must not get the events of the old one.
     std::map<WatchId, std::shared_ptr<Watch>> m_watches;
     std::uint64_t m_nextId = 1;
+    std::function<void(const std::string &message)> m_onError;
 };
 
+/// An error handler that writes the message to the log.
+std::function<void(const std::string &message)> errorLogger(DecisionLog &log);
+
 } // namespace dandelionloom
--- a/Source/Adapters/Peers/Http2PeerTransport.cpp
+++ b/Source/Adapters/Peers/Http2PeerTransport.cpp
@@ -1,6 +1,7 @@
 #include "Adapters/Peers/Http2PeerTransport.h"
 
 #include <set>
+#include <string>
 
 namespace dandelionloom {
 
@@ -10,7 +11,11 @@
     : m_self(std::move(self)), m_listenAddress(std::move(listenAddress)), m_peers(std::move(peers)),
       m_options(options), m_log(log), m_traffic(metrics),
       m_serverLoop(std::make_shared<EventLoop>()), m_clientLoop(std::make_shared<EventLoop>())
-{ }
+{
+    for (const auto &loop : {m_serverLoop, m_clientLoop}) {
+        loop->setErrorHandler(errorLogger(m_log));
+    }
+}
 
 Http2PeerTransport::~Http2PeerTransport()
 {
--- a/Source/Program/GatewayInstance.cpp
+++ b/Source/Program/GatewayInstance.cpp
@@ -68,7 +68,9 @@
 
 GatewayInstance::GatewayInstance(GatewaySettings settings, JobProtocol &protocol, JsonLineLog &log)
     : m_settings(std::move(settings)), m_protocol(protocol), m_log(log)
-{ }
+{
+    m_loop.setErrorHandler(errorLogger(m_log));
+}
 
 GatewayInstance::~GatewayInstance()
 {
