Http: Find the connection of a timed-out call without a search

Cause: each time-out looked through all connections, some 4,000 on a leader with 1,100 workers; under overload time-outs are many. The call now keeps the id of its connection.

--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -97,7 +97,7 @@
     const std::uint64_t id = m_nextId++;
     const std::string address = call.address;
     const Milliseconds timeout = call.timeout;
-    Pending pending{std::move(call), std::move(callback), {}};
+    Pending pending{std::move(call), std::move(callback), {}, 0};
     pending.timer = m_loop.startTimer(timeout, [this, id] { onTimeout(id); });
     m_calls.emplace(id, std::move(pending));
     m_pools[address].waiting.push_back(id);
@@ -171,6 +171,7 @@
 {
     Connection &connection = *m_connections.at(id);
     connection.call = call;
+    m_calls.at(call).connection = id;
     connection.input.clear();
     connection.anySent = false;
     connection.output = renderRequest(m_calls.at(call).call);
@@ -271,11 +272,9 @@
     if (found == m_calls.end()) {
         return;
     }
-    for (const auto &[id, connection] : m_connections) {
-        if (connection->call == call) {
-            closeConnection(id, "timeout");
-            return;
-        }
+    if (found->second.connection != 0) {
+        closeConnection(found->second.connection, "timeout");
+        return;
     }
     std::erase(m_pools[found->second.call.address].waiting, call);
     completeCall(call,
--- a/Source/Adapters/Http/EventedHttpClient.h
+++ b/Source/Adapters/Http/EventedHttpClient.h
@@ -71,6 +71,8 @@
         HttpCall call;
         Callback callback;
         EventLoop::TimerId timer;
+        /// Connection that makes the call; 0 while the call waits for one.
+        std::uint64_t connection = 0;
     };
     struct Connection
     {
