--- a/Source/Ports/PeerTransport.h
+++ b/Source/Ports/PeerTransport.h
@@ -30,12 +30,16 @@
     /// A call of a client, worker or operator, forwarded to the leader of the journal.
     JobCall,
     /// Asks a control instance for the leader and the voters of the journal.
-    Locate
+    Locate,
+    /// Calls to workers that the leader of the journal has another control instance make.
+    WorkerCalls,
+    /// The results of such calls.
+    WorkerCallResults
 };
-inline constexpr EnumNames<PeerMessageKind, 16> peerMessageKindNames{
+inline constexpr EnumNames<PeerMessageKind, 18> peerMessageKindNames{
         {"hello", "pre-vote", "vote", "append", "snapshot-chunk", "feed", "propose", "read-index",
          "progress", "endpoint-delta", "endpoint-digest", "endpoint-fetch", "gateway-demand",
-         "journal-message", "job-call", "locate"}};
+         "journal-message", "job-call", "locate", "worker-calls", "worker-call-results"}};
 
 enum class PeerErrorKind {
     /// No part of the message was sent.
--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -28,7 +28,9 @@
                                  std::function<void(const std::string &)> onFatal)
     : m_settings(std::move(settings)), m_protocol(protocol), m_log(log),
       m_onFatal(std::move(onFatal))
-{ }
+{
+    m_loop.setErrorHandler(errorLogger(m_log));
+}
 
 ControlInstance::~ControlInstance()
 {
@@ -70,7 +72,6 @@
         addPeer(voter);
     }
     m_leaderClient->setKnownLeader(status.leader);
-    m_protocol.setLeader(status.leader);
 }
 
 void ControlInstance::addPeer(const std::string &name)
@@ -80,6 +81,7 @@
     }
     m_leaderClient->addControlInstance(name);
     m_journal->addPeer(name);
+    m_workerCalls->addRelay(name);
 }
 
 Result<Done, StartError> ControlInstance::start(const OutgoingClientsFactory &factory)
@@ -89,9 +91,16 @@
             peerIdentity(peers), peers.name + ":" + std::to_string(peers.ownPort),
             std::vector<PeerAddress>{}, peerTransportOptions(), m_log, m_metrics);
     m_outgoingClients = factory(m_loop);
-    m_service =
-            std::make_unique<JobService>(m_loop, m_settings.service, m_log, m_metrics,
-                                         *m_outgoingClients.workers, *m_outgoingClients.instances);
+    m_workerCalls = std::make_unique<RelayedWorkerCalls>(
+            m_loop, *m_transport, *m_outgoingClients.workers, m_log,
+            m_settings.service.dispatch.calls, [this](const std::string &worker) {
+                const WorkerRecord *record = m_service->book().worker(worker);
+                return record == nullptr ? std::string() : record->availabilityZone;
+            });
+    m_relay = std::make_unique<WorkerCallRelay>(m_loop, *m_transport, *m_outgoingClients.workers,
+                                                m_log, peers.availabilityZone);
+    m_service = std::make_unique<JobService>(m_loop, m_settings.service, m_log, m_metrics,
+                                             *m_workerCalls, *m_outgoingClients.instances);
     DiskLogOptions disk;
     disk.folder = m_settings.dataFolder;
     disk.clusterId = "dandelionloom";
@@ -167,6 +176,22 @@
                     });
                 });
             });
+    m_transport->setHandler(
+            PeerMessageKind::WorkerCalls,
+            [this](const std::string &from, std::string body, PeerTransport::Reply reply) {
+                m_loop.post([this, from, body = std::move(body), reply = std::move(reply),
+                             receivedAt = steadyTimeNow()] {
+                    m_relay->handle(from, body, receivedAt, reply);
+                });
+            });
+    m_transport->setHandler(
+            PeerMessageKind::WorkerCallResults,
+            [this](const std::string &from, std::string body, const PeerTransport::Reply &reply) {
+                m_loop.post([this, from, body = std::move(body)] {
+                    m_workerCalls->onResults(from, body);
+                });
+                reply(std::string());
+            });
     m_transport->setHandler(
             PeerMessageKind::Locate,
             [this](const std::string &, const std::string &, PeerTransport::Reply reply) {
@@ -204,6 +229,12 @@
         m_service->handle(timed.call, reply);
         return;
     }
+    // Most announcements change nothing, and the leader needs only those that do.
+    if (timed.call.kind == JobCallKind::AnnounceWorker
+        && m_service->isRecorded(timed.call.worker)) {
+        reply(makeAnswer(JobCallOutcome::Done, {}));
+        return;
+    }
     m_leaderClient->call(timed.call, steadyTimeNow() + timed.callTimeoutMs, reply);
 }
 
--- a/Source/Program/ControlInstance.h
+++ b/Source/Program/ControlInstance.h
@@ -8,6 +8,8 @@
 #include "Adapters/Disk/DiskLogStorage.h"
 #include "Program/GatewayInstance.h"
 #include "Runtime/JobService.h"
+#include "Runtime/RelayedWorkerCalls.h"
+#include "Runtime/WorkerCallRelay.h"
 
 namespace dandelionloom {
 
@@ -67,6 +69,8 @@
     std::unique_ptr<Http2PeerTransport> m_transport;
     std::unique_ptr<DiskLogStorage> m_storage;
     OutgoingClients m_outgoingClients;
+    std::unique_ptr<RelayedWorkerCalls> m_workerCalls;
+    std::unique_ptr<WorkerCallRelay> m_relay;
     std::unique_ptr<JobService> m_service;
     std::unique_ptr<ReplicatedJournal> m_journal;
     std::unique_ptr<LeaderClient> m_leaderClient;
--- a/Source/Program/JobProtocol.h
+++ b/Source/Program/JobProtocol.h
@@ -25,8 +25,6 @@
     /// The call, or the response to an invalid request.
     virtual std::variant<TimedJobCall, HttpResponse> decode(const HttpRequest &request) = 0;
     virtual HttpResponse encode(const JobCall &call, const JobCallAnswer &answer) = 0;
-    /// Sets the leader for responses that name it; empty if unknown.
-    virtual void setLeader(const std::string &name) = 0;
 };
 
 } // namespace dandelionloom
--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -13,10 +13,17 @@
 /// steps. The minimum bounds the load, because every step visits all waiting jobs.
 constexpr Milliseconds idleStepInterval{50};
 constexpr std::int64_t minStepIntervalMs = 8;
+/// From this number of workers on, steps and journal entries are this far apart. Each entry and
+/// each batch of calls costs a message to every other control instance, so larger batches leave
+/// more of the processor to decisions; the delay is small against the shortest objective of 600 ms.
+constexpr std::size_t largeFleetWorkers = 150;
+constexpr std::int64_t largeFleetStepIntervalMs = 16;
 /// Pause after a step, as a multiple of the step's duration.
 constexpr std::int64_t stepPauseFactor = 3;
 
-constexpr std::int64_t maintenanceIntervalMs = 100;
+/// Interval of the planners' steps. Each visits all instances, which takes about 4 ms with 1,100.
+constexpr std::int64_t planIntervalMs = 100;
+constexpr std::int64_t largeFleetPlanIntervalMs = 200;
 
 /// Intervals between listings of the instances, while maintenance waits for an instance to return
 /// and otherwise.
@@ -31,7 +38,7 @@
 std::string affectedJob(const JobChange &change)
 {
     if (const auto *ended = std::get_if<RunEnded>(&change)) {
-        return ended->task.job;
+        return ended->task.job.text();
     }
     const auto *cancelled = std::get_if<JobCancelled>(&change);
     return cancelled == nullptr ? std::string() : cancelled->job;
@@ -69,6 +76,12 @@
     return {leads(), m_status.leader, m_status.voters};
 }
 
+bool JobService::isRecorded(const WorkerRecord &announced) const
+{
+    const WorkerRecord *known = m_schedulerState.worker(announced.id);
+    return known != nullptr && *known == announced;
+}
+
 void JobService::onStatus(const JournalStatus &status)
 {
     const bool leaderChanged = status.leader != m_status.leader;
@@ -226,13 +239,23 @@
     });
 }
 
-void JobService::flush()
+void JobService::proposeChanges(SteadyTimeMs now)
 {
     if (m_leading && !m_unproposedChanges.empty()) {
         m_journal->propose(encodeChanges(m_unproposedChanges));
         m_unproposedChanges.clear();
+        const bool largeFleet = m_schedulerState.workers().size() > largeFleetWorkers;
+        m_nextProposal = now + (largeFleet ? largeFleetStepIntervalMs : 0);
     }
+}
+
+void JobService::flush()
+{
     const SteadyTimeMs now = steadyTimeNow();
+    if (now >= m_nextProposal) {
+        proposeChanges(now);
+    }
+    // The next step proposes what remains.
     if (m_stepScheduled) {
         return;
     }
@@ -252,7 +275,8 @@
 void JobService::step()
 {
     const SteadyTimeMs now = steadyTimeNow();
-    m_nextStep = now + minStepIntervalMs;
+    const bool largeFleet = m_schedulerState.workers().size() > largeFleetWorkers;
+    m_nextStep = now + (largeFleet ? largeFleetStepIntervalMs : minStepIntervalMs);
     const auto begin = std::chrono::steady_clock::now();
     // Without a valid lease another leader may be active, so no decisions are made or sent.
     if (!leads()) {
@@ -265,24 +289,22 @@
             std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
     m_nextStep += took.count() * stepPauseFactor;
     if (now >= m_nextMaintenance) {
-        m_nextMaintenance = now + maintenanceIntervalMs;
+        m_nextMaintenance = now + (largeFleet ? largeFleetPlanIntervalMs : planIntervalMs);
         carryOut(m_maintenance.step(now, wallTimeNow()));
         carryOut(m_balancer.step(now));
     }
-    if (!m_unproposedChanges.empty()) {
-        m_journal->propose(encodeChanges(m_unproposedChanges));
-        m_unproposedChanges.clear();
-    }
+    proposeChanges(now);
 }
 
 void JobService::scheduleIdleStep()
 {
     m_loop.startTimer(idleStepInterval, [alive = std::weak_ptr(m_alive)] {
         if (const auto service = alive.lock()) {
+            // Before the step, so that a step that fails is not the last one.
+            (*service)->scheduleIdleStep();
             if (steadyTimeNow() >= (*service)->m_nextStep) {
                 (*service)->step();
             }
-            (*service)->scheduleIdleStep();
         }
     });
 }
@@ -292,8 +314,8 @@
     m_loop.startTimer(m_maintenance.hasWork() ? maintenanceListInterval : idleListInterval,
                       [alive = std::weak_ptr(m_alive)] {
                           if (const auto service = alive.lock()) {
-                              (*service)->listInstances();
                               (*service)->scheduleList();
+                              (*service)->listInstances();
                           }
                       });
 }
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -63,6 +63,9 @@
     bool leads() const;
     const std::string &leader() const { return m_status.leader; }
     const SchedulerState &book() const { return m_schedulerState; }
+    /// True if the announcement of a worker adds nothing to the state applied here, so that any
+    /// control instance may acknowledge it.
+    bool isRecorded(const WorkerRecord &announced) const;
 
 private:
     /// A reply that is sent once the change that it depends on is applied, or with the outcome
@@ -81,6 +84,8 @@
     void becomeLeader();
     void stepDown();
     void propose(std::vector<JobChange> changes);
+    /// Passes the collected changes to the journal, as one entry.
+    void proposeChanges(SteadyTimeMs now);
     void scheduleFlush();
     void flush();
     void step();
@@ -135,6 +140,7 @@
     std::vector<JobChange> m_unproposedChanges;
     bool m_flushScheduled = false;
     SteadyTimeMs m_nextStep = 0;
+    SteadyTimeMs m_nextProposal = 0;
     bool m_stepScheduled = false;
     SteadyTimeMs m_nextMaintenance = 0;
     bool m_listInFlight = false;
--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -191,7 +191,10 @@
         replyWhenApplied(key, makeAnswer(JobCallOutcome::Done, "accepted"), reply);
         return;
     }
-    std::string fault = spec.id.empty() ? "no job id in the path" : jobSpecError(spec);
+    std::string fault = JobId::isValid(spec.id)
+            ? jobSpecError(spec)
+            : "expected a job id of 1 to " + std::to_string(JobId::maxLength)
+                    + " characters, found " + std::to_string(spec.id.size());
     if (!fault.empty()) {
         reply(makeAnswer(JobCallOutcome::Invalid, std::move(fault)));
         return;
@@ -211,7 +214,7 @@
     const std::string id = call.path.substr(queue->pathPrefix.size());
     if (id.empty()) {
         answer.isQueue = true;
-        answer.pendingJobs = m_dispatcher.pendingJobs(queue->name);
+        answer.pendingJobs = m_dispatcher.pendingJobs(queue->name, steadyTimeNow());
         reply(answer);
         return;
     }
--- a/Source/Runtime/ReplicatedJournal.cpp
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -14,6 +14,10 @@
 /// Covers a clock drift of 2% between two instances over one election timeout, and late timers.
 constexpr std::int64_t leaseMarginMs = 60;
 
+/// Least extension of the leader lease that is reported. Each answer of a peer extends it by a
+/// millisecond or two.
+constexpr std::int64_t leaseReportMs = 25;
+
 } // namespace
 
 ReplicatedJournal::ReplicatedJournal(JournalOptions options, LogStorage &storage,
@@ -276,6 +280,13 @@
             status.leaseUntil = contact->at + m_options.electionMinMs - leaseMarginMs;
         }
     }
+    // A lease that is known to last a little longer is no news.
+    JournalStatus unchanged = m_status;
+    unchanged.leaseUntil = status.leaseUntil;
+    if (status == unchanged && status.leaseUntil >= m_status.leaseUntil
+        && status.leaseUntil - m_status.leaseUntil < leaseReportMs) {
+        return;
+    }
     if (!(status == m_status)) {
         m_status = status;
         m_events.status(std::move(status));
--- /dev/null
+++ b/Source/Runtime/WorkerCallMessages.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Model/EnumNames.h"
+#include "Scheduling/DispatchTypes.h"
+
+namespace dandelionloom {
+
+/// An order with the number under which its result is returned.
+template <typename Order>
+struct NumberedOrder
+{
+    std::uint64_t call = 0;
+    Order order;
+
+    MSGPACK_DEFINE_ARRAY(call, order)
+};
+
+/// Body of PeerMessageKind::WorkerCalls. A batch without orders only asks whether the relay
+/// responds.
+struct WorkerCallBatch
+{
+    /// Term of the leader that issued the orders, which is also their fencing token.
+    std::uint64_t term = 0;
+    std::vector<NumberedOrder<RenewOrder>> renewals;
+    std::vector<NumberedOrder<StartOrder>> starts;
+    std::vector<NumberedOrder<StopOrder>> stops;
+    std::vector<NumberedOrder<PaceOrder>> paces;
+
+    bool isEmpty() const
+    {
+        return renewals.empty() && starts.empty() && stops.empty() && paces.empty();
+    }
+    MSGPACK_DEFINE_ARRAY(term, renewals, starts, stops, paces)
+};
+
+/// How a relay received a batch. Enumerators are encoded as integers, so new ones must be appended.
+enum class WorkerCallReceipt {
+    /// The calls are on their way; their results follow in WorkerCallResults.
+    Accepted,
+    /// The relay has orders of a later leader. Nothing was sent.
+    OldTerm,
+    /// The relay was paused or overloaded after it had received the batch. Nothing was sent.
+    Stale,
+    /// Nothing was sent.
+    Unreadable
+};
+inline constexpr EnumNames<WorkerCallReceipt, 4> workerCallReceiptNames{
+        {"accepted", "old-term", "stale", "unreadable"}};
+
+/// Answer to PeerMessageKind::WorkerCalls.
+struct WorkerCallAck
+{
+    WorkerCallReceipt receipt = WorkerCallReceipt::Accepted;
+    /// Availability zone of the relay.
+    std::string availabilityZone;
+
+    MSGPACK_DEFINE_ARRAY(receipt, availabilityZone)
+};
+
+struct OrderResult
+{
+    std::uint64_t call = 0;
+    std::optional<CallFault> fault;
+
+    MSGPACK_DEFINE_ARRAY(call, fault)
+};
+
+struct RenewResult
+{
+    std::uint64_t call = 0;
+    std::optional<CallFault> fault;
+    /// Valid if there is no fault.
+    RenewAnswer answer;
+
+    MSGPACK_DEFINE_ARRAY(call, fault, answer)
+};
+
+/// Body of PeerMessageKind::WorkerCallResults.
+struct WorkerCallResults
+{
+    std::vector<OrderResult> orders;
+    std::vector<RenewResult> renewals;
+
+    MSGPACK_DEFINE_ARRAY(orders, renewals)
+};
+
+} // namespace dandelionloom
+
+MSGPACK_ADD_ENUM(dandelionloom::WorkerCallReceipt)
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -69,6 +69,8 @@
     /// count as a rate: outside its peaks a queue receives less than one job in this time.
     std::int64_t arrivalWindowMs = 400;
     std::size_t minArrivalsForRate = 4;
+    /// Time of a term within which services that have had no turn are expected to have one.
+    std::int64_t turnLearningMs = 60000;
     /// Fraction of a task's latency target above which best-effort tasks on the same worker are
     /// paused. Leaves time for the 0.5 s age of a reading and the 0.1 s that pacing takes.
     double paceTargetShare = 0.7;
@@ -86,6 +88,8 @@
     /// Tail latency in milliseconds for a task with a latency target, otherwise thousandths of a
     /// core in use.
     std::int64_t reading = 0;
+
+    MSGPACK_DEFINE_ARRAY(task, run, checkpoint, percent, reading)
 };
 
 /// Entry of a worker's list of ended runs.
@@ -97,6 +101,8 @@
     std::uint32_t run = 0;
     RunOutcome runOutcome = RunOutcome::Done;
     std::string checkpoint;
+
+    MSGPACK_DEFINE_ARRAY(number, task, run, runOutcome, checkpoint)
 };
 
 struct RenewAnswer
@@ -106,6 +112,8 @@
     std::int64_t startTimeMs = 0;
     std::vector<RunningRun> running;
     std::vector<EndedRun> ended;
+
+    MSGPACK_DEFINE_ARRAY(clockMs, startTimeMs, running, ended)
 };
 
 enum class CallFault {
@@ -141,6 +149,8 @@
     /// Lease on the worker's clock; unset while that clock is unknown.
     std::optional<std::int64_t> leaseUntilMs;
     std::int64_t waitMs = 0;
+
+    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs)
 };
 
 struct StartOrder
@@ -153,6 +163,8 @@
     std::int64_t leaseUntilMs = 0;
     std::string checkpoint;
     std::string ticket;
+
+    MSGPACK_DEFINE_ARRAY(worker, address, task, run, payload, leaseUntilMs, checkpoint, ticket)
 };
 
 struct StopOrder
@@ -161,6 +173,8 @@
     std::string address;
     TaskKey task;
     std::uint32_t run = 0;
+
+    MSGPACK_DEFINE_ARRAY(worker, address, task, run)
 };
 
 struct PaceOrder
@@ -170,6 +184,8 @@
     TaskKey task;
     std::uint32_t run = 0;
     std::int64_t percent = 100;
+
+    MSGPACK_DEFINE_ARRAY(worker, address, task, run, percent)
 };
 
 struct AdviceOrder
@@ -205,3 +221,5 @@
 };
 
 } // namespace dandelionloom
+
+MSGPACK_ADD_ENUM(dandelionloom::CallFault)
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -17,6 +17,9 @@
 constexpr std::int64_t refusalPauseMs = 300;
 constexpr std::int64_t unhealthyPauseMs = 1500;
 
+/// Age at which the numbers of pending jobs are counted again. Clients accept an age of 2 s.
+constexpr std::int64_t pendingCountMs = 300;
+
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
@@ -29,7 +32,9 @@
     m_leads = true;
     m_termStartedAt = now;
     m_placementDirty = true;
+    m_turnsUnknown = true;
     for (const auto &[id, worker] : m_state.workers()) {
+        m_workerCapacity[worker.service] = worker.capacity;
         syncRuns(id);
         for (auto &[task, run] : m_workers[id].runs) {
             run.state = RunState::Unknown;
@@ -64,7 +69,9 @@
     m_startedAt.clear();
     m_activeJobs.clear();
     m_placeableJobs.clear();
+    m_pendingCountedAt = 0;
     m_arrivals.clear();
+    m_turns = {};
 }
 
 void Dispatcher::recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
@@ -122,8 +129,7 @@
             view.clockAt = now;
         }
     }
-    if (!newIncarnation && known->draining == worker.draining && known->address == worker.address
-        && known->service == worker.service && known->capacity == worker.capacity) {
+    if (!newIncarnation && (*known == worker || (known->draining && !worker.draining))) {
         return {};
     }
     std::vector<JobChange> changes;
@@ -192,6 +198,9 @@
         return;
     }
     m_workersToReview.insert(worker);
+    // Until now the worker was given no tasks.
+    m_placementDirty = m_placementDirty || view.renewFailures > 0 || view.renewedAt == 0
+            || now - view.renewedAt >= m_options.maxAnswerAgeMs;
     if (view.renewFailures >= 2) {
         m_decisions.push_back({"worker-back", {}, 0, worker, "answered", -1});
     }
@@ -216,7 +225,6 @@
             onMissingRun(worker, view, task, run);
         }
     }
-    m_placementDirty = true;
 }
 
 void Dispatcher::onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
@@ -518,14 +526,21 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
-std::size_t Dispatcher::pendingJobs(const std::string &queue) const
+std::size_t Dispatcher::pendingJobs(const std::string &queue, SteadyTimeMs now)
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
-                const JobRecord *job = m_state.job(id);
-                return job != nullptr && job->spec.queue == queue && job->phase == JobPhase::Active
-                        && !job->started;
-            }));
+    // Counting visits all active jobs, and clients ask several hundred times a second.
+    if (m_pendingCountedAt == 0 || now - m_pendingCountedAt >= pendingCountMs) {
+        m_pendingCountedAt = now;
+        m_pendingCounts.clear();
+        for (const JobId &id : m_activeJobs) {
+            const JobRecord *job = m_state.job(id);
+            if (job != nullptr && job->phase == JobPhase::Active && !job->started) {
+                ++m_pendingCounts[job->spec.queue];
+            }
+        }
+    }
+    const auto found = m_pendingCounts.find(queue);
+    return found == m_pendingCounts.end() ? 0 : found->second;
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,6 +12,7 @@
 #include "Scheduling/DispatchTypes.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/StepRanking.h"
+#include "Scheduling/TurnForecast.h"
 #include "Scheduling/WorkerView.h"
 
 namespace dandelionloom {
@@ -27,7 +28,9 @@
     std::int64_t clockMs = -1;
 };
 
-/// Demand of the accepted jobs of one service, without long-running and best-effort tasks.
+/// Demand of the accepted jobs of one service, without long-running and best-effort tasks. A task
+/// whose share of a worker's memory exceeds its share of the processor counts with the former, in
+/// the same unit.
 struct ServiceDemand
 {
     /// Core-milliseconds of unfinished work.
@@ -38,6 +41,10 @@
     /// Thousandths of a core that recent arrivals keep busy if jobs continue to arrive at that
     /// rate.
     std::int64_t arrivingMilli = 0;
+    /// Thousandths of a core for the work that the service's next turn is expected to bring.
+    std::int64_t foreseenMilli = 0;
+    /// The service may have a turn that has not been seen yet.
+    bool turnUnknown = false;
     /// Workers required by the long-running step with the widest spread.
     std::uint32_t longRunningSpread = 0;
 };
@@ -91,8 +98,14 @@
     /// unavailable, so that it starts on another worker. For workers that hold more tasks of a step
     /// than its budget permits. False if no task can be evicted now.
     bool evictOneTask(const std::string &worker, SteadyTimeMs now);
-    /// Number of active jobs of the queue of which no task has started.
-    std::size_t pendingJobs(const std::string &queue) const;
+    /// Number of active jobs of the queue of which no task has started, as of at most
+    /// pendingCountMs ago.
+    std::size_t pendingJobs(const std::string &queue, SteadyTimeMs now);
+    /// Thousandths of a core that the long-running tasks on a worker take, as in ServiceDemand.
+    std::int64_t longRunningMilli(const WorkerRecord &worker, const WorkerView &view) const
+    {
+        return dominantMilli(worker.service, view.longRunningNeed);
+    }
     /// Demand of each service that has jobs, by service name.
     std::map<std::string, ServiceDemand> demands(SteadyTimeMs now);
     const WorkerView *view(const std::string &worker) const;
@@ -100,7 +113,7 @@
 private:
     struct StepKey
     {
-        std::string job;
+        JobId job;
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
         bool operator<(const StepKey &other) const
@@ -149,7 +162,7 @@
     void onAssigned(const RunAssigned &assigned);
     void onEnded(const RunEnded &ended, SteadyTimeMs now);
     /// Queues all workers with runs of an ended job for the next pass of stop orders.
-    void queueStopsOfEndedJob(const std::string &job);
+    void queueStopsOfEndedJob(const JobId &job);
     void queueStartsAndStops(const std::string &worker);
     void removeWorker(const std::string &worker);
     void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
@@ -175,6 +188,10 @@
                      DispatchOrders &orders);
     void endRunsWithExpiredLeases(SteadyTimeMs now);
     void purgeOldJobs(WallTimeMs wallNow);
+    /// Rebuilds the history of turns from the jobs that SchedulerState retains.
+    void rebuildTurns(SteadyTimeMs now, WallTimeMs wallNow);
+    /// Core-milliseconds of the job's tasks that end by themselves; 0 for a job that repeats.
+    double expectedCoreMs(const JobRecord &job) const;
     std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
 
     // Placement.
@@ -199,6 +216,9 @@
     std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
     std::string serviceOf(const JobRecord &job) const;
     TaskResources needOf(const TaskKey &task) const;
+    /// Thousandths of a core that the resources take of a worker of the service, by the resource of
+    /// which they need the largest part.
+    std::int64_t dominantMilli(const std::string &service, const TaskResources &need) const;
     bool isLongRunning(const TaskKey &task) const;
     static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
     bool hasLatencyTarget(const WorkerView &view) const;
@@ -252,9 +272,17 @@
     };
     /// Jobs accepted within DispatchOptions::arrivalWindowMs, by service.
     std::map<std::string, std::deque<Arrival>> m_arrivals;
-    std::set<std::string> m_activeJobs;
+    /// Capacity of a worker of each service.
+    std::map<std::string, TaskResources> m_workerCapacity;
+    TurnHistory m_turns;
+    /// Set until the first step of a term, which knows the time of day.
+    bool m_turnsUnknown = false;
+    std::set<JobId> m_activeJobs;
+    /// Numbers of pending jobs by queue, and the time of the count; 0 if there is none.
+    std::map<std::string, std::size_t> m_pendingCounts;
+    SteadyTimeMs m_pendingCountedAt = 0;
     /// Active jobs that may have tasks to place.
-    std::set<std::string> m_placeableJobs;
+    std::set<JobId> m_placeableJobs;
 };
 
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "Scheduling/Dispatcher.h"
 
@@ -25,6 +26,9 @@
     if (!m_leads) {
         return orders;
     }
+    if (std::exchange(m_turnsUnknown, false)) {
+        rebuildTurns(now, wallNow);
+    }
     endRunsWithExpiredLeases(now);
     if (m_placementDirty || now >= m_nextPlacement) {
         placePendingSteps(now, wallNow, orders);
@@ -308,7 +312,7 @@
     m_nextPurge = wallNow + purgeIntervalMs;
     for (const auto &[id, job] : m_state.jobs()) {
         if (job.isPurgeable() && job.endedAtMs + m_options.retentionMs < wallNow) {
-            m_changes.emplace_back(JobPurged{id});
+            m_changes.emplace_back(JobPurged{id.text()});
         }
     }
 }
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -140,7 +140,7 @@
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
     std::map<std::string, std::vector<PendingStep>> byService;
-    std::erase_if(m_placeableJobs, [&](const std::string &id) {
+    std::erase_if(m_placeableJobs, [&](const JobId &id) {
         const JobRecord *job = m_state.job(id);
         return job == nullptr || job->phase != JobPhase::Active
                 || !collectPendingSteps(*job, wallNow, byService);
@@ -149,10 +149,18 @@
         return;
     }
     std::map<std::string, Candidates> candidatesOf;
+    // Both maps are ordered by id.
+    auto view = m_workers.begin();
     for (const auto &[id, worker] : m_state.workers()) {
-        const auto found = m_workers.find(id);
-        if (found != m_workers.end() && isSchedulable(worker, found->second, now)) {
-            candidatesOf[worker.service].push_back({&worker, &found->second});
+        while (view != m_workers.end() && view->first < id) {
+            ++view;
+        }
+        if (view == m_workers.end()) {
+            break;
+        }
+        if (view->first == id && byService.contains(worker.service)
+            && isSchedulable(worker, view->second, now)) {
+            candidatesOf[worker.service].push_back({&worker, &view->second});
         }
     }
     for (auto &[service, steps] : byService) {
@@ -356,7 +364,7 @@
         for (const Candidate &candidate : sorted) {
             asked.push_back(candidate.worker->id);
         }
-        orders.advice.push_back({pendingStep.key.job, pendingStep.key.occurrence,
+        orders.advice.push_back({pendingStep.key.job.text(), pendingStep.key.occurrence,
                                  pendingStep.key.step, std::move(asked)});
     }
     return nullptr;
@@ -378,12 +386,28 @@
                     coreMs * milliPerCore / static_cast<double>(m_options.arrivalWindowMs));
         }
     }
-    for (const std::string &id : m_activeJobs) {
+    std::vector<std::string> services;
+    for (const ServiceConfig &service : m_state.configuration().services) {
+        if (!service.standby) {
+            services.push_back(service.name);
+        }
+    }
+    for (const TurnForecast &forecast : nextTurn(m_turns, services)) {
+        demands[forecast.service].foreseenMilli = isDue(forecast, now) ? forecast.milli : 0;
+    }
+    // On a service that has no turns, the order never becomes known.
+    const bool learning =
+            !isOrderKnown(m_turns) && now - m_termStartedAt < m_options.turnLearningMs;
+    for (const std::string &service : services) {
+        demands[service].turnUnknown = learning && !hadTurn(m_turns, service);
+    }
+    for (const JobId &id : m_activeJobs) {
         const JobRecord *job = m_state.job(id);
         if (job == nullptr || job->phase != JobPhase::Active) {
             continue;
         }
-        ServiceDemand &demand = demands[serviceOf(*job)];
+        const std::string jobService = serviceOf(*job);
+        ServiceDemand &demand = demands[jobService];
         const std::vector<std::int64_t> stepMs = expectedStepMs(*job);
         for (const StepSpec &step : job->spec.steps) {
             const std::uint32_t perWorker = maxTasksPerWorker(step);
@@ -400,7 +424,7 @@
                 }
                 const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
                                                             - occurrence.steps[step].doneCount);
-                const std::int64_t milli = left * spec.need.processorMilli;
+                const std::int64_t milli = left * dominantMilli(jobService, spec.need);
                 demand.backlogCoreMs += static_cast<double>(milli)
                         * static_cast<double>(stepMs[step]) / milliPerCore;
                 if (isReady(spec, occurrence)) {
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "Scheduling/Dispatcher.h"
 
 // Tracks runs and jobs from the applied changes.
@@ -14,6 +16,16 @@
     return need;
 }
 
+std::int64_t Dispatcher::dominantMilli(const std::string &service, const TaskResources &need) const
+{
+    const auto known = m_workerCapacity.find(service);
+    if (known == m_workerCapacity.end() || known->second.memoryMb <= 0) {
+        return need.processorMilli;
+    }
+    return std::max(need.processorMilli,
+                    need.memoryMb * known->second.processorMilli / known->second.memoryMb);
+}
+
 bool Dispatcher::isLongRunning(const TaskKey &task) const
 {
     const JobRecord *job = m_state.job(task.job);
@@ -29,7 +41,7 @@
     view.used = view.used + slot->second;
     if (isLongRunning(task)) {
         ++view.longRunningCount;
-        view.longRunningMilli += slot->second.processorMilli;
+        view.longRunningNeed = view.longRunningNeed + slot->second;
     }
 }
 
@@ -43,7 +55,7 @@
     // The lookup is safe, as the record of a job outlives all of its runs.
     if (isLongRunning(task)) {
         --view.longRunningCount;
-        view.longRunningMilli -= found->second.processorMilli;
+        view.longRunningNeed = view.longRunningNeed - found->second;
     }
     view.reserved.erase(found);
 }
@@ -106,7 +118,7 @@
     }
 }
 
-void Dispatcher::queueStopsOfEndedJob(const std::string &job)
+void Dispatcher::queueStopsOfEndedJob(const JobId &job)
 {
     const JobRecord *record = m_state.job(job);
     if (record == nullptr || record->phase == JobPhase::Active || record->assignedCount == 0) {
@@ -125,21 +137,47 @@
         return;
     }
     m_placeableJobs.insert(accepted.spec.id);
-    if (job->spec.repeatCount > 0) {
-        return;
+    const double coreMs = expectedCoreMs(*job);
+    if (coreMs > 0) {
+        m_arrivals[serviceOf(*job)].push_back({now, coreMs});
+        recordArrival(m_turns, serviceOf(*job), coreMs, now);
     }
-    const std::vector<std::int64_t> stepMs = expectedStepMs(*job);
+}
+
+double Dispatcher::expectedCoreMs(const JobRecord &job) const
+{
+    if (job.spec.repeatCount > 0) {
+        return 0;
+    }
+    const std::vector<std::int64_t> stepMs = expectedStepMs(job);
+    const std::string service = serviceOf(job);
     double coreMs = 0;
     for (std::size_t step = 0; step < stepMs.size(); ++step) {
-        const StepSpec &spec = job->spec.steps[step];
+        const StepSpec &spec = job.spec.steps[step];
         if (!spec.longRunning && !spec.bestEffort) {
             coreMs += static_cast<double>(spec.count)
-                    * static_cast<double>(spec.need.processorMilli)
+                    * static_cast<double>(dominantMilli(service, spec.need))
                     * static_cast<double>(stepMs[step]) / milliPerCore;
         }
     }
-    if (coreMs > 0) {
-        m_arrivals[serviceOf(*job)].push_back({now, coreMs});
+    return coreMs;
+}
+
+void Dispatcher::rebuildTurns(SteadyTimeMs now, WallTimeMs wallNow)
+{
+    std::vector<const JobRecord *> jobs;
+    for (const auto &[id, job] : m_state.jobs()) {
+        if (job.acceptedAtMs <= wallNow && expectedCoreMs(job) > 0) {
+            jobs.push_back(&job);
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const JobRecord *left, const JobRecord *right) {
+        return left->acceptedAtMs < right->acceptedAtMs;
+    });
+    m_turns = {};
+    for (const JobRecord *job : jobs) {
+        recordArrival(m_turns, serviceOf(*job), expectedCoreMs(*job),
+                      now - (wallNow - job->acceptedAtMs));
     }
 }
 
@@ -220,6 +258,7 @@
         if (m_state.worker(joined->worker.id) != nullptr) {
             syncRuns(joined->worker.id);
         }
+        m_workerCapacity[joined->worker.service] = joined->worker.capacity;
         m_placeableJobs = m_activeJobs;
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_state.worker(left->worker) == nullptr) {
--- a/Source/Scheduling/JobChanges.cpp
+++ b/Source/Scheduling/JobChanges.cpp
@@ -51,8 +51,8 @@
 
 std::string taskName(const TaskKey &task)
 {
-    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
-            + std::to_string(task.index);
+    return task.job.text() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step)
+            + "." + std::to_string(task.index);
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/JobTypes.h
+++ b/Source/Scheduling/JobTypes.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -10,6 +11,7 @@
 
 #include "Model/EnumNames.h"
 #include "Model/Time.h"
+#include "Scheduling/JobId.h"
 
 namespace dandelionloom {
 
@@ -102,7 +104,7 @@
 
 struct TaskKey
 {
-    std::string job;
+    JobId job;
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::uint32_t index = 0;
@@ -110,8 +112,11 @@
     bool operator==(const TaskKey &) const = default;
     bool operator<(const TaskKey &other) const
     {
-        return std::tie(job, occurrence, step, index)
-                < std::tie(other.job, other.occurrence, other.step, other.index);
+        if (job != other.job) {
+            return job < other.job;
+        }
+        return std::tie(occurrence, step, index)
+                < std::tie(other.occurrence, other.step, other.index);
     }
     MSGPACK_DEFINE_ARRAY(job, occurrence, step, index)
 };
@@ -206,6 +211,7 @@
     TaskResources capacity;
     bool draining = false;
 
+    bool operator==(const WorkerRecord &) const = default;
     MSGPACK_DEFINE_ARRAY(id, startTimeMs, service, address, availabilityZone, rack, labels,
                          capacity, draining)
 };
@@ -220,7 +226,7 @@
     /// Time of acceptance, from which the duration counts.
     WallTimeMs acceptedAtMs = 0;
     /// Instances whose maintenance has been ordered and confirmed, or which no longer exist.
-    std::vector<std::string> finished;
+    std::set<std::string> finished;
 
     bool isCompleted() const { return finished.size() >= instances.size(); }
     MSGPACK_DEFINE_ARRAY(id, instances, durationMs, maxAtOnce, acceptedAtMs, finished)
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -18,7 +18,7 @@
 
 bool isFinished(const MaintenanceWave &wave, const std::string &instance)
 {
-    return std::find(wave.finished.begin(), wave.finished.end(), instance) != wave.finished.end();
+    return wave.finished.contains(instance);
 }
 
 } // namespace
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -75,6 +75,8 @@
         pool.backlogCoreMs = demand.backlogCoreMs;
         pool.runnableMilli = demand.runnableMilli;
         pool.arrivingMilli = demand.arrivingMilli;
+        pool.foreseenMilli = demand.foreseenMilli;
+        pool.turnUnknown = demand.turnUnknown;
     }
     for (const auto &[id, instance] : m_instances) {
         const auto moving = m_progress.find(id);
@@ -103,7 +105,7 @@
         }
         ++status.instances;
         status.instanceMilli = std::max(status.instanceMilli, worker->capacity.processorMilli);
-        status.longRunningMilli += view->longRunningMilli;
+        status.longRunningMilli += m_dispatcher.longRunningMilli(*worker, *view);
         if (view->longRunningCount > 0) {
             ++status.pinned;
         } else if (isEmpty(instance, now)) {
@@ -112,7 +114,7 @@
     }
     std::vector<PoolStatus> result;
     for (auto &[name, pool] : pools) {
-        const bool surplus = requiredInstances(pool, m_options.demand) < pool.instances;
+        const bool surplus = wantedInstances(pool, m_options.demand) < pool.instances;
         SteadyTimeMs &since = m_surplusSince[name];
         if (!surplus || since == 0) {
             since = now;
@@ -128,7 +130,9 @@
     BalanceOrders orders;
     finishArrived(now);
     if (!m_instances.empty()) {
-        std::uint32_t remaining = m_options.maxOrdersPerStep;
+        std::uint32_t remaining = std::max(
+                m_options.maxOrdersPerStep,
+                static_cast<std::uint32_t>(m_instances.size() / m_options.instancesPerOrder));
         for (const PoolTransfer &transfer :
              planTransfers(poolStatuses(now), m_options.demand, now)) {
             std::uint32_t wanted = std::min(transfer.count, remaining);
--- a/Source/Scheduling/PoolBalancer.h
+++ b/Source/Scheduling/PoolBalancer.h
@@ -25,6 +25,9 @@
     std::int64_t arrivalLimitMs = 6000;
     /// Maximum number of orders per step, which keeps bursts below the provider's rate limit.
     std::uint32_t maxOrdersPerStep = 8;
+    /// A larger fleet may have one order per step for this many instances: a peak of 4 to 6 s that
+    /// needs a third of the fleet elsewhere must not be over before the instances arrive.
+    std::size_t instancesPerOrder = 40;
 };
 
 struct MoveOrder
--- a/Source/Scheduling/PoolDemand.h
+++ b/Source/Scheduling/PoolDemand.h
@@ -23,6 +23,8 @@
     /// wait. A peak lasts a few seconds and a move takes 1.5 s, so waiting for a backlog would lose
     /// the first third of the peak. Above 1, as work varies and rounding loses part of an instance.
     double arrivalHeadroom = 1.3;
+    /// Factor on the processor time that the next turn is expected to need.
+    double foreseenHeadroom = 1.0;
     /// Time for which a pool must have had a surplus before the surplus moves to the standby pool.
     /// Moving an instance there and back costs as much as about three idle seconds of it.
     std::int64_t standbyAfterMs = 2500;
@@ -49,6 +51,10 @@
     /// Thousandths of a core that recent arrivals keep busy if jobs continue to arrive at that
     /// rate.
     std::int64_t arrivingMilli = 0;
+    /// Thousandths of a core for the work that the pool's next turn is expected to bring.
+    std::int64_t foreseenMilli = 0;
+    /// The pool may have a turn that has not been seen yet. Its instances are not switched off.
+    bool turnUnknown = false;
     /// Thousandths of a core reserved for long-running tasks.
     std::int64_t longRunningMilli = 0;
     /// Thousandths of a core per instance.
@@ -60,6 +66,9 @@
 /// Instances that a pool requires for its backlog, its arriving jobs and its long-running tasks.
 std::uint32_t requiredInstances(const PoolStatus &pool, const PoolDemandOptions &options);
 
+/// The same with the instances for its next turn.
+std::uint32_t wantedInstances(const PoolStatus &pool, const PoolDemandOptions &options);
+
 struct PoolTransfer
 {
     std::string from;
@@ -71,7 +80,8 @@
 
 /// Plans transfers that bring pools closer to their required size, for demand that peaks in one
 /// pool after another and exceeds its capacity. Empty instances come first from pools with a
-/// surplus, then from the standby pool; a sustained surplus moves to the standby pool.
+/// surplus, then from the standby pool, then from those kept for a turn to come. What is then left
+/// over prepares pools for their next turn, and a sustained surplus moves to the standby pool.
 std::vector<PoolTransfer> planTransfers(const std::vector<PoolStatus> &pools,
                                         const PoolDemandOptions &options, SteadyTimeMs now);
 
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -17,7 +17,7 @@
     std::visit([this](const auto &body) { on(body); }, change);
 }
 
-const JobRecord *SchedulerState::job(const std::string &id) const
+const JobRecord *SchedulerState::job(const JobId &id) const
 {
     const auto found = m_jobs.find(id);
     return found == m_jobs.end() ? nullptr : &found->second;
@@ -238,11 +238,15 @@
         return;
     }
     WorkerRecord &worker = m_workers[change.worker.id];
-    if (worker.startTimeMs != change.worker.startTimeMs) {
+    const bool sameIncarnation = worker.startTimeMs == change.worker.startTimeMs;
+    if (!sameIncarnation) {
         // A restarted worker runs nothing of its earlier incarnation.
         endRunsAsLost(change.worker.id);
     }
+    // Draining ends with the incarnation: an announcement that says otherwise was sent before.
+    const bool draining = change.worker.draining || (sameIncarnation && worker.draining);
     worker = change.worker;
+    worker.draining = draining;
 }
 
 void SchedulerState::on(const WorkerLeft &change)
@@ -289,10 +293,7 @@
     if (found == m_waves.end()) {
         return;
     }
-    std::vector<std::string> &finished = found->second.finished;
-    if (std::find(finished.begin(), finished.end(), change.instance) == finished.end()) {
-        finished.push_back(change.instance);
-    }
+    found->second.finished.insert(change.instance);
 }
 
 std::string SchedulerState::encode() const
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -72,8 +72,8 @@
     void apply(const JobChange &change);
 
     const FleetConfiguration &configuration() const { return m_configuration; }
-    const std::map<std::string, JobRecord> &jobs() const { return m_jobs; }
-    const JobRecord *job(const std::string &id) const;
+    const std::unordered_map<JobId, JobRecord> &jobs() const { return m_jobs; }
+    const JobRecord *job(const JobId &id) const;
     const TaskRecord *task(const TaskKey &key) const;
     const std::map<std::string, WorkerRecord> &workers() const { return m_workers; }
     const WorkerRecord *worker(const std::string &id) const;
@@ -113,7 +113,7 @@
     void finishTask(JobRecord &job, const TaskKey &key, WallTimeMs atMs);
 
     FleetConfiguration m_configuration;
-    std::map<std::string, JobRecord> m_jobs;
+    std::unordered_map<JobId, JobRecord> m_jobs;
     std::map<std::string, WorkerRecord> m_workers;
     /// Last ended incarnation of each worker that left, so that a delayed announcement does not add
     /// it again.
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -65,12 +65,12 @@
     std::map<TaskKey, TaskResources> reserved;
     /// Number of long-running tasks in `reserved`.
     std::uint32_t longRunningCount = 0;
-    /// Thousandths of a core reserved for these.
-    std::int64_t longRunningMilli = 0;
+    /// Resources reserved for these.
+    TaskResources longRunningNeed;
     /// At least one of them is not available yet.
     bool longRunningStarting = false;
     std::uint32_t failuresInRow = 0;
-    std::set<std::string> failedJobs;
+    std::set<JobId> failedJobs;
     SteadyTimeMs avoidUntil = 0;
     /// Set while the instance is drained for maintenance or a move; the worker gets no new tasks.
     bool cordoned = false;
--- a/Tests/Consensus/ControlInstancesTest.cpp
+++ b/Tests/Consensus/ControlInstancesTest.cpp
@@ -35,7 +35,6 @@
         return HttpResponse{404, {}, {}};
     }
     HttpResponse encode(const JobCall &, const JobCallAnswer &) override { return {404, {}, {}}; }
-    void setLeader(const std::string &) override { }
 };
 
 class UnreachableWorkers : public WorkerCalls
--- a/Tests/Platform/PlatformProtocolsTest.cpp
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -10,8 +10,10 @@
 #include "Support/TemporaryFolder.h"
 #include "platform/ClientProtocol.h"
 #include "platform/ControlProtocol.h"
+#include "platform/InstanceClient.h"
 #include "platform/PlatformSettings.h"
 #include "platform/WireJson.h"
+#include "platform/WorkerClient.h"
 
 using namespace dandelionloom;
 using namespace dandelionloom::platform;
@@ -70,6 +72,7 @@
     CPPUNIT_TEST(clientRequests);
     CPPUNIT_TEST(workerAnnouncements);
     CPPUNIT_TEST(configurations);
+    CPPUNIT_TEST(oddEntries);
     CPPUNIT_TEST(mutatedInput);
     CPPUNIT_TEST(settingsFile);
     CPPUNIT_TEST_SUITE_END();
@@ -111,7 +114,7 @@
     /// Guards against a worker that is registered although its announcement is malformed.
     void workerAnnouncements()
     {
-        ControlProtocol protocol(8623);
+        ControlProtocol protocol("10.0.0.9:8623");
         const auto announce = [&](const std::string &body) {
             return protocol.decode({"PUT", "/v1/instances/i-1", "", {}, body});
         };
@@ -128,7 +131,6 @@
         CPPUNIT_ASSERT_EQUAL(400, statusOf(announce(unknownState)));
         JobCall call;
         call.kind = JobCallKind::AnnounceWorker;
-        protocol.setLeader("10.0.0.9");
         CPPUNIT_ASSERT(protocol.encode(call, makeAnswer(JobCallOutcome::Done, {}))
                                .body.find("10.0.0.9:8623")
                        != std::string::npos);
@@ -142,7 +144,7 @@
         CPPUNIT_ASSERT(read.queues[0].needsAdvice);
         CPPUNIT_ASSERT_EQUAL(4U, read.queues[0].maxAttempts);
         CPPUNIT_ASSERT_EQUAL(configurationBody, read.document);
-        ControlProtocol protocol(1);
+        ControlProtocol protocol("10.0.0.9:8623");
         const auto statusWithReplacement = [&](const std::string &from, const std::string &to) {
             std::string body = configurationBody;
             body.replace(body.find(from), from.size(), to);
@@ -160,6 +162,76 @@
                        != std::string::npos);
     }
 
+    /// Guards against one odd entry of another writer that ends the process, that changes what is
+    /// known of a worker, or that hides the other entries.
+    void oddEntries()
+    {
+        const std::string nested(100000, '[');
+        const std::string closedNested = nested + std::string(100000, ']');
+        ControlProtocol protocol("10.0.0.9:8623");
+        const auto statusWithReplacement = [&](const std::string &from, const std::string &to) {
+            std::string body = workerBody;
+            body.replace(body.find(from), from.size(), to);
+            return statusOf(protocol.decode({"PUT", "/v1/instances/i-1", "", {}, body}));
+        };
+        section("an announcement with an address that can't be called is refused", [&] {
+            CPPUNIT_ASSERT_EQUAL(0, statusWithReplacement(":80", ":65535"));
+            for (const char *port : {":65536", ":0", ":-1", ":", ":8e1"}) {
+                CPPUNIT_ASSERT_EQUAL(400, statusWithReplacement(":80", port));
+            }
+            CPPUNIT_ASSERT_EQUAL(400, statusWithReplacement("10.0.0.1", "10.0.0.256"));
+        });
+        section("an announcement with a number out of range is refused", [&] {
+            for (const char *number :
+                 {"1e300", "-1", "18446744073709551616", "9223372036854775807"}) {
+                CPPUNIT_ASSERT_EQUAL(400, statusWithReplacement("16000", number));
+                // It would hide the worker's later announcements.
+                CPPUNIT_ASSERT_EQUAL(400,
+                                     statusWithReplacement("\"sequence\":3",
+                                                           std::string("\"sequence\":") + number));
+            }
+            CPPUNIT_ASSERT_EQUAL(400, statusWithReplacement("77", "1e300"));
+        });
+        section("nesting of 100,000 levels is refused", [&] {
+            CPPUNIT_ASSERT_EQUAL(400, statusWithReplacement("[\"a\",\"r1-3\"]", closedNested));
+            CPPUNIT_ASSERT_EQUAL(400, statusWithReplacement("16000", closedNested));
+            for (const std::string &body : {nested, closedNested}) {
+                CPPUNIT_ASSERT_EQUAL(
+                        400, statusOf(protocol.decode({"PUT", "/v1/config", "", {}, body})));
+            }
+        });
+        section("a worker's lists are read without their odd entries", [&] {
+            for (const std::string &odd :
+                 {std::string("[]"), std::string("7"), std::string("null"), closedNested,
+                  std::string(R"(["5c0e.0.0.1",99999999999,"",5,0])"),
+                  std::string(R"(["5c0e.0.0.1",1,"",1e300,0])"),
+                  std::string(R"(["5c0e.0.0.99999999999",1,"",5,0])")}) {
+                const DecodedRenewal decoded =
+                        decodeRenewal(R"({"clock_ms":482113,"running":[["5c0e.0.0.0",1,"",40,3],)"
+                                      + odd + R"(,["5c0e.0.0.2",1,"",41,3]],"ended_runs":[)" + odd
+                                      + R"(,[9,"5c0e.0.0.3",2,"done","c"]]})");
+                CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded.answer.running.size());
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), decoded.answer.ended.size());
+                CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded.skipped);
+                CPPUNIT_ASSERT(!decoded.firstFault.empty());
+            }
+        });
+        section("the list of instances is read without its odd entries", [&] {
+            for (const std::string &odd :
+                 {std::string("{}"), std::string("7"), closedNested,
+                  std::string(R"({"machine":"m-2","state":"up","capacity":{"cpu":1e300}})"),
+                  std::string(R"({"machine":["m-2"],"state":"up"})")}) {
+                const DecodedInstances decoded = decodeInstances(
+                        R"({"machines":[{"machine":"m-1","pool":"p","state":"up"},)" + odd
+                        + R"(,{"machine":"m-3","pool":"p","state":"up"}],"next_page_token":"t"})");
+                CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded.instances.size());
+                CPPUNIT_ASSERT_EQUAL(std::string("m-3"), decoded.instances[1].instance);
+                CPPUNIT_ASSERT_EQUAL(std::string("t"), decoded.nextPage);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), decoded.skipped);
+            }
+        });
+    }
+
     /// Guards against malformed input that ends the process.
     void mutatedInput()
     {
@@ -167,7 +239,7 @@
         std::cout << " seed " << seed;
         std::mt19937_64 random(seed);
         ClientProtocol clients;
-        ControlProtocol control(1);
+        ControlProtocol control("10.0.0.9:8623");
         for (int round = 0; round < 4000; ++round) {
             (void)clients.decode({"POST", "/p/1", "", {}, mutated(jobBody, random)});
             (void)control.decode({"PUT", "/v1/instances/i", "", {}, mutated(workerBody, random)});
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(lostWorkers);
     CPPUNIT_TEST(completionDuringPartition);
     CPPUNIT_TEST(lostStartAnswers);
+    CPPUNIT_TEST(leavingWorkers);
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
     CPPUNIT_TEST(hungWorker);
@@ -98,6 +99,45 @@
         });
     }
 
+    /// Guards against a worker that is used again after it has announced that it leaves, because an
+    /// earlier announcement arrives late at a new leader, which knows no sequence numbers.
+    void leavingWorkers()
+    {
+        FleetSimulation fleet(18);
+        setUpFleet(fleet, 2);
+        const WorkerRecord before = fleet.state.workers().at("w1");
+        WorkerRecord leaving = before;
+        leaving.draining = true;
+        const auto announce = [&](const WorkerRecord &worker, std::uint64_t sequence) {
+            for (const JobChange &change :
+                 fleet.dispatcher->announced({worker, sequence, -1}, fleet.now)) {
+                fleet.state.apply(change);
+                fleet.dispatcher->applied(change, fleet.now);
+            }
+        };
+        announce(leaving, static_cast<std::uint64_t>(fleet.now) + 1);
+        CPPUNIT_ASSERT(fleet.state.worker("w1")->draining);
+        fleet.changeLeader();
+        announce(before, 1);
+        CPPUNIT_ASSERT(fleet.state.worker("w1")->draining);
+        section("nor by a change that an earlier leader has proposed", [&] {
+            fleet.state.apply(WorkerJoined{before});
+            CPPUNIT_ASSERT(fleet.state.worker("w1")->draining);
+        });
+        section("a worker that has left does not come back in the same incarnation", [&] {
+            fleet.state.apply(WorkerLeft{"w1", before.startTimeMs});
+            fleet.changeLeader();
+            announce(before, 2);
+            CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
+        });
+        section("its next incarnation is used", [&] {
+            WorkerRecord restarted = before;
+            ++restarted.startTimeMs;
+            announce(restarted, 1);
+            CPPUNIT_ASSERT(!fleet.state.worker("w1")->draining);
+        });
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease.
     void lostWorkers()
     {
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -131,7 +131,6 @@
     ++term;
     dispatcher = std::make_unique<Dispatcher>(state, dispatchOptions);
     MaintenanceOptions maintenanceOptions;
-    PoolBalancerOptions balancerOptions;
     maintenance =
             std::make_unique<MaintenancePlanner>(state, *dispatcher, orderLog, maintenanceOptions);
     balancer = std::make_unique<PoolBalancer>(state, *dispatcher, orderLog, *maintenance,
@@ -202,7 +201,7 @@
         if (const auto *ended = std::get_if<RunEnded>(&change)) {
             const JobRecord *job = state.job(ended->task.job);
             if (job != nullptr && job->phase == JobPhase::Completed) {
-                completedAt.try_emplace(ended->task.job, now);
+                completedAt.try_emplace(ended->task.job.text(), now);
             }
         }
     }
@@ -239,9 +238,11 @@
         for (const StepRecord &step : job.occurrences.front().steps) {
             for (const TaskRecord &task : step.tasks) {
                 if (task.phase == TaskPhase::Assigned) {
-                    text += "\n" + id + " run " + std::to_string(task.run) + " on " + task.worker;
+                    text += "\n" + id.text() + " run " + std::to_string(task.run) + " on "
+                            + task.worker;
                 } else if (task.phase == TaskPhase::Pending) {
-                    text += "\n" + id + " pending, failures " + std::to_string(task.failures);
+                    text += "\n" + id.text() + " pending, failures "
+                            + std::to_string(task.failures);
                 }
             }
         }
@@ -287,6 +288,10 @@
     DispatchOrders dispatchOrders;
     measureProcessorTime([&] { dispatchOrders = dispatcher->step(now, now); });
     execute(dispatchOrders);
+    if (now < m_nextPlan) {
+        return;
+    }
+    m_nextPlan = now + planMs;
     MaintenanceOrders maintenanceOrders;
     measureProcessorTime([&] { maintenanceOrders = maintenance->step(now, now); });
     execute(maintenanceOrders);
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -69,6 +69,7 @@
     std::int64_t commitMs = 20;
     DispatchOptions dispatchOptions;
     bool balancerEnabled = false;
+    PoolBalancerOptions balancerOptions;
     /// Fraction of the start orders and renewals that are carried out but get no answer.
     double answerLossRate = 0;
     /// If above 0, the provider answers no maintenance order and carries each out after this time.
@@ -77,6 +78,8 @@
     std::int64_t orderCommitMs = 0;
     /// Interval of the scheduler steps.
     std::int64_t stepMs = 5;
+    /// Interval of the planners' steps.
+    std::int64_t planMs = 5;
     /// Run time of a task; 680 ms by default.
     std::function<std::int64_t(const TaskKey &)> durationOf;
     /// Returns true for runs that end as failed.
@@ -179,6 +182,7 @@
     std::uint32_t m_lastWorker = 0;
     SteadyTimeMs m_nextList = 0;
     SteadyTimeMs m_nextStep = 0;
+    SteadyTimeMs m_nextPlan = 0;
 };
 
 StepSpec shortStep(std::uint32_t count, std::int64_t milli = 1000);
