Scheduling: List more ends with each renewal on large fleets

Each end was listed by a renewal of its own, every step looked through all workers for expired leases, and each answer looked up the jobs of all runs for best-effort tasks that are not there.

--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -45,6 +45,11 @@
     /// The same for a worker on which a long-running task is starting: maintenance of other workers
     /// waits until it is available.
     std::int64_t startingRenewalWaitMs = 150;
+    /// Number of workers from which on the next renewal of a worker that has listed an end waits
+    /// for `renewalPauseMs`: at five ends a second and worker, each renewal would otherwise list
+    /// one. The pause is a tenth of the shortest run times.
+    std::size_t largeFleetWorkers = 150;
+    std::int64_t renewalPauseMs = 50;
     /// Consecutive unanswered orders before a worker is temporarily given no new tasks. A single
     /// one is no reason: a worker that leaves one order in twenty unanswered is as useful as
     /// others.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -209,7 +209,8 @@
     view.clockAt = now;
     view.renewedAt = now;
     view.leasesExpired = false;
-    view.nextRenewAt = now;
+    const bool pause = !list.ended.empty() && m_workers.size() > m_options.largeFleetWorkers;
+    view.nextRenewAt = pause ? now + m_options.renewalPauseMs : now;
     view.longRunningStarting = false;
     std::set<TaskKey> listed;
     for (const RunningRun &row : list.running) {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -220,6 +220,7 @@
     /// which they need the largest part.
     std::int64_t dominantMilli(const std::string &service, const TaskResources &need) const;
     bool isLongRunning(const TaskKey &task) const;
+    bool isBestEffort(const TaskKey &task) const;
     static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
     bool hasLatencyTarget(const WorkerView &view) const;
     void recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
@@ -231,6 +232,7 @@
     bool m_placementDirty = true;
     SteadyTimeMs m_nextPlacement = 0;
     WallTimeMs m_nextPurge = 0;
+    SteadyTimeMs m_nextLeaseCheck = 0;
     std::map<std::string, WorkerView> m_workers;
     std::map<std::string, std::uint64_t> m_sequences;
     /// Worker of each assignment that is proposed and not yet applied.
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -12,6 +12,9 @@
 /// Interval of the placement pass when nothing has changed.
 constexpr std::int64_t placementIntervalMs = 200;
 
+/// Interval of the search for workers whose leases have expired, small against their margin.
+constexpr std::int64_t leaseCheckMs = 50;
+
 /// Interval of the search for jobs past their retention period.
 constexpr std::int64_t purgeIntervalMs = 3000;
 
@@ -235,23 +238,21 @@
 void Dispatcher::emitPacesOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
                              DispatchOrders &orders)
 {
+    if (view.bestEffortCount == 0) {
+        return;
+    }
     bool overTarget = false;
-    bool anyBestEffort = false;
     for (const auto &[task, run] : view.runs) {
         const JobRecord *job = m_state.job(task.job);
         if (job == nullptr) {
             continue;
         }
         const StepSpec &step = job->spec.steps[task.step];
-        anyBestEffort = anyBestEffort || step.bestEffort;
         overTarget = overTarget
                 || (step.targetMs > 0 && !step.bestEffort && run.state == RunState::Running
                     && static_cast<double>(run.reading)
                             > static_cast<double>(step.targetMs) * m_options.paceTargetShare);
     }
-    if (!anyBestEffort) {
-        return;
-    }
     if (overTarget) {
         view.paceRestoreAt = now + m_options.paceRestoreMs;
     }
@@ -273,6 +274,10 @@
 
 void Dispatcher::endRunsWithExpiredLeases(SteadyTimeMs now)
 {
+    if (now < m_nextLeaseCheck) {
+        return;
+    }
+    m_nextLeaseCheck = now + leaseCheckMs;
     // The leases of an earlier leader are bounded by the longest lease that a worker grants.
     const auto earlierLeaseMs = static_cast<std::int64_t>(
             static_cast<double>(m_options.maxLeaseMs + m_options.leaseExpiryMarginMs)
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -32,6 +32,12 @@
     return job != nullptr && job->spec.steps[task.step].longRunning;
 }
 
+bool Dispatcher::isBestEffort(const TaskKey &task) const
+{
+    const JobRecord *job = m_state.job(task.job);
+    return job != nullptr && job->spec.steps[task.step].bestEffort;
+}
+
 void Dispatcher::reserve(WorkerView &view, const TaskKey &task)
 {
     const auto [slot, added] = view.reserved.try_emplace(task, needOf(task));
@@ -39,6 +45,7 @@
         return;
     }
     view.used = view.used + slot->second;
+    view.bestEffortCount += isBestEffort(task) ? 1 : 0;
     if (isLongRunning(task)) {
         ++view.longRunningCount;
         view.longRunningNeed = view.longRunningNeed + slot->second;
@@ -52,6 +59,7 @@
         return;
     }
     view.used = view.used - found->second;
+    view.bestEffortCount -= isBestEffort(task) ? 1 : 0;
     // The lookup is safe, as the record of a job outlives all of its runs.
     if (isLongRunning(task)) {
         --view.longRunningCount;
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -67,7 +67,9 @@
     std::uint32_t longRunningCount = 0;
     /// Resources reserved for these.
     TaskResources longRunningNeed;
-    /// At least one of them is not available yet.
+    /// Number of best-effort tasks in `reserved`.
+    std::uint32_t bestEffortCount = 0;
+    /// At least one of the long-running tasks is not available yet.
     bool longRunningStarting = false;
     std::uint32_t failuresInRow = 0;
     std::set<JobId> failedJobs;
--- a/Tests/Scenarios/13-gateway-killed-resend.lua
+++ b/Tests/Scenarios/13-gateway-killed-resend.lua
@@ -27,6 +27,10 @@
     victim.process:signal("kill")
     second = keyed_load(survivor)
     victim.process:wait()
+    -- A caller between two requests at the kill loses its next one.
+    wait_until(5000, "every caller has lost a request", function()
+        return (cluster.count_outcomes(first)["no-answer"] or 0) >= callers
+    end)
     first:stop()
 end)
 
--- a/Tests/Scenarios/LuaBindings.cpp
+++ b/Tests/Scenarios/LuaBindings.cpp
@@ -366,7 +366,7 @@
         for (int tried = 0; tried < count; ++tried) {
             start = first + (getpid() + tried) % count * size;
             try {
-                rangeLock = Poco::Net::ServerSocket(addressOf(start));
+                rangeLock = listenExclusively(start);
                 next = start + 1;
                 return;
             } catch (const Poco::Exception &) {
@@ -381,6 +381,15 @@
         return Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port));
     }
 
+    /// Throws if the port is in use. By default Poco lets several processes share a port.
+    static Poco::Net::ServerSocket listenExclusively(int port)
+    {
+        Poco::Net::ServerSocket socket;
+        socket.bind(addressOf(port), false, false);
+        socket.listen();
+        return socket;
+    }
+
     int start = 0;
     int next = 0;
     Poco::Net::ServerSocket rangeLock;
@@ -395,7 +404,7 @@
             const int port = range.next;
             range.next = port + 1 < range.start + PortRange::size ? port + 1 : range.start + 1;
             try {
-                const Poco::Net::ServerSocket probe(PortRange::addressOf(port));
+                const Poco::Net::ServerSocket probe = PortRange::listenExclusively(port);
                 lua_pushinteger(lua, port);
                 return 1;
             } catch (const Poco::Exception &) {
