--- a/review/standIns/Support.h
+++ b/review/standIns/Support.h
@@ -34,6 +34,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -514,6 +515,8 @@
 
     /// Consulted for each start, with the number of times that this run was ordered before.
     std::function<StartFault(const std::string &task, std::uint64_t run, int before)> startFault;
+    /// Whether a start may carry this ticket; unset where no advice is needed.
+    std::function<bool(const std::string &task, const std::string &ticket)> ticketHolds;
     /// Processor need of a task, by the id of its job.
     std::function<std::int64_t(const std::string &task)> cpuOf;
 
@@ -658,6 +661,9 @@
         if (there != life.running.end() || run <= life.highestOver[task]) {
             return reply(life, 409, {{"reason", "old"}});
         }
+        if (ticketHolds && !ticketHolds(task, order.value("ticket", std::string()))) {
+            return reply(life, 409, {{"reason", "ticket"}});
+        }
         const std::int64_t cpu = cpuOf ? cpuOf(task) : 1000;
         if (life.usedCpu + cpu > m_options.cpu) {
             return reply(life, 409, {{"reason", "room"}});
@@ -836,6 +842,12 @@
     static constexpr const char *host = "host.example";
     static constexpr const char *prefix = "/queue/";
     static constexpr const char *service = "service-a";
+    static constexpr std::int64_t adviceDecisionMs = 20;
+    static constexpr std::int64_t advicePerWorkerMs = 2;
+    static constexpr std::int64_t adviceValidMs = 3000;
+
+    /// Workers that the queue's policy allows; empty for a queue without advice.
+    std::set<std::string> permitted;
 
     Deployment(Record &record) : m_record(record), m_runs(record)
     {
@@ -853,6 +865,10 @@
         m_front = m_internal + 101;
         m_ready = m_internal + 102;
         m_worker = m_internal + 103;
+        m_advice = std::make_unique<Server>(
+                m_net + "201:" + std::to_string(m_worker),
+                [this](const Request &request) { return advise(request); });
+        m_advice->start();
         m_cloud = std::make_unique<Server>(
                 m_net + "200:" + std::to_string(m_worker),
                 [this](const Request &request) { return cloud(request); });
@@ -870,6 +886,7 @@
         m_workers.clear();
         m_processes.clear();
         m_cloud.reset();
+        m_advice.reset();
         const char *const keep = std::getenv("KEEP");
         if (keep == nullptr) {
             const std::string command = "rm -rf '" + m_folder + "'";
@@ -896,6 +913,13 @@
             const std::lock_guard lock(m_mutex);
             return m_cpuOfJob[task.substr(0, task.find('.'))];
         };
+        m_workers.back()->ticketHolds = [this, id](const std::string &task,
+                                                   const std::string &ticket) {
+            const std::lock_guard lock(m_mutex);
+            const auto given = m_tickets.find({task.substr(0, task.rfind('.')), id, ticket});
+            return permitted.empty()
+                    || (given != m_tickets.end() && nowMs() - given->second < adviceValidMs);
+        };
         return *m_workers.back();
     }
 
@@ -905,11 +929,16 @@
         for (const auto &process : m_processes) {
             process->start();
         }
-        const Json route = {{"name", "route-a"},      {"host", host},
+        Json route = {{"name", "route-a"},      {"host", host},
                             {"path_prefix", prefix},  {"route_type", "unsafe"},
                             {"timeout_ms", 3000},     {"target_latency_ms", 600},
                             {"priority", 0},          {"service", service},
                             {"max_attempts", 3},      {"stretch", 2.0}};
+        if (!permitted.empty()) {
+            route["advice"] = {{"decision_ms", adviceDecisionMs},
+                               {"per_worker_ms", advicePerWorkerMs},
+                               {"valid_ms", adviceValidMs}};
+        }
         const Json pool = {{"name", service},         {"health_path", "/healthz"},
                            {"max_connections", 64},   {"protocol", "h1"},
                            {"tls", false},            {"admission_control", true},
@@ -988,6 +1017,14 @@
                                                           : std::to_string(response.status);
     }
 
+    /// Number of pending jobs that the queue gives; -1 without an answer.
+    int pending()
+    {
+        const Response response = request("GET", {}, {});
+        const Json body = Json::parse(response.body, nullptr, false);
+        return response.status == 200 && body.is_object() ? body.value("pending", -1) : -1;
+    }
+
     bool waitFor(const std::string &job, const std::string &wanted, std::int64_t limitMs)
     {
         const std::int64_t deadline = nowMs() + limitMs;
@@ -1060,6 +1097,36 @@
         return Response{200, Json{{"machines", machines}, {"next_page_token", nullptr}}.dump()};
     }
 
+    std::optional<Response> advise(const Request &request)
+    {
+        const Json order = Json::parse(request.body, nullptr, false);
+        if (request.path != "/v1/advise" || !order.is_object()) {
+            return Response{400, "{}"};
+        }
+        const std::lock_guard oneCall(m_adviceMutex);
+        const std::string step = order.at("step");
+        const std::vector<std::string> asked = order.at("workers");
+        sleepMs(adviceDecisionMs + advicePerWorkerMs * static_cast<std::int64_t>(asked.size()));
+        Json good = Json::array();
+        const std::lock_guard lock(m_mutex);
+        for (const std::string &worker : asked) {
+            if (permitted.contains(worker)) {
+                const std::string ticket = "t-" + std::to_string(++m_lastTicket);
+                m_tickets[{step, worker, ticket}] = nowMs();
+                good.push_back({worker, ticket});
+            }
+        }
+        if (m_adviceRecorded[step]++ < 5) {
+            std::string names;
+            for (const std::string &worker : asked) {
+                names += " " + worker;
+            }
+            m_record.line("advice on " + step + " is asked for" + names + ": "
+                          + std::to_string(good.size()) + " may run it");
+        }
+        return Response{200, Json{{"good", good}, {"valid_ms", adviceValidMs}}.dump()};
+    }
+
     void add(const std::string &role, const std::string &machineClass, int index, int last)
     {
         const std::string ip = m_net + std::to_string(last);
@@ -1079,7 +1146,8 @@
             << "]\nbootstrap = true\nin_tolerance = " << (role == "control" ? "true" : "false")
             << "\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1500\n"
             << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\","
-               "\"advice\",\"upkeep\",\"sharing\"]\nconfig_mode = \"highest\"\norders = \"call\"\n";
+               "\"advice\",\"upkeep\",\"sharing\"]\nconfig_mode = \"highest\"\norders = \"call\"\n"
+            << "advice = \"" << m_net << "201:" << m_worker << "\"\n";
         if (role == "control") {
             const std::string data = m_folder + "/data-" + name;
             ::mkdir(data.c_str(), 0755);
@@ -1122,11 +1190,16 @@
     int m_ready = 0;
     int m_worker = 0;
     std::unique_ptr<Server> m_cloud;
+    std::unique_ptr<Server> m_advice;
     std::vector<std::string> m_controls;
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::mutex m_mutex;
+    std::mutex m_adviceMutex;
     std::map<std::string, std::int64_t> m_cpuOfJob;
+    std::map<std::tuple<std::string, std::string, std::string>, std::int64_t> m_tickets;
+    std::map<std::string, int> m_adviceRecorded;
+    unsigned m_lastTicket = 0;
     unsigned m_jobs = 0;
     std::atomic<unsigned> m_requests = 0;
 };
--- a/review/standIns/main.cpp
+++ b/review/standIns/main.cpp
@@ -174,11 +174,70 @@
     return {neverRuns(deployment, special, job, 8000, 16000, record)};
 }
 
+/// The queue's policy allows two workers of 34, the second and the last. The second is lost.
+Outcome adviceStarved(Deployment &deployment, Record &record, bool trouble)
+{
+    std::vector<Worker *> workers;
+    for (int number = 1; number <= 34; ++number) {
+        const std::string digits = std::to_string(100 + number).substr(1);
+        workers.push_back(&deployment.addWorker("i-000000" + digits, "a"));
+    }
+    deployment.permitted = {workers[1]->id(), workers.back()->id()};
+    deployment.start();
+    if (trouble) {
+        workers[1]->crash();
+    }
+    // The lease of the lost worker ends, and no disruption is near.
+    sleepMs(9000);
+    const std::string job = deployment.submit(1, 1000, 1000);
+    return {neverRuns(deployment, *workers.back(), job, 1000, 16000, record)};
+}
+
+/// The only worker that fits is lost just before five jobs are handed in.
+Outcome pendingAfterLoss(Deployment &deployment, Record &record, bool trouble)
+{
+    Worker &special = deployment.addWorker("i-00000001", "b");
+    for (int number = 2; number <= 7; ++number) {
+        deployment.addWorker("i-0000000" + std::to_string(number), "a");
+    }
+    deployment.start();
+    if (trouble) {
+        special.cut(true);
+    } else {
+        // The queue has to wait without the disruption too.
+        deployment.submit(1, 16000, 11000, "b");
+        sleepMs(500);
+    }
+    std::vector<std::string> jobs;
+    for (int number = 0; number < 5; ++number) {
+        jobs.push_back(deployment.submit(1, 3000, 1000, "b"));
+    }
+    sleepMs(8000);
+    std::size_t begun = 0;
+    for (const RunEvent &event : deployment.runs().all()) {
+        begun += static_cast<std::size_t>(
+                std::count(jobs.begin(), jobs.end(), event.task.substr(0, 16)));
+    }
+    const int pending = deployment.pending();
+    record.line("5 jobs were accepted 8 s ago, " + std::to_string(begun)
+                + " have begun; the queue says pending " + std::to_string(pending));
+    for (const std::string &job : jobs) {
+        record.line("client is told that " + job + " is " + deployment.state(job));
+    }
+    const bool broken = static_cast<std::size_t>(pending) * 2 < jobs.size() - begun;
+    return {broken ? "MIXED: " + std::to_string(jobs.size() - begun)
+                                + " jobs have waited over 5 s and none has begun; pending says "
+                                + std::to_string(pending)
+                   : std::string()};
+}
+
 const std::map<std::string, Outcome (*)(Deployment &, Record &, bool)> cases{
         {"late-start", lateStart},
         {"late-delete", lateDelete},
         {"cancel-in-cut", cancelInCut},
         {"crash-while-draining", crashWhileDraining},
+        {"advice-starved", adviceStarved},
+        {"pending-after-loss", pendingAfterLoss},
 };
 
 int run(const std::string &name, const std::string &recordPath)
