--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. review/build.sh builds the stand-ins.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standIns ] || exit 2
-exec target/review/standIns cancel-in-cut review/4/record.txt
+exec target/review/standIns late-delete review/4/record.txt
--- a/review/standIns/Support.h
+++ b/review/standIns/Support.h
@@ -974,7 +974,8 @@
     }
 
     /// Hands a job of one step in and returns its id. Throws NotRun if it is not accepted.
-    std::string submit(int count, std::int64_t cpu, std::int64_t workMs, const std::string &label = {})
+    std::string submit(int count, std::int64_t cpu, std::int64_t workMs,
+                       const std::string &label = {}, bool lasts = false)
     {
         char id[17];
         ++m_jobs;
@@ -987,12 +988,16 @@
         if (!label.empty()) {
             step["required_label"] = label;
         }
+        if (lasts) {
+            step["long_running"] = true;
+        }
         const Json body = {{"spec", std::to_string(workMs)}, {"steps", Json::array({step})}};
         for (int attempt = 0; attempt < 4; ++attempt) {
             const Response response = request("POST", id, body.dump());
             m_record.line("client submits " + std::string(id) + ": " + std::to_string(count)
                           + " tasks of " + std::to_string(cpu) + " and " + std::to_string(workMs)
-                          + " ms" + (label.empty() ? "" : ", label " + label) + ": "
+                          + " ms" + (label.empty() ? "" : ", label " + label)
+                          + (lasts ? ", which last" : "") + ": "
                           + std::to_string(response.status));
             if (response.status == 200) {
                 return id;
--- a/review/standIns/main.cpp
+++ b/review/standIns/main.cpp
@@ -231,11 +231,36 @@
                    : std::string()};
 }
 
+/// 24 lasting jobs run on the only worker of their kind, which is lost for good. Then an ordinary
+/// job is handed in, for which six idle workers fit.
+Outcome blockedQueue(Deployment &deployment, Record &record, bool trouble)
+{
+    Worker &special = deployment.addWorker("i-00000001", "b");
+    std::vector<Worker *> others;
+    for (int number = 2; number <= 7; ++number) {
+        others.push_back(&deployment.addWorker("i-0000000" + std::to_string(number), "a"));
+    }
+    deployment.start();
+    std::string lasting;
+    for (int number = 0; number < 24; ++number) {
+        lasting = deployment.submit(1, 500, 1000000, "b", true);
+    }
+    waitForRun(deployment.runs(), lasting, 5000);
+    if (trouble) {
+        special.crash();
+    }
+    // The leases of the lost worker end, and no disruption is near.
+    sleepMs(9000);
+    const std::string job = deployment.submit(1, 1000, 1000);
+    return {neverRuns(deployment, *others.front(), job, 1000, 16000, record)};
+}
+
 const std::map<std::string, Outcome (*)(Deployment &, Record &, bool)> cases{
         {"late-start", lateStart},
         {"late-delete", lateDelete},
         {"cancel-in-cut", cancelInCut},
         {"crash-while-draining", crashWhileDraining},
+        {"blocked-queue", blockedQueue},
         {"advice-starved", adviceStarved},
         {"pending-after-loss", pendingAfterLoss},
 };
