--- a/Source/Consensus/Raft.cpp
+++ b/Source/Consensus/Raft.cpp
@@ -199,6 +199,13 @@
     m_ownVotePending = false;
 }
 
+void Raft::resign(SteadyTimeMs now)
+{
+    if (m_role == RaftRole::Leader) {
+        becomeFollower(m_term, now);
+    }
+}
+
 bool Raft::isVoter() const
 {
     return isVoter(m_options.self);
--- a/Source/Consensus/Raft.h
+++ b/Source/Consensus/Raft.h
@@ -116,6 +116,9 @@
     /// Reports that the disk is full. Rolls back the unsynced log changes and discards the messages
     /// that depend on them.
     void syncFailed(SteadyTimeMs now);
+    /// Gives up the leadership, so that another voter can be elected. Has no effect on an instance
+    /// that does not lead.
+    void resign(SteadyTimeMs now);
 
     RaftRole role() const { return m_role; }
     std::uint64_t term() const { return m_term; }
--- a/Source/Runtime/ReplicatedJournal.cpp
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -247,7 +247,11 @@
         }
     }
     if (!saved && !m_failed) {
-        m_raft->syncFailed(steadyTimeNow());
+        const SteadyTimeMs now = steadyTimeNow();
+        m_raft->syncFailed(now);
+        // The owner learns of dropped records only from the end of the term, and a leader whose
+        // disk is full can commit nothing.
+        m_raft->resign(now);
     }
     return saved;
 }
--- a/Source/Runtime/ReplicatedJournal.h
+++ b/Source/Runtime/ReplicatedJournal.h
@@ -84,7 +84,9 @@
     void stop();
 
     /// Appends records if this instance is the leader and drops them otherwise. Only
-    /// JournalEvents::committed reports that they were committed.
+    /// JournalEvents::committed reports that they were committed. A record that can't be stored is
+    /// dropped as well; the instance then gives up the leadership, so that the owner never waits
+    /// for a dropped record within a term.
     void propose(std::string payload);
     /// Stores a snapshot of the owner's state as of `index` and drops the log up to it.
     void saveSnapshot(std::uint64_t index, std::string state);
--- a/Tests/Consensus/ReplicatedJournalTest.cpp
+++ b/Tests/Consensus/ReplicatedJournalTest.cpp
@@ -147,6 +147,7 @@
     CPPUNIT_TEST(emptiedDisk);
     CPPUNIT_TEST(noSecondBootstrap);
     CPPUNIT_TEST(leaseEndsWithoutQuorum);
+    CPPUNIT_TEST(fullDiskEndsTerm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +229,34 @@
         cluster.signal.change(
                 [&] { CPPUNIT_ASSERT(cluster.statuses[old].leaseUntil <= steadyTimeNow()); });
     }
+
+    /// Guards against a leader that goes on leading after its full disk has dropped a record. Its
+    /// owner would wait for that record for the rest of the term (review/1: LOST).
+    void fullDiskEndsTerm()
+    {
+        JournalCluster cluster(threeNames);
+        for (const std::string &name : threeNames) {
+            cluster.start(name, true);
+        }
+        const std::string full = cluster.leader();
+        section("the term ends when a record can't be stored", [&] {
+            cluster.storage(full).failWith(StorageErrorKind::DiskFull);
+            cluster.propose("dropped");
+            CPPUNIT_ASSERT(
+                    cluster.signal.waitFor([&] { return !cluster.statuses[full].isLeader; }));
+        });
+        section("another instance leads and commits", [&] {
+            const std::string next = cluster.leader();
+            CPPUNIT_ASSERT(next != full);
+            cluster.propose("stored");
+            CPPUNIT_ASSERT(cluster.waitForRecord(next, "stored"));
+        });
+        section("the instance follows again once its disk has room", [&] {
+            cluster.storage(full).failWith(std::nullopt);
+            CPPUNIT_ASSERT(cluster.waitForRecord(full, "stored"));
+            CPPUNIT_ASSERT(!cluster.committed[full].contains("dropped"));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicatedJournalTest);
