Scheduling: Keep steps that can't be placed from hiding others

Cause: a placement pass ended after 24 steps without a place, and each pass began with the same ones.

Ruled out: the rank of lasting steps (any order has the fault); a higher limit (moves it).

Change: a pass skips steps that require what no worker of it had, without a search; after 24 failed searches in order it goes on behind them in turn, from where the last pass ended, until 24 more have failed.

Test: DispatcherTest::blockedSteps failed before (10 passed, 1 failed) and passes.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -64,6 +64,7 @@
     m_maintenanceDue.clear();
     m_changes.clear();
     m_orphanStops.clear();
+    m_lastSearched.clear();
     m_tickets.clear();
     m_failedOn.clear();
     m_startedAt.clear();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -136,12 +136,39 @@
         const WorkerView *view = nullptr;
     };
     using Candidates = std::vector<Candidate>;
-    struct PendingStep
+    /// Position of a step in the placement order.
+    struct StepPosition
     {
-        StepKey key;
         StepRank rank;
+        StepKey key;
+        bool operator<(const StepPosition &other) const
+        {
+            return std::tie(rank, key) < std::tie(other.rank, other.key);
+        }
+    };
+    struct PendingStep
+    {
+        StepPosition position;
         std::vector<std::uint32_t> indices;
     };
+    /// Requirements of a task that no worker met.
+    struct UnmetNeed
+    {
+        TaskResources need;
+        std::string requiredLabel;
+    };
+    /// State of a placement pass over the steps of one service.
+    struct PlacementPass
+    {
+        const Candidates &candidates;
+        SteadyTimeMs now = 0;
+        WallTimeMs wallNow = 0;
+        DispatchOrders &orders;
+        /// Steps with such requirements are skipped: free capacity only shrinks within a pass.
+        std::vector<UnmetNeed> unmetNeeds;
+        /// Steps that wait for advice or for which no worker was found.
+        std::uint32_t failedSearches = 0;
+    };
 
     /// Numbers of tasks of the task's step that are unavailable elsewhere, and that are on this
     /// worker.
@@ -200,19 +227,20 @@
     /// change.
     bool collectPendingSteps(const JobRecord &job, WallTimeMs wallNow,
                              std::map<std::string, std::vector<PendingStep>> &byService) const;
-    void placeStep(const PendingStep &pendingStep, const Candidates &candidates, SteadyTimeMs now,
-                   WallTimeMs wallNow, DispatchOrders &orders);
+    void placeSteps(const std::string &service, const std::vector<PendingStep> &steps,
+                    PlacementPass &pass);
+    void placeStep(const PendingStep &pendingStep, PlacementPass &pass);
+    /// True if a task that requires no more has found no worker in this pass.
+    static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
+                             const TaskResources &need);
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
                                             WallTimeMs wallNow) const;
-    bool placeGang(const JobRecord &job, const PendingStep &pendingStep,
-                   const Candidates &candidates, SteadyTimeMs now, WallTimeMs wallNow,
-                   DispatchOrders &orders);
+    bool placeGang(const JobRecord &job, const PendingStep &pendingStep, PlacementPass &pass);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
                 DispatchOrders &orders);
     bool isSchedulable(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
-    const Tickets *ticketsFor(const PendingStep &pendingStep, const Candidates &candidates,
-                              SteadyTimeMs now, DispatchOrders &orders);
+    const Tickets *ticketsFor(const PendingStep &pendingStep, PlacementPass &pass);
     std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
     std::string serviceOf(const JobRecord &job) const;
     TaskResources needOf(const TaskKey &task) const;
@@ -256,6 +284,8 @@
     /// Stops of runs that a worker lists although they are not assigned to it.
     std::vector<StopOrder> m_orphanStops;
     std::vector<DispatchDecision> m_decisions;
+    /// Last step of each service that was searched a worker for out of turn.
+    std::map<std::string, StepPosition> m_lastSearched;
     std::map<StepKey, Tickets> m_tickets;
     /// Worker on which each task failed last.
     std::map<TaskKey, std::string> m_failedOn;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -12,9 +12,10 @@
 /// Completed runs of a queue from which its mean run time replaces the declared estimates.
 constexpr std::uint32_t minRunsForMean = 8;
 
-/// Steps of one service for which a placement pass may fail to place a task. Smaller steps may use
-/// the capacity that a larger step leaves, but a pass must not scan a whole backlog.
-constexpr std::uint32_t maxUnplacedSteps = 24;
+/// Failed searches for a worker, for one service, after which a placement pass ends its search in
+/// placement order, and after which it ends its search among the other steps. A pass must not scan
+/// a whole backlog.
+constexpr std::uint32_t maxFailedSearches = 24;
 
 /// Outweighs all other terms of the score. The worker is still chosen if there is no other.
 constexpr double spreadViolationPenalty = 100;
@@ -100,7 +101,7 @@
             if (state.doneCount == state.tasks.size() || !isReady(spec, record)) {
                 continue;
             }
-            PendingStep pendingStep{{job.spec.id, occurrence, step}, {}, {}};
+            PendingStep pendingStep{{{}, {job.spec.id, occurrence, step}}, {}};
             for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
                 if (state.tasks[index].phase == TaskPhase::Pending
                     && !m_proposed.contains({job.spec.id, occurrence, step, index})) {
@@ -121,7 +122,7 @@
             attributes.stretch = job.queue.stretch;
             attributes.targetLatencyMs = job.queue.targetLatencyMs;
             attributes.started = job.started;
-            pendingStep.rank = rankStep(attributes, wallNow);
+            pendingStep.position.rank = rankStep(attributes, wallNow);
             byService[serviceOf(job)].push_back(std::move(pendingStep));
             found = true;
         }
@@ -170,42 +171,88 @@
         }
         std::sort(steps.begin(), steps.end(),
                   [](const PendingStep &left, const PendingStep &right) {
-                      return std::tie(left.rank, left.key) < std::tie(right.rank, right.key);
+                      return left.position < right.position;
                   });
-        std::uint32_t unplaced = 0;
-        for (const PendingStep &pendingStep : steps) {
-            const std::size_t before = m_proposed.size();
-            placeStep(pendingStep, candidates, now, wallNow, orders);
-            if (m_proposed.size() == before && ++unplaced >= maxUnplacedSteps) {
-                break;
-            }
+        PlacementPass pass{candidates, now, wallNow, orders, {}, 0};
+        placeSteps(service, steps, pass);
+    }
+}
+
+void Dispatcher::placeSteps(const std::string &service, const std::vector<PendingStep> &steps,
+                            PlacementPass &pass)
+{
+    auto next = steps.begin();
+    const auto placeUntilFailed = [&](std::uint32_t limit) {
+        for (; next != steps.end() && pass.failedSearches < limit; ++next) {
+            placeStep(*next, pass);
         }
+    };
+    placeUntilFailed(maxFailedSearches);
+    // Steps that can't be placed for a long time must not hide those behind them, so the latter
+    // are searched a worker for in turn.
+    const auto last = m_lastSearched.find(service);
+    if (last != m_lastSearched.end() && next != steps.end()) {
+        const auto resumed = std::upper_bound(
+                next, steps.end(), last->second,
+                [](const StepPosition &position, const PendingStep &pendingStep) {
+                    return position < pendingStep.position;
+                });
+        next = resumed == steps.end() ? next : resumed;
+    }
+    placeUntilFailed(2 * maxFailedSearches);
+    if (next == steps.end()) {
+        m_lastSearched.erase(service);
+    } else {
+        m_lastSearched[service] = std::prev(next)->position;
     }
 }
 
-void Dispatcher::placeStep(const PendingStep &pendingStep, const Candidates &candidates,
-                           SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
+bool Dispatcher::isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
+                              const TaskResources &need)
 {
-    const JobRecord &job = *m_state.job(pendingStep.key.job);
+    return std::any_of(pass.unmetNeeds.begin(), pass.unmetNeeds.end(),
+                       [&](const UnmetNeed &unmet) {
+                           return fits(unmet.need, need)
+                                   && (unmet.requiredLabel.empty()
+                                       || unmet.requiredLabel == step.requiredLabel);
+                       });
+}
+
+void Dispatcher::placeStep(const PendingStep &pendingStep, PlacementPass &pass)
+{
+    const StepKey &key = pendingStep.position.key;
+    const JobRecord &job = *m_state.job(key.job);
+    const StepSpec &step = job.spec.steps[key.step];
+    const TaskResources need = needOf({key.job, key.occurrence, key.step, 0});
+    if (isKnownUnmet(pass, step, need)) {
+        return;
+    }
     const Tickets *tickets = nullptr;
     if (job.queue.needsAdvice) {
-        tickets = ticketsFor(pendingStep, candidates, now, orders);
+        tickets = ticketsFor(pendingStep, pass);
         if (tickets == nullptr) {
+            ++pass.failedSearches;
             return;
         }
     }
-    if (job.spec.steps[pendingStep.key.step].gang) {
-        placeGang(job, pendingStep, candidates, now, wallNow, orders);
+    if (step.gang) {
+        pass.failedSearches += placeGang(job, pendingStep, pass) ? 0 : 1;
         return;
     }
     for (const std::uint32_t index : pendingStep.indices) {
-        const TaskKey task{pendingStep.key.job, pendingStep.key.occurrence, pendingStep.key.step,
-                           index};
-        const auto worker = chooseWorker(job, task, candidates, tickets, wallNow);
+        const TaskKey task{key.job, key.occurrence, key.step, index};
+        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
+            ++pass.failedSearches;
+            // Other limits concern this step only.
+            const bool onlyNeed =
+                    tickets == nullptr && step.maxPerWorker == 0 && step.maxUnavailable == 0;
+            if (onlyNeed) {
+                pass.unmetNeeds.push_back({need, step.requiredLabel});
+            }
             return;
         }
-        assign(task, m_state.task(task)->run + 1, *worker, now, orders);
+        assign(task, m_state.task(task)->run + 1, *worker, pass.now, pass.orders);
     }
 }
 
@@ -297,10 +344,10 @@
 }
 
 bool Dispatcher::placeGang(const JobRecord &job, const PendingStep &pendingStep,
-                           const Candidates &candidates, SteadyTimeMs now, WallTimeMs wallNow,
-                           DispatchOrders &orders)
+                           PlacementPass &pass)
 {
-    const StepSpec &step = job.spec.steps[pendingStep.key.step];
+    const StepKey &key = pendingStep.position.key;
+    const StepSpec &step = job.spec.steps[key.step];
     if (pendingStep.indices.size() < step.count) {
         // Some members of the previous run have not ended yet; a gang starts as a whole.
         return false;
@@ -308,9 +355,8 @@
     std::vector<std::pair<TaskKey, std::string>> chosen;
     std::uint32_t run = 0;
     for (const std::uint32_t index : pendingStep.indices) {
-        const TaskKey task{pendingStep.key.job, pendingStep.key.occurrence, pendingStep.key.step,
-                           index};
-        const auto worker = chooseWorker(job, task, candidates, nullptr, wallNow);
+        const TaskKey task{key.job, key.occurrence, key.step, index};
+        const auto worker = chooseWorker(job, task, pass.candidates, nullptr, pass.wallNow);
         if (!worker) {
             break;
         }
@@ -321,7 +367,7 @@
     const bool allPlaced = chosen.size() == pendingStep.indices.size();
     for (const auto &[task, worker] : chosen) {
         if (allPlaced) {
-            assign(task, run, worker, now, orders);
+            assign(task, run, worker, pass.now, pass.orders);
         } else {
             release(m_workers.at(worker), task);
         }
@@ -342,19 +388,18 @@
 }
 
 const Dispatcher::Tickets *Dispatcher::ticketsFor(const PendingStep &pendingStep,
-                                                  const Candidates &candidates, SteadyTimeMs now,
-                                                  DispatchOrders &orders)
+                                                  PlacementPass &pass)
 {
-    Tickets &tickets =
-            m_tickets[{pendingStep.key.job, pendingStep.key.occurrence, pendingStep.key.step}];
-    if (now < tickets.validUntil && !tickets.byWorker.empty()) {
+    const StepKey &key = pendingStep.position.key;
+    Tickets &tickets = m_tickets[key];
+    if (pass.now < tickets.validUntil && !tickets.byWorker.empty()) {
         return &tickets;
     }
-    if (!tickets.asked && now >= tickets.askAgainAt) {
+    if (!tickets.asked && pass.now >= tickets.askAgainAt) {
         tickets.asked = true;
         // Names the least loaded workers first: approval for a worker without free capacity is of
         // no use.
-        Candidates sorted = candidates;
+        Candidates sorted = pass.candidates;
         std::stable_sort(
                 sorted.begin(), sorted.end(), [](const Candidate &left, const Candidate &right) {
                     return left.view->used.processorMilli < right.view->used.processorMilli;
@@ -364,8 +409,8 @@
         for (const Candidate &candidate : sorted) {
             asked.push_back(candidate.worker->id);
         }
-        orders.advice.push_back({pendingStep.key.job.text(), pendingStep.key.occurrence,
-                                 pendingStep.key.step, std::move(asked)});
+        pass.orders.advice.push_back(
+                {key.job.text(), key.occurrence, key.step, std::move(asked)});
     }
     return nullptr;
 }
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(leavingWorkers);
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
+    CPPUNIT_TEST(blockedSteps);
     CPPUNIT_TEST(hungWorker);
     CPPUNIT_TEST(randomFaults);
     CPPUNIT_TEST_SUITE_END();
@@ -307,6 +308,34 @@
         });
     }
 
+    /// Guards against steps that can't be placed and hide all steps behind them (review/2: LOST).
+    void blockedSteps()
+    {
+        for (const std::uint32_t maxPerWorker : {0U, 1U}) {
+            FleetSimulation fleet(24);
+            setUpFleet(fleet, 3);
+            WorkerRecord special = fleet.workers.at("w3").record;
+            special.labels = {"fast"};
+            fleet.workers.at("w3").record = special;
+            fleet.state.apply(WorkerJoined{special});
+            StepSpec lasting = longRunningStep(1, 0);
+            lasting.requiredLabel = "fast";
+            lasting.maxPerWorker = maxPerWorker;
+            for (int job = 0; job < 60; ++job) {
+                fleet.submit("lasting" + std::to_string(job), "quotes", {lasting});
+            }
+            fleet.run(500);
+            fleet.crash("w3");
+            fleet.run(8000);
+            for (int job = 0; job < 40; ++job) {
+                fleet.submit("j" + std::to_string(job), "quotes", {shortStep(1, 500)});
+            }
+            fleet.runUntil("the jobs that can run", 3000, [&] {
+                return fleet.completedAt.size() == 40;
+            });
+        }
+    }
+
     /// Guards against tasks that stay forever on a hung worker whose health check passes.
     void hungWorker()
     {
