Scheduling: Stop a run whose repeated start was refused

Cause: Dispatcher::startAnswered took a refusal for the end of the run, though it concerns the refused order only.

Ruled out: orders of an earlier leader; a worker that has answered the new leader refuses the old fencing token.

Change: the dispatcher keeps whether a start got no answer. If so, a refusal makes it stop the run; a worker that has confirmed a stop refuses all starts of the run, and a later renewal that lists neither the run nor its end frees the task. A refusal of a run that a renewal has listed changes nothing.

Tests: DispatcherTest::lostStartAnswers, two new sections; failed with the former rule, pass now.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -396,14 +396,19 @@
                         });
     }
     for (const StopOrder &order : orders.stops) {
-        m_workers.stop(order, fence, [alive, order](std::optional<CallFault> fault) {
+        m_workers.stop(order, fence, [alive, fence, order](std::optional<CallFault> fault) {
             const auto service = alive.lock();
-            if (service && fault) {
+            if (!service || (*service)->m_status.term != fence) {
+                return;
+            }
+            if (fault) {
                 (*service)->m_log.line(LogSeverity::Info, "stop-failed",
                                        {{"task", taskName(order.task)},
                                         {"worker", order.worker},
                                         {"reason", callFaultNames.name(*fault)}});
             }
+            (*service)->m_dispatcher.stopAnswered(order, fault, steadyTimeNow());
+            (*service)->scheduleFlush();
         });
     }
     for (const PaceOrder &order : orders.paces) {
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -50,6 +50,8 @@
     /// one. The pause is a tenth of the shortest run times.
     std::size_t largeFleetWorkers = 150;
     std::int64_t renewalPauseMs = 50;
+    /// Most ends that a worker lists at a time.
+    std::size_t maxListedEnds = 500;
     /// Consecutive unanswered orders before a worker is temporarily given no new tasks. A single
     /// one is no reason: a worker that leaves one order in twenty unanswered is as useful as
     /// others.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -213,6 +213,7 @@
     const bool pause = !list.ended.empty() && m_workers.size() > m_options.largeFleetWorkers;
     view.nextRenewAt = pause ? now + m_options.renewalPauseMs : now;
     view.longRunningStarting = false;
+    const bool allEndsListed = list.ended.size() < m_options.maxListedEnds;
     std::set<TaskKey> listed;
     for (const RunningRun &row : list.running) {
         listed.insert(row.task);
@@ -223,7 +224,7 @@
         onEndedRow(worker, view, row);
     }
     for (auto &[task, run] : view.runs) {
-        if (!listed.contains(task)) {
+        if (!listed.contains(task) && allEndsListed) {
             onMissingRun(worker, view, task, run);
         }
     }
@@ -277,6 +278,11 @@
 void Dispatcher::onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
                               RunView &run)
 {
+    if (run.stopConfirmedAt != 0 && view.renewSentAt >= run.stopConfirmedAt) {
+        // The worker never had the run, and refuses it from now on.
+        proposeEnd(task, run.run, RunOutcome::Refused, {});
+        return;
+    }
     // A renewal sent before the start was confirmed may have been answered before the start
     // arrived.
     if (run.state == RunState::Sent || run.state == RunState::ToSend
@@ -302,6 +308,23 @@
     }
 }
 
+void Dispatcher::onStartRefused(const std::string &worker, const TaskKey &task, RunView &run)
+{
+    if (run.state == RunState::Running) {
+        // A renewal has listed the run in the meantime.
+        return;
+    }
+    if (!run.startUnanswered) {
+        proposeEnd(task, run.run, RunOutcome::Refused, {});
+        return;
+    }
+    // The unanswered order may still be carried out. The worker refuses it once it has confirmed a
+    // stop of the run.
+    run.state = RunState::Unknown;
+    run.stopping = true;
+    m_workersWithStops.insert(worker);
+}
+
 void Dispatcher::startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
                                std::optional<CallFault> fault, SteadyTimeMs now)
 {
@@ -337,11 +360,11 @@
     case CallFault::Invalid:
         view.avoidUntil = std::max(view.avoidUntil, now + refusalPauseMs);
         m_tickets.erase({task.job, task.occurrence, task.step});
-        proposeEnd(task, run, RunOutcome::Refused, {});
+        onStartRefused(worker, task, started);
         return;
     case CallFault::Unhealthy:
         view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
-        proposeEnd(task, run, RunOutcome::Refused, {});
+        onStartRefused(worker, task, started);
         return;
     case CallFault::OldRun:
         // The run has ended on the worker. Either its end is still to be listed, or it was recorded
@@ -360,12 +383,13 @@
         return;
     case CallFault::NotSent:
         view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
-        if (started.sends <= 1) {
-            proposeEnd(task, run, RunOutcome::Refused, {});
+        if (!started.startUnanswered) {
+            onStartRefused(worker, task, started);
             return;
         }
         break;
     case CallFault::NoAnswer:
+        started.startUnanswered = true;
         if (++view.unansweredOrders >= m_options.maxUnansweredOrders) {
             view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
         }
@@ -386,6 +410,24 @@
     m_workersWithStarts.insert(worker);
 }
 
+void Dispatcher::stopAnswered(const StopOrder &order, std::optional<CallFault> fault,
+                              SteadyTimeMs now)
+{
+    const auto found = m_workers.find(order.worker);
+    if (fault || found == m_workers.end()) {
+        return;
+    }
+    WorkerView &view = found->second;
+    const auto run = view.runs.find(order.task);
+    if (run == view.runs.end() || run->second.run != order.run
+        || run->second.stopConfirmedAt != 0) {
+        return;
+    }
+    run->second.stopConfirmedAt = now;
+    view.stopToVerify = true;
+    view.nextRenewAt = std::min(view.nextRenewAt, now);
+}
+
 void Dispatcher::paceFailed(const PaceOrder &order)
 {
     const auto found = m_workers.find(order.worker);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -71,6 +71,7 @@
                  SteadyTimeMs now);
     void startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
                        std::optional<CallFault> fault, SteadyTimeMs now);
+    void stopAnswered(const StopOrder &order, std::optional<CallFault> fault, SteadyTimeMs now);
     /// Called when a pace order failed: the pace of the run is unknown and is ordered again.
     void paceFailed(const PaceOrder &order);
     void adviceAnswered(const AdviceOrder &order,
@@ -197,6 +198,7 @@
     void onEndedRow(const std::string &worker, WorkerView &view, const EndedRun &row);
     void onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
                       RunView &run);
+    void onStartRefused(const std::string &worker, const TaskKey &task, RunView &run);
     void proposeEnd(const TaskKey &task, std::uint32_t run, RunOutcome runOutcome,
                     std::string checkpoint);
     void emitRenewals(SteadyTimeMs now, DispatchOrders &orders);
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -88,7 +88,8 @@
         if (view.clockMs && view.renewFailures == 0) {
             order.leaseUntilMs = extendLease(view, now);
         }
-        if (view.renewedAt != 0 && view.renewFailures == 0) {
+        if (view.renewedAt != 0 && view.renewFailures == 0
+            && !std::exchange(view.stopToVerify, false)) {
             order.waitMs = view.longRunningStarting ? m_options.startingRenewalWaitMs
                     : view.reserved.size() > view.longRunningCount
                     ? m_options.shortTaskRenewalWaitMs
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -26,7 +26,12 @@
     RunState state = RunState::ToSend;
     /// Number of start orders sent; if above 0, the worker may have the run.
     std::uint32_t sends = 0;
+    /// A start order got no answer: it may be carried out even if a later one is refused.
+    bool startUnanswered = false;
     bool stopping = false;
+    /// Time of the worker's confirmation of a stop order, from which on it refuses the run; 0
+    /// before.
+    SteadyTimeMs stopConfirmedAt = 0;
     SteadyTimeMs nextStopAt = 0;
     SteadyTimeMs nextSendAt = 0;
     /// Time of the worker's confirmation; renewals sent before it may not list the run yet.
@@ -56,6 +61,9 @@
     std::uint32_t renewFailures = 0;
     /// Consecutive unanswered orders.
     std::uint32_t unansweredOrders = 0;
+    /// A stop order was confirmed since the last renewal was sent: the next one shows whether the
+    /// worker had the run.
+    bool stopToVerify = false;
     std::uint64_t ackCursor = 0;
     /// Highest number of an end that was proposed to the journal; it may not be applied yet.
     std::uint64_t lastProposedEnd = 0;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -217,18 +217,44 @@
         }
     }
 
-    /// Guards against a second start of a task on another worker because the answer to its first
-    /// start was lost.
+    /// Guards against a second run of a task on another worker because the answer to its first start
+    /// was lost.
     void lostStartAnswers()
     {
-        FleetSimulation fleet(9);
-        setUpFleet(fleet, 3);
-        for (auto &[id, worker] : fleet.workers) {
-            worker.dropsAnswers = true;
-        }
-        fleet.submit("a", "quotes", {shortStep(9)});
-        fleet.runUntil("the job", 5000, [&] { return isCompleted(fleet, "a"); });
-        CPPUNIT_ASSERT_EQUAL(9U, fleet.starts);
+        section("the worker lists the runs", [] {
+            FleetSimulation fleet(9);
+            setUpFleet(fleet, 3);
+            for (auto &[id, worker] : fleet.workers) {
+                worker.dropsAnswers = true;
+            }
+            fleet.submit("a", "quotes", {shortStep(9)});
+            fleet.runUntil("the job", 5000, [&] { return isCompleted(fleet, "a"); });
+            CPPUNIT_ASSERT_EQUAL(9U, fleet.starts);
+        });
+        // Guards against a second run because the repeated start is refused (review/3: TWICE).
+        section("the start is carried out after its repetition was refused", [] {
+            FleetSimulation fleet(21);
+            fleet.durationOf = [](const TaskKey &) { return 4000; };
+            setUpFleet(fleet, 2);
+            fleet.workers.at("w1").lateStartMs = 2000;
+            fleet.workers.at("w1").refusesStarts = true;
+            fleet.submit("a", "quotes", {shortStep(1)});
+            fleet.run(1000);
+            fleet.workers.at("w1").refusesStarts = false;
+            fleet.runUntil("the job", 9000, [&] { return isCompleted(fleet, "a"); });
+        });
+        section("the start was carried out at once and its repetition is refused", [] {
+            FleetSimulation fleet(22);
+            fleet.durationOf = [](const TaskKey &) { return 4000; };
+            setUpFleet(fleet, 2);
+            fleet.workers.at("w1").lateStartMs = 5;
+            fleet.submit("a", "quotes", {shortStep(1)});
+            fleet.runUntil("the start", 1000, [&] { return fleet.runningCount("a") == 1; });
+            fleet.workers.at("w1").refusesStarts = true;
+            fleet.run(1000);
+            fleet.workers.at("w1").refusesStarts = false;
+            fleet.runUntil("the job", 9000, [&] { return isCompleted(fleet, "a"); });
+        });
     }
 
     /// Guards against unlimited retries, and against tasks that outlive their job.
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ctime>
 #include <stdexcept>
+#include <utility>
 
 namespace dandelionloom::test {
 
@@ -271,6 +272,7 @@
         advanceWorker(worker);
     }
     commitDueChanges();
+    carryOutLateStarts();
     answerRenewals();
     if (now >= m_nextList) {
         m_nextList = now + listMs;
@@ -425,6 +427,9 @@
         return CallFault::Fenced;
     }
     worker.fence = term;
+    if (worker.refusesStarts) {
+        return CallFault::Unhealthy;
+    }
     const auto running = worker.running.find(order.task);
     if (running != worker.running.end() && running->second.run == order.run) {
         return std::nullopt;
@@ -457,9 +462,50 @@
     return worker.dropsAnswers ? std::optional(CallFault::NoAnswer) : std::nullopt;
 }
 
+bool FleetSimulation::delayStart(const StartOrder &order)
+{
+    const auto found = workers.find(order.worker);
+    if (found == workers.end() || found->second.lateStartMs == 0) {
+        return false;
+    }
+    m_lateStarts.push_back({now + std::exchange(found->second.lateStartMs, 0), order});
+    m_unansweredStarts.push_back({now + dispatchOptions.calls.orderTimeoutMs, order.worker,
+                                  order.task, order.run});
+    return true;
+}
+
+void FleetSimulation::carryOutLateStarts()
+{
+    std::erase_if(m_lateStarts, [this](const LateStart &late) {
+        if (late.at > now) {
+            return false;
+        }
+        startRun(late.order);
+        return true;
+    });
+}
+
+std::optional<CallFault> FleetSimulation::stopRun(const StopOrder &order)
+{
+    const auto found = workers.find(order.worker);
+    if (found == workers.end() || !found->second.up || found->second.partitioned) {
+        return CallFault::NoAnswer;
+    }
+    FakeWorker &worker = found->second;
+    worker.highestRun[order.task] = std::max(worker.highestRun[order.task], order.run);
+    const auto run = worker.running.find(order.task);
+    if (run != worker.running.end() && run->second.run <= order.run) {
+        endRun(worker, order.task, RunOutcome::Stopped);
+    }
+    return std::nullopt;
+}
+
 void FleetSimulation::execute(const DispatchOrders &orders)
 {
     for (const StartOrder &order : orders.starts) {
+        if (delayStart(order)) {
+            continue;
+        }
         const std::optional<CallFault> fault = startRun(order);
         if (isAnswerLost()) {
             m_unansweredStarts.push_back({now + dispatchOptions.calls.orderTimeoutMs, order.worker,
@@ -471,16 +517,7 @@
         });
     }
     for (const StopOrder &order : orders.stops) {
-        const auto found = workers.find(order.worker);
-        if (found == workers.end() || !found->second.up || found->second.partitioned) {
-            continue;
-        }
-        FakeWorker &worker = found->second;
-        worker.highestRun[order.task] = std::max(worker.highestRun[order.task], order.run);
-        const auto run = worker.running.find(order.task);
-        if (run != worker.running.end() && run->second.run <= order.run) {
-            endRun(worker, order.task, RunOutcome::Stopped);
-        }
+        dispatcher->stopAnswered(order, stopRun(order), now);
     }
     for (const RenewOrder &order : orders.renewals) {
         const auto found = workers.find(order.worker);
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -55,6 +55,10 @@
     bool hangsAllRuns = false;
     /// The worker carries out starts, but the answers are lost.
     bool dropsAnswers = false;
+    /// If above 0, the next start gets no answer and is carried out after this time.
+    std::int64_t lateStartMs = 0;
+    /// The worker refuses all starts as unhealthy.
+    bool refusesStarts = false;
 };
 
 /// Simulates a leader's scheduler state, dispatcher and planners with workers and an instance
@@ -140,6 +144,10 @@
     void commitDueChanges();
     void execute(const DispatchOrders &orders);
     std::optional<CallFault> startRun(const StartOrder &order);
+    /// True if the worker leaves the start unanswered and carries it out later.
+    bool delayStart(const StartOrder &order);
+    void carryOutLateStarts();
+    std::optional<CallFault> stopRun(const StopOrder &order);
     void checkStart(const StartOrder &order) const;
     void advanceWorker(FakeWorker &worker);
     void endRun(FakeWorker &worker, const TaskKey &task, RunOutcome runOutcome);
@@ -167,6 +175,12 @@
     };
     /// Starts whose answer is lost, until the call times out.
     std::deque<LostAnswer> m_unansweredStarts;
+    struct LateStart
+    {
+        SteadyTimeMs at = 0;
+        StartOrder order;
+    };
+    std::vector<LateStart> m_lateStarts;
     struct DelayedOrder
     {
         SteadyTimeMs at = 0;
