Scheduling: Ignore a deregistration of an incarnation that isn't draining

Callers saw: a control instance woke from a freeze and passed on a DELETE of a worker's earlier life.

Cause: a deregistration names no incarnation and was applied to the one recorded when it arrived.

Ruled out: announcements, which name their incarnation.

Change: Dispatcher::deregistered accepts it only for an incarnation whose draining is recorded.

Test: DispatcherTest::lateDeregistration fails without the condition and passes with it.

--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -301,13 +301,14 @@
 
 void JobService::deregisterWorker(const JobCall &call, const JobReplyCallback &reply)
 {
-    const WorkerRecord *worker = m_schedulerState.worker(call.worker.id);
-    if (worker == nullptr) {
-        reply(makeAnswer(JobCallOutcome::Done, "unknown-worker"));
+    std::vector<JobChange> changes = m_dispatcher.deregistered(call.worker.id);
+    if (changes.empty()) {
+        const bool known = m_schedulerState.worker(call.worker.id) != nullptr;
+        reply(makeAnswer(JobCallOutcome::Done, known ? "not-draining" : "unknown-worker"));
         return;
     }
-    replyWhenApplied(workerKey(worker->id), makeAnswer(JobCallOutcome::Done, "left"), reply);
-    propose({WorkerLeft{worker->id, worker->startTimeMs}});
+    replyWhenApplied(workerKey(call.worker.id), makeAnswer(JobCallOutcome::Done, "left"), reply);
+    propose(std::move(changes));
 }
 
 void JobService::startWave(const JobCall &call, const JobReplyCallback &reply)
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -151,6 +151,16 @@
     return changes;
 }
 
+std::vector<JobChange> Dispatcher::deregistered(const std::string &worker) const
+{
+    const WorkerRecord *known = m_state.worker(worker);
+    // A worker deregisters only after its draining was acknowledged, and thus recorded.
+    if (known == nullptr || !known->draining) {
+        return {};
+    }
+    return {WorkerLeft{worker, known->startTimeMs}};
+}
+
 void Dispatcher::renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
                          SteadyTimeMs now)
 {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -67,6 +67,10 @@
     void applied(const JobChange &change, SteadyTimeMs now);
     /// Returns the changes to propose for an announcement; empty if nothing has changed.
     std::vector<JobChange> announced(const WorkerAnnouncement &announcement, SteadyTimeMs now);
+    /// Returns the changes to propose for the deregistration of a worker; empty if it concerns no
+    /// recorded incarnation. A deregistration names no incarnation, and a control instance that was
+    /// suspended may pass it on when the next one is already in use.
+    std::vector<JobChange> deregistered(const std::string &worker) const;
     void renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
                  SteadyTimeMs now);
     void startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(completionDuringPartition);
     CPPUNIT_TEST(lostStartAnswers);
     CPPUNIT_TEST(leavingWorkers);
+    CPPUNIT_TEST(lateDeregistration);
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
     CPPUNIT_TEST(blockedSteps);
@@ -139,6 +140,32 @@
         });
     }
 
+    /// Guards against a deregistration that was held up in a suspended control instance and removes
+    /// the worker's next incarnation (review/4: TWICE).
+    void lateDeregistration()
+    {
+        FleetSimulation fleet(19);
+        setUpFleet(fleet, 2);
+        section("a worker that drains is removed", [&] {
+            WorkerRecord leaving = fleet.state.workers().at("w1");
+            leaving.draining = true;
+            fleet.state.apply(WorkerJoined{leaving});
+            const std::vector<JobChange> changes = fleet.dispatcher->deregistered("w1");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+            CPPUNIT_ASSERT_EQUAL(leaving.startTimeMs,
+                                 std::get<WorkerLeft>(changes.front()).startTimeMs);
+        });
+        section("its next incarnation, which doesn't drain, stays", [&] {
+            WorkerRecord restarted = fleet.state.workers().at("w1");
+            restarted.draining = false;
+            ++restarted.startTimeMs;
+            fleet.state.apply(WorkerJoined{restarted});
+            CPPUNIT_ASSERT(fleet.dispatcher->deregistered("w1").empty());
+        });
+        section("nothing changes for an unknown worker",
+                [&] { CPPUNIT_ASSERT(fleet.dispatcher->deregistered("w9").empty()); });
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease.
     void lostWorkers()
     {
