Platform: Refuse configurations whose lists are no lists

Callers saw, on real processes: a confirmed change that was not in force in time or came back older, an invalid configuration that was taken, added queues that were not served (CONFIG). No logs were kept.

Cause found: "routes": null was iterated as an empty list. Such a configuration was acknowledged, dropped all queues, and as its version was the highest, later valid changes had no effect. Whether this is what the users saw is not known.

--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -24,8 +24,10 @@
 
 std::string renderRequest(const HttpCall &call)
 {
-    std::string text =
-            call.method + " " + call.path + " HTTP/1.1\r\nHost: " + call.address + "\r\n";
+    std::string text = call.method + " " + call.path + " HTTP/1.1\r\n";
+    if (!headerValue(call.headers, "Host")) {
+        text += "Host: " + call.address + "\r\n";
+    }
     for (const auto &[name, value] : call.headers) {
         text += name + ": " + value + "\r\n";
     }
--- a/Source/Adapters/Http/EventedHttpClient.h
+++ b/Source/Adapters/Http/EventedHttpClient.h
@@ -33,6 +33,7 @@
     std::string address;
     std::string method = "POST";
     std::string path;
+    /// The Host field is added with the address if it is missing.
     HttpHeaders headers;
     std::string body;
     Milliseconds timeout{1000};
--- a/Tests/Platform/PlatformProtocolsTest.cpp
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -160,6 +160,26 @@
         duplicated.queues[1].name = "other";
         CPPUNIT_ASSERT(configurationFault(duplicated).find("another queue has the host and prefix")
                        != std::string::npos);
+        section("lists that are null, missing or objects", [&] {
+            // Read as an empty list, null would drop all queues (found by the soak, seed 2).
+            for (const std::string member : {"routes", "services"}) {
+                for (const char *value : {"null", "{}", "0", "\"\""}) {
+                    const std::string other = member == "routes" ? "services" : "routes";
+                    const std::string body =
+                            R"({"version":9,")" + member + "\":" + value + ",\"" + other + "\":[]}";
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                            body, 400,
+                            statusOf(protocol.decode({"PUT", "/v1/config", "", {}, body})));
+                }
+                CPPUNIT_ASSERT_EQUAL(
+                        400,
+                        statusOf(protocol.decode({"PUT",
+                                                  "/v1/config",
+                                                  "",
+                                                  {},
+                                                  R"({"version":9,")" + member + "\":[]}"})));
+            }
+        });
     }
 
     /// Guards against one odd entry of another writer that ends the process, that changes what is
