Tests: Cover a start that was lost before its job was cancelled

Cause: a stop was repeated until the worker listed the end of a run that it never had.

Ruled out: ending the run with the first confirmation, as the worker confirms a stop before the run has ended.

Test: DispatcherTest::cancelledBeforeStart, failed without the rule and passes.

--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -192,11 +192,11 @@
     // are searched a worker for in turn.
     const auto last = m_lastSearched.find(service);
     if (last != m_lastSearched.end() && next != steps.end()) {
-        const auto resumed = std::upper_bound(
-                next, steps.end(), last->second,
-                [](const StepPosition &position, const PendingStep &pendingStep) {
-                    return position < pendingStep.position;
-                });
+        const auto resumed =
+                std::upper_bound(next, steps.end(), last->second,
+                                 [](const StepPosition &position, const PendingStep &pendingStep) {
+                                     return position < pendingStep.position;
+                                 });
         next = resumed == steps.end() ? next : resumed;
     }
     placeUntilFailed(2 * maxFailedSearches);
@@ -210,12 +210,10 @@
 bool Dispatcher::isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                               const TaskResources &need)
 {
-    return std::any_of(pass.unmetNeeds.begin(), pass.unmetNeeds.end(),
-                       [&](const UnmetNeed &unmet) {
-                           return fits(unmet.need, need)
-                                   && (unmet.requiredLabel.empty()
-                                       || unmet.requiredLabel == step.requiredLabel);
-                       });
+    return std::any_of(pass.unmetNeeds.begin(), pass.unmetNeeds.end(), [&](const UnmetNeed &unmet) {
+        return fits(unmet.need, need)
+                && (unmet.requiredLabel.empty() || unmet.requiredLabel == step.requiredLabel);
+    });
 }
 
 void Dispatcher::placeStep(const PendingStep &pendingStep, PlacementPass &pass)
@@ -409,8 +407,7 @@
         for (const Candidate &candidate : sorted) {
             asked.push_back(candidate.worker->id);
         }
-        pass.orders.advice.push_back(
-                {key.job.text(), key.occurrence, key.step, std::move(asked)});
+        pass.orders.advice.push_back({key.job.text(), key.occurrence, key.step, std::move(asked)});
     }
     return nullptr;
 }
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(lostWorkers);
     CPPUNIT_TEST(completionDuringPartition);
     CPPUNIT_TEST(lostStartAnswers);
+    CPPUNIT_TEST(cancelledBeforeStart);
     CPPUNIT_TEST(leavingWorkers);
     CPPUNIT_TEST(lateDeregistration);
     CPPUNIT_TEST(failuresAndCancellations);
@@ -244,8 +245,8 @@
         }
     }
 
-    /// Guards against a second run of a task on another worker because the answer to its first start
-    /// was lost.
+    /// Guards against a second run of a task on another worker because the answer to its first
+    /// start was lost.
     void lostStartAnswers()
     {
         section("the worker lists the runs", [] {
@@ -284,6 +285,27 @@
         });
     }
 
+    /// Guards against a task that keeps its place on a worker for good because its start was lost
+    /// and its job was cancelled (review/5: LOST).
+    void cancelledBeforeStart()
+    {
+        FleetSimulation fleet(23);
+        fleet.durationOf = [](const TaskKey &) { return 1000; };
+        setUpFleet(fleet, 1);
+        fleet.workers.at("w1").partitioned = true;
+        fleet.submit("a", "quotes", {shortStep(1, 16000)});
+        fleet.runUntil("the unanswered start", 1000, [&] {
+            const WorkerView *view = fleet.dispatcher->view("w1");
+            return !view->runs.empty() && view->runs.begin()->second.startUnanswered;
+        });
+        fleet.cancel("a");
+        fleet.run(1000);
+        fleet.workers.at("w1").partitioned = false;
+        fleet.submit("b", "quotes", {shortStep(1, 16000)});
+        fleet.runUntil("the next job", 4000, [&] { return isCompleted(fleet, "b"); });
+        CPPUNIT_ASSERT_EQUAL(1U, fleet.starts);
+    }
+
     /// Guards against unlimited retries, and against tasks that outlive their job.
     void failuresAndCancellations()
     {
@@ -383,9 +405,8 @@
             for (int job = 0; job < 40; ++job) {
                 fleet.submit("j" + std::to_string(job), "quotes", {shortStep(1, 500)});
             }
-            fleet.runUntil("the jobs that can run", 3000, [&] {
-                return fleet.completedAt.size() == 40;
-            });
+            fleet.runUntil("the jobs that can run", 3000,
+                           [&] { return fleet.completedAt.size() == 40; });
         }
     }
 
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -469,8 +469,8 @@
         return false;
     }
     m_lateStarts.push_back({now + std::exchange(found->second.lateStartMs, 0), order});
-    m_unansweredStarts.push_back({now + dispatchOptions.calls.orderTimeoutMs, order.worker,
-                                  order.task, order.run});
+    m_unansweredStarts.push_back(
+            {now + dispatchOptions.calls.orderTimeoutMs, order.worker, order.task, order.run});
     return true;
 }
 
