Scheduling: Start a restarted worker's record as not draining

Cause: Dispatcher::renewed copied the old record, draining included; the next ready announcement then counted as delayed.

Test: DispatcherTest::restartWhileDraining fails without the change and passes with it.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -197,6 +197,7 @@
         if (list.startTimeMs > record->startTimeMs) {
             WorkerRecord restarted = *record;
             restarted.startTimeMs = list.startTimeMs;
+            restarted.draining = false;
             m_changes.emplace_back(WorkerJoined{restarted});
             m_decisions.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
             const bool cordoned = view.cordoned;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(cancelledBeforeStart);
     CPPUNIT_TEST(leavingWorkers);
     CPPUNIT_TEST(lateDeregistration);
+    CPPUNIT_TEST(restartWhileDraining);
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
     CPPUNIT_TEST(blockedSteps);
@@ -167,6 +168,25 @@
                 [&] { CPPUNIT_ASSERT(fleet.dispatcher->deregistered("w9").empty()); });
     }
 
+    /// Guards against an incarnation that counts as draining for good because the one before it was
+    /// and its first renewal comes before its first announcement.
+    void restartWhileDraining()
+    {
+        FleetSimulation fleet(25);
+        setUpFleet(fleet, 2);
+        WorkerRecord leaving = fleet.state.workers().at("w1");
+        leaving.draining = true;
+        fleet.state.apply(WorkerJoined{leaving});
+        RenewAnswer answer;
+        answer.startTimeMs = leaving.startTimeMs + 1;
+        fleet.dispatcher->renewed("w1", answer, fleet.now);
+        for (const JobChange &change : fleet.dispatcher->step(fleet.now, fleet.now).changes) {
+            fleet.state.apply(change);
+        }
+        CPPUNIT_ASSERT_EQUAL(answer.startTimeMs, fleet.state.worker("w1")->startTimeMs);
+        CPPUNIT_ASSERT(!fleet.state.worker("w1")->draining);
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease.
     void lostWorkers()
     {
