Scheduling: Ask the advice service about all workers in turn

By reading, gangs on such a queue were placed without tickets.

Cause: the same 30 workers were named each time; placeGang passed no tickets to chooseWorker.

Change: workers that were named and not allowed are left out until all others were named; gangs use the tickets.

Test: DispatcherTest::advice times out without the first part and passes with both. That its gang section fails without the second part alone was not run.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -464,6 +464,11 @@
     }
     const JobRecord *job = m_state.job(order.job);
     found->second.byWorker = *tickets;
+    for (const std::string &worker : order.workers) {
+        if (!tickets->contains(worker)) {
+            found->second.denied.insert(worker);
+        }
+    }
     // The other half of the validity period is left for sending the starts.
     found->second.validUntil = now + (job != nullptr ? job->queue.adviceValidMs / 2 : 0);
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -133,6 +133,9 @@
         SteadyTimeMs validUntil = 0;
         SteadyTimeMs askAgainAt = 0;
         std::map<std::string, std::string> byWorker;
+        /// Workers that were named and may not run the step. They are named again only when no
+        /// other worker is left.
+        std::set<std::string> denied;
     };
     /// A schedulable worker, looked up once per placement pass.
     struct Candidate
@@ -242,7 +245,8 @@
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
                                             WallTimeMs wallNow) const;
-    bool placeGang(const JobRecord &job, const PendingStep &pendingStep, PlacementPass &pass);
+    bool placeGang(const JobRecord &job, const PendingStep &pendingStep, const Tickets *tickets,
+                   PlacementPass &pass);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
                 DispatchOrders &orders);
     bool isSchedulable(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -234,7 +234,7 @@
         }
     }
     if (step.gang) {
-        pass.failedSearches += placeGang(job, pendingStep, pass) ? 0 : 1;
+        pass.failedSearches += placeGang(job, pendingStep, tickets, pass) ? 0 : 1;
         return;
     }
     for (const std::uint32_t index : pendingStep.indices) {
@@ -342,7 +342,7 @@
 }
 
 bool Dispatcher::placeGang(const JobRecord &job, const PendingStep &pendingStep,
-                           PlacementPass &pass)
+                           const Tickets *tickets, PlacementPass &pass)
 {
     const StepKey &key = pendingStep.position.key;
     const StepSpec &step = job.spec.steps[key.step];
@@ -354,7 +354,7 @@
     std::uint32_t run = 0;
     for (const std::uint32_t index : pendingStep.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
-        const auto worker = chooseWorker(job, task, pass.candidates, nullptr, pass.wallNow);
+        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
             break;
         }
@@ -397,7 +397,15 @@
         tickets.asked = true;
         // Names the least loaded workers first: approval for a worker without free capacity is of
         // no use.
-        Candidates sorted = pass.candidates;
+        Candidates sorted;
+        std::copy_if(pass.candidates.begin(), pass.candidates.end(), std::back_inserter(sorted),
+                     [&tickets](const Candidate &candidate) {
+                         return !tickets.denied.contains(candidate.worker->id);
+                     });
+        if (sorted.empty()) {
+            tickets.denied.clear();
+            sorted = pass.candidates;
+        }
         std::stable_sort(
                 sorted.begin(), sorted.end(), [](const Candidate &left, const Candidate &right) {
                     return left.view->used.processorMilli < right.view->used.processorMilli;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(leavingWorkers);
     CPPUNIT_TEST(lateDeregistration);
     CPPUNIT_TEST(restartWhileDraining);
+    CPPUNIT_TEST(advice);
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
     CPPUNIT_TEST(blockedSteps);
@@ -187,6 +188,31 @@
         CPPUNIT_ASSERT(!fleet.state.worker("w1")->draining);
     }
 
+    /// Guards against a job on a queue with advice that never starts because only the same 30
+    /// workers are asked about, and against starts of its gangs on workers that may not run them.
+    void advice()
+    {
+        for (const bool gang : {false, true}) {
+            FleetSimulation fleet(28);
+            QueueConfig queue = queueOf("quotes", "pricing");
+            queue.needsAdvice = true;
+            queue.adviceValidMs = 3000;
+            fleet.configure({queue}, {"pricing"});
+            for (int index = 0; index < 34; ++index) {
+                fleet.addWorker("pricing");
+            }
+            fleet.start();
+            fleet.run(100);
+            // By name, these two rank last among equally loaded workers.
+            fleet.permittedWorkers = {"w8", "w9"};
+            StepSpec step = shortStep(2);
+            step.gang = gang;
+            fleet.submit("a", "quotes", {step});
+            fleet.runUntil("the job", 4000, [&] { return isCompleted(fleet, "a"); });
+            CPPUNIT_ASSERT_EQUAL(2U, fleet.starts);
+        }
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease.
     void lostWorkers()
     {
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -17,6 +17,11 @@
 /// Time from the start of a long-running task until it is available.
 constexpr std::int64_t startupMs = 300;
 
+std::string ticketFor(const std::string &worker)
+{
+    return "ticket-" + worker;
+}
+
 double processorSeconds()
 {
     timespec used{};
@@ -439,6 +444,9 @@
     }
     checkStart(order);
     const JobRecord &job = *state.job(order.task.job);
+    if (job.queue.needsAdvice && order.ticket != ticketFor(order.worker)) {
+        return CallFault::Ticket;
+    }
     TaskResources used;
     for (const auto &[task, run] : worker.running) {
         used = used + state.job(task.job)->spec.steps[task.step].need;
@@ -485,6 +493,17 @@
     });
 }
 
+void FleetSimulation::advise(const AdviceOrder &order)
+{
+    std::map<std::string, std::string> tickets;
+    for (const std::string &worker : order.workers) {
+        if (permittedWorkers.contains(worker)) {
+            tickets[worker] = ticketFor(worker);
+        }
+    }
+    dispatcher->adviceAnswered(order, tickets, now);
+}
+
 std::optional<CallFault> FleetSimulation::stopRun(const StopOrder &order)
 {
     const auto found = workers.find(order.worker);
@@ -519,6 +538,9 @@
     for (const StopOrder &order : orders.stops) {
         dispatcher->stopAnswered(order, stopRun(order), now);
     }
+    for (const AdviceOrder &order : orders.advice) {
+        advise(order);
+    }
     for (const RenewOrder &order : orders.renewals) {
         const auto found = workers.find(order.worker);
         if (found == workers.end()) {
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -80,6 +80,8 @@
     std::int64_t maintenanceDelayMs = 0;
     /// Time between a maintenance order and the commit of its record in the journal.
     std::int64_t orderCommitMs = 0;
+    /// Workers that the advice service allows for queues that need advice.
+    std::set<std::string> permittedWorkers;
     /// Interval of the scheduler steps.
     std::int64_t stepMs = 5;
     /// Interval of the planners' steps.
@@ -147,6 +149,7 @@
     /// True if the worker leaves the start unanswered and carries it out later.
     bool delayStart(const StartOrder &order);
     void carryOutLateStarts();
+    void advise(const AdviceOrder &order);
     std::optional<CallFault> stopRun(const StopOrder &order);
     void checkStart(const StartOrder &order) const;
     void advanceWorker(FakeWorker &worker);
