Scheduling: Count a job as started when a task has begun

Cause: JobRecord::started was set by the assignment of a run.

Change: the end of a run sets it, unless the outcome leaves open whether it began; the leader adds the runs that workers have confirmed in its term. StepAttributes::started, which nothing read, is gone.

Test: DispatcherTest::pendingCount fails with the former rule (0 instead of 3) and passes.

--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -224,7 +224,7 @@
         return;
     }
     answer.phase = job->phase;
-    answer.started = job->started;
+    answer.started = m_dispatcher.hasStarted(*job);
     reply(answer);
 }
 
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -69,6 +69,7 @@
     m_failedOn.clear();
     m_startedAt.clear();
     m_activeJobs.clear();
+    m_startedJobs.clear();
     m_placeableJobs.clear();
     m_pendingCountedAt = 0;
     m_arrivals.clear();
@@ -241,6 +242,17 @@
     }
 }
 
+void Dispatcher::onStartConfirmed(const TaskKey &task, RunView &run, SteadyTimeMs now)
+{
+    if (run.state != RunState::Running) {
+        run.state = RunState::Running;
+        run.confirmedAt = now;
+        run.progressAt = now;
+        m_startedJobs.insert(task.job);
+    }
+    m_startedAt.try_emplace(task, now);
+}
+
 void Dispatcher::onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
                               SteadyTimeMs now)
 {
@@ -250,11 +262,7 @@
         return;
     }
     RunView &run = found->second;
-    if (run.state != RunState::Running) {
-        run.state = RunState::Running;
-        run.confirmedAt = now;
-        run.progressAt = now;
-    }
+    onStartConfirmed(row.task, run, now);
     run.missedRenewals = 0;
     if (row.percent != run.percent) {
         run.progressAt = now;
@@ -264,7 +272,6 @@
     if (row.percent < 100 && view.longRunningCount > 0 && isLongRunning(row.task)) {
         view.longRunningStarting = true;
     }
-    m_startedAt.try_emplace(row.task, now);
 }
 
 void Dispatcher::onEndedRow(const std::string &worker, WorkerView &view, const EndedRun &row)
@@ -353,12 +360,7 @@
         view.unansweredOrders = 0;
     }
     if (!fault) {
-        if (started.state != RunState::Running) {
-            started.state = RunState::Running;
-            started.confirmedAt = now;
-            started.progressAt = now;
-        }
-        m_startedAt.try_emplace(task, now);
+        onStartConfirmed(task, started, now);
         return;
     }
     m_decisions.push_back({"start-failed", taskName(task), run, worker,
@@ -586,6 +588,11 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+bool Dispatcher::hasStarted(const JobRecord &job) const
+{
+    return job.started || m_startedJobs.contains(job.spec.id);
+}
+
 std::size_t Dispatcher::pendingJobs(const std::string &queue, SteadyTimeMs now)
 {
     // Counting visits all active jobs, and clients ask several hundred times a second.
@@ -594,7 +601,7 @@
         m_pendingCounts.clear();
         for (const JobId &id : m_activeJobs) {
             const JobRecord *job = m_state.job(id);
-            if (job != nullptr && job->phase == JobPhase::Active && !job->started) {
+            if (job != nullptr && job->phase == JobPhase::Active && !hasStarted(*job)) {
                 ++m_pendingCounts[job->spec.queue];
             }
         }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -103,6 +103,9 @@
     /// unavailable, so that it starts on another worker. For workers that hold more tasks of a step
     /// than its budget permits. False if no task can be evicted now.
     bool evictOneTask(const std::string &worker, SteadyTimeMs now);
+    /// True if a worker has confirmed a task of the job, in this term, or has reported the end of
+    /// one.
+    bool hasStarted(const JobRecord &job) const;
     /// Number of active jobs of the queue of which no task has started, as of at most
     /// pendingCountMs ago.
     std::size_t pendingJobs(const std::string &queue, SteadyTimeMs now);
@@ -200,6 +203,7 @@
     void queueStopsOfEndedJob(const JobId &job);
     void queueStartsAndStops(const std::string &worker);
     void removeWorker(const std::string &worker);
+    void onStartConfirmed(const TaskKey &task, RunView &run, SteadyTimeMs now);
     void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
                       SteadyTimeMs now);
     void onEndedRow(const std::string &worker, WorkerView &view, const EndedRun &row);
@@ -320,6 +324,8 @@
     /// Set until the first step of a term, which knows the time of day.
     bool m_turnsUnknown = false;
     std::set<JobId> m_activeJobs;
+    /// Active jobs with a task that a worker has confirmed in this term.
+    std::set<JobId> m_startedJobs;
     /// Numbers of pending jobs by queue, and the time of the count; 0 if there is none.
     std::map<std::string, std::size_t> m_pendingCounts;
     SteadyTimeMs m_pendingCountedAt = 0;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -121,7 +121,6 @@
             attributes.remainingWork = work;
             attributes.stretch = job.queue.stretch;
             attributes.targetLatencyMs = job.queue.targetLatencyMs;
-            attributes.started = job.started;
             pendingStep.position.rank = rankStep(attributes, wallNow);
             byService[serviceOf(job)].push_back(std::move(pendingStep));
             found = true;
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -243,6 +243,7 @@
         m_placeableJobs.insert(ended.task.job);
     } else {
         m_activeJobs.erase(ended.task.job);
+        m_startedJobs.erase(ended.task.job);
     }
     queueStopsOfEndedJob(ended.task.job);
 }
@@ -261,6 +262,7 @@
         onEnded(*ended, now);
     } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
         m_activeJobs.erase(cancelled->job);
+        m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
         if (m_state.worker(joined->worker.id) != nullptr) {
--- a/Source/Scheduling/JobTypes.h
+++ b/Source/Scheduling/JobTypes.h
@@ -147,6 +147,12 @@
 inline constexpr EnumNames<RunOutcome, 8> runOutcomeNames{
         {"done", "failed", "stopped", "lapsed", "broken", "alone", "worker-lost", "refused"}};
 
+/// True if a run with this outcome has begun.
+inline bool showsStart(RunOutcome runOutcome)
+{
+    return runOutcome != RunOutcome::WorkerLost && runOutcome != RunOutcome::Refused;
+}
+
 enum class JobPhase { Active, Completed, Failed, Cancelled };
 inline constexpr EnumNames<JobPhase, 4> jobPhaseNames{
         {"active", "completed", "failed", "cancelled"}};
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -142,7 +142,6 @@
     task->phase = TaskPhase::Assigned;
     task->run = change.run;
     task->worker = change.worker;
-    job.started = true;
     ++job.assignedCount;
     m_tasksOfWorker[change.worker].insert(change.task);
 }
@@ -154,6 +153,7 @@
         return;
     }
     JobRecord &job = m_jobs.at(change.task.job);
+    job.started = job.started || showsStart(change.runOutcome);
     if (task->phase == TaskPhase::Assigned && task->run == change.run) {
         endRun(job, change);
         return;
--- a/Source/Scheduling/StepRanking.h
+++ b/Source/Scheduling/StepRanking.h
@@ -22,7 +22,6 @@
     double remainingWork = 0;
     double stretch = 1;
     std::int64_t targetLatencyMs = 0;
-    bool started = false;
 };
 
 /// Smaller ranks are placed first.
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(lateDeregistration);
     CPPUNIT_TEST(restartWhileDraining);
     CPPUNIT_TEST(advice);
+    CPPUNIT_TEST(pendingCount);
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
     CPPUNIT_TEST(blockedSteps);
@@ -213,6 +214,28 @@
         }
     }
 
+    /// Guards against jobs that count as started although no task of theirs has begun.
+    void pendingCount()
+    {
+        FleetSimulation fleet(27);
+        setUpFleet(fleet, 1);
+        fleet.workers.at("w1").partitioned = true;
+        for (int job = 0; job < 3; ++job) {
+            fleet.submit("j" + std::to_string(job), "quotes", {shortStep(1)});
+        }
+        fleet.run(500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet.dispatcher->pendingJobs("quotes", fleet.now));
+        fleet.run(12000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet.dispatcher->pendingJobs("quotes", fleet.now));
+        section("until a task has begun", [&] {
+            fleet.workers.at("w1").partitioned = false;
+            fleet.runUntil("the starts", 3000, [&] { return fleet.starts == 3; });
+            fleet.run(400);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                                 fleet.dispatcher->pendingJobs("quotes", fleet.now));
+        });
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease.
     void lostWorkers()
     {
