Scheduling: Send no start to a worker that drains

Cause: emitStartsOn did not look at the record of the worker; the draining may be recorded after the assignment.

Change: such a run is treated like a refused one.

Test: DispatcherTest::startsOnDrainingWorkers fails without the check and passes with it.

--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -134,6 +134,11 @@
         if (job == nullptr || job->phase != JobPhase::Active) {
             continue;
         }
+        if (record->draining) {
+            // The worker announced that it leaves after the task was assigned to it.
+            onStartRefused(id, task, run);
+            continue;
+        }
         StartOrder order{id,
                          record->address,
                          task,
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(leavingWorkers);
     CPPUNIT_TEST(lateDeregistration);
     CPPUNIT_TEST(restartWhileDraining);
+    CPPUNIT_TEST(startsOnDrainingWorkers);
     CPPUNIT_TEST(advice);
     CPPUNIT_TEST(pendingCount);
     CPPUNIT_TEST(failuresAndCancellations);
@@ -236,6 +237,23 @@
         });
     }
 
+    /// Guards against a start on a worker whose draining was recorded after the task was assigned
+    /// to it.
+    void startsOnDrainingWorkers()
+    {
+        FleetSimulation fleet(26);
+        setUpFleet(fleet, 2);
+        fleet.commitMs = 100;
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.runUntil("the assignment", 1000,
+                       [&] { return fleet.dispatcher->view("w1")->reserved.size() == 1; });
+        WorkerRecord leaving = fleet.state.workers().at("w1");
+        leaving.draining = true;
+        fleet.state.apply(WorkerJoined{leaving});
+        fleet.runUntil("the job", 3000, [&] { return isCompleted(fleet, "a"); });
+        CPPUNIT_ASSERT(fleet.workers.at("w1").highestRun.empty());
+    }
+
     /// Guards against a second run of a task while the first may still hold its lease.
     void lostWorkers()
     {
