Maintenance: Count an earlier leader's pending orders towards the limit

Cause: unavailableCount knew only the new leader's orders and the list of instances.

Change: instances with a pending order of an earlier leader count as unavailable.

Test: PlannersTest::limitAfterFailover fails without the change and passes with it.

--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -185,7 +185,8 @@
                 progress != m_progress.end() && progress->second.phase != Phase::Draining;
         const bool down =
                 listed != m_instances.end() && listed->second.state == InstanceState::Maintenance;
-        if (ordered || down) {
+        // An order of an earlier leader may still be carried out.
+        if (ordered || down || m_earlierOrders.contains(instance)) {
             ++unavailable;
         }
     }
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(retriedOrder);
     CPPUNIT_TEST(earlierLeaderOrder);
     CPPUNIT_TEST(delayedOrderRecord);
+    CPPUNIT_TEST(limitAfterFailover);
     CPPUNIT_TEST(orderExecutedBefore);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST(longRunningTaskSpread);
@@ -395,6 +396,33 @@
         }
     }
 
+    /// Guards against more instances in maintenance than the wave allows, because a new leader does
+    /// not count an unanswered order of an earlier one.
+    void limitAfterFailover()
+    {
+        FleetSimulation fleet(33);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        for (int index = 0; index < 4; ++index) {
+            fleet.addWorker("pricing");
+        }
+        fleet.start();
+        fleet.run(1000);
+        fleet.maintenanceDelayMs = 1500;
+        fleet.startWave({"m1", "m2", "m3", "m4"}, 1);
+        fleet.runUntil("the order", 3000, [&] { return fleet.ordersReceived == 1; });
+        fleet.changeLeader();
+        const SteadyTimeMs end = fleet.now + 8000;
+        while (fleet.now < end) {
+            fleet.run(5);
+            CPPUNIT_ASSERT(std::count_if(fleet.instances.begin(), fleet.instances.end(),
+                                         [](const auto &item) {
+                                             return item.second.state == InstanceState::Maintenance;
+                                         })
+                           <= 1);
+        }
+        CPPUNIT_ASSERT(!fleet.maintainedInstances.empty());
+    }
+
     /// Guards against a second run of a task whose worker counts as ended because the provider
     /// confirms an order that it carried out for an earlier leader (chamdakam-loom scale-1, seed
     /// 777177528407, TWICE).
