Scheduling: Stop the runs of a worker that deregisters

Cause: a deregistration removed the worker and ended its runs as lost at once. A worker whose deregistration gets no answer runs its tasks on for seconds.

The soak's worker also ran on for a second after an answer, which a worker does not do; it is corrected here.

Change: the leader stops the runs first. The worker is removed, and the call answered, when none is left.

--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -301,14 +301,13 @@
 
 void JobService::deregisterWorker(const JobCall &call, const JobReplyCallback &reply)
 {
-    std::vector<JobChange> changes = m_dispatcher.deregistered(call.worker.id);
-    if (changes.empty()) {
+    if (!m_dispatcher.deregistered(call.worker.id)) {
         const bool known = m_schedulerState.worker(call.worker.id) != nullptr;
         reply(makeAnswer(JobCallOutcome::Done, known ? "not-draining" : "unknown-worker"));
         return;
     }
     replyWhenApplied(workerKey(call.worker.id), makeAnswer(JobCallOutcome::Done, "left"), reply);
-    propose(std::move(changes));
+    scheduleFlush();
 }
 
 void JobService::startWave(const JobCall &call, const JobReplyCallback &reply)
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -60,6 +60,7 @@
     m_workerOfTask.clear();
     m_workersWithStarts.clear();
     m_workersWithStops.clear();
+    m_deregistered.clear();
     m_workersToReview.clear();
     m_maintenanceDue.clear();
     m_changes.clear();
@@ -152,14 +153,21 @@
     return changes;
 }
 
-std::vector<JobChange> Dispatcher::deregistered(const std::string &worker) const
+bool Dispatcher::deregistered(const std::string &worker)
 {
     const WorkerRecord *known = m_state.worker(worker);
+    const auto found = m_workers.find(worker);
     // A worker deregisters only after its draining was acknowledged, and thus recorded.
-    if (known == nullptr || !known->draining) {
-        return {};
+    if (known == nullptr || !known->draining || found == m_workers.end()) {
+        return false;
+    }
+    found->second.deregistered = true;
+    m_deregistered.insert(worker);
+    for (auto &[task, run] : found->second.runs) {
+        run.stopping = true;
     }
-    return {WorkerLeft{worker, known->startTimeMs}};
+    queueStartsAndStops(worker);
+    return true;
 }
 
 void Dispatcher::renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -67,10 +67,11 @@
     void applied(const JobChange &change, SteadyTimeMs now);
     /// Returns the changes to propose for an announcement; empty if nothing has changed.
     std::vector<JobChange> announced(const WorkerAnnouncement &announcement, SteadyTimeMs now);
-    /// Returns the changes to propose for the deregistration of a worker; empty if it concerns no
-    /// recorded incarnation. A deregistration names no incarnation, and a control instance that was
-    /// suspended may pass it on when the next one is already in use.
-    std::vector<JobChange> deregistered(const std::string &worker) const;
+    /// Begins the removal of a worker and returns true; false if the deregistration concerns no
+    /// recorded incarnation. It names none, and a control instance that was suspended may pass it on
+    /// when the next one is already in use. The worker is removed by a later step(), when all its
+    /// runs have ended: until it gets an answer it goes on with them.
+    bool deregistered(const std::string &worker);
     void renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
                  SteadyTimeMs now);
     void startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
@@ -227,6 +228,7 @@
     void emitPacesOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
                      DispatchOrders &orders);
     void endRunsWithExpiredLeases(SteadyTimeMs now);
+    void removeDeregisteredWorkers();
     void purgeOldJobs(WallTimeMs wallNow);
     /// Rebuilds the history of turns from the jobs that SchedulerState retains.
     void rebuildTurns(SteadyTimeMs now, WallTimeMs wallNow);
@@ -290,6 +292,8 @@
     /// Workers with runs to start, and workers with runs to stop.
     std::set<std::string> m_workersWithStarts;
     std::set<std::string> m_workersWithStops;
+    /// Workers with WorkerView::deregistered.
+    std::set<std::string> m_deregistered;
     /// Workers whose last answer is still to be checked for stalled runs and exceeded latency
     /// targets.
     std::set<std::string> m_workersToReview;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -42,6 +42,7 @@
     reviewAnswers(now, orders);
     emitStops(now, orders);
     emitRenewals(now, orders);
+    removeDeregisteredWorkers();
     purgeOldJobs(wallNow);
     std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
     std::move(m_decisions.begin(), m_decisions.end(), std::back_inserter(orders.dispatchDecisions));
@@ -315,6 +316,22 @@
     }
 }
 
+void Dispatcher::removeDeregisteredWorkers()
+{
+    std::erase_if(m_deregistered, [this](const std::string &id) {
+        const WorkerRecord *record = m_state.worker(id);
+        const WorkerView *known = view(id);
+        if (record == nullptr || known == nullptr || !known->deregistered) {
+            return true;
+        }
+        if (!known->reserved.empty()) {
+            return false;
+        }
+        m_changes.emplace_back(WorkerLeft{id, record->startTimeMs});
+        return true;
+    });
+}
+
 void Dispatcher::purgeOldJobs(WallTimeMs wallNow)
 {
     if (wallNow < m_nextPurge) {
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -86,6 +86,8 @@
     bool cordoned = false;
     /// The shutdown of the worker was ordered; its tasks count as unavailable.
     bool leaving = false;
+    /// The worker has deregistered. Its runs are stopped, and it is removed after the last one.
+    bool deregistered = false;
     SteadyTimeMs paceRestoreAt = 0;
     /// All leases of the worker have certainly expired.
     bool leasesExpired = false;
--- a/Tests/Soak/WorkerFleet.cpp
+++ b/Tests/Soak/WorkerFleet.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t stopMs = 100;
 constexpr std::int64_t startupMs = 300;
 constexpr std::int64_t drainMs = 2000;
+/// Calls without an answer after which a worker ends anyway.
+constexpr std::uint32_t maxDeregistrations = 3;
 constexpr std::int64_t maxWaitMs = 2000;
 constexpr std::int64_t workerMilli = 16000;
 constexpr std::int64_t workerMemoryMb = 32768;
@@ -142,31 +144,44 @@
     worker.draining = true;
     worker.nextBeatAt = 0;
     const std::uint64_t life = worker.life;
-    m_loop.startTimer(
-            Milliseconds(drainMs + heartbeatMs), [this, index, first, life, restartAfterMs] {
-                if (m_workers.at(index)->life != life || !m_workers.at(index)->up) {
-                    return;
-                }
-                deregister(index, first, 0);
-                // The worker ends whether the call is answered or not.
-                m_loop.startTimer(Milliseconds(1000), [this, index, life, restartAfterMs] {
-                    if (m_workers.at(index)->life == life) {
-                        crash(index);
-                    }
-                    m_loop.startTimer(Milliseconds(restartAfterMs),
-                                      [this, index] { restart(index); });
-                });
-            });
+    m_loop.startTimer(Milliseconds(drainMs + heartbeatMs),
+                      [this, index, first, life, restartAfterMs] {
+                          if (m_workers.at(index)->life != life || !m_workers.at(index)->up) {
+                              return;
+                          }
+                          deregister(index, first, 0, restartAfterMs);
+                      });
+}
+
+void WorkerFleet::endAfter(std::size_t index, std::int64_t delayMs, std::int64_t restartAfterMs)
+{
+    const std::uint64_t life = m_workers.at(index)->life;
+    m_loop.startTimer(Milliseconds(delayMs), [this, index, life, restartAfterMs] {
+        if (m_workers.at(index)->life != life) {
+            return;
+        }
+        crash(index);
+        m_loop.startTimer(Milliseconds(restartAfterMs), [this, index] { restart(index); });
+    });
 }
 
-void WorkerFleet::deregister(std::size_t index, std::size_t control, std::uint32_t attempts)
+void WorkerFleet::deregister(std::size_t index, std::size_t control, std::uint32_t attempts,
+                             std::int64_t restartAfterMs)
 {
     const std::string &to = m_options.controls.at(control % m_options.controls.size());
+    const std::uint64_t life = m_workers.at(index)->life;
     m_client.call(
             {to, "DELETE", "/v1/instances/" + m_workers.at(index)->id, {}, {}, Milliseconds(1000)},
-            [this, index, control, attempts](const EventedHttpClient::Result &result) {
-                if ((!isOk(result) || valueOf(result).status >= 500) && attempts < 2) {
-                    deregister(index, control + 1, attempts + 1);
+            [this, index, control, attempts, restartAfterMs,
+             life](const EventedHttpClient::Result &result) {
+                if (m_workers.at(index)->life != life) {
+                    return;
+                }
+                const bool acknowledged = isOk(result) && valueOf(result).status == 200;
+                if (acknowledged || attempts >= maxDeregistrations) {
+                    endAfter(index, 0, restartAfterMs);
+                } else {
+                    deregister(index, control + 1, attempts + 1, restartAfterMs);
                 }
             });
 }
--- a/Tests/Soak/WorkerFleet.h
+++ b/Tests/Soak/WorkerFleet.h
@@ -131,7 +131,9 @@
     void tick();
     void tickWorker(Worker &worker, SteadyTimeMs now);
     void beat(std::size_t index);
-    void deregister(std::size_t index, std::size_t control, std::uint32_t attempts);
+    void deregister(std::size_t index, std::size_t control, std::uint32_t attempts,
+                    std::int64_t restartAfterMs);
+    void endAfter(std::size_t index, std::int64_t delayMs, std::int64_t restartAfterMs);
     void handle(std::size_t index, const HttpRequest &request,
                 const EventedHttpServer::Respond &respond);
     HttpResponse startRun(Worker &worker, const Json &order);
