Scheduling: Compare job ids by words and keep the workers of a service

A profile of the leader with 300 jobs a second shows 13% of it in memcmp, called for keys of tasks.

Change: the ids are compared by words, inline; each placement pass takes the workers of a service from a list that is rebuilt when a worker changes; the start of a run is noted once and not with each renewal.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -52,6 +52,7 @@
 {
     m_leads = false;
     m_workers.clear();
+    m_workersOfService.clear();
     m_sequences.clear();
     m_proposed.clear();
     m_pendingEnds.clear();
@@ -257,8 +258,8 @@
         run.confirmedAt = now;
         run.progressAt = now;
         m_startedJobs.insert(task.job);
+        m_startedAt.try_emplace(task, now);
     }
-    m_startedAt.try_emplace(task, now);
 }
 
 void Dispatcher::onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -68,9 +68,9 @@
     /// Returns the changes to propose for an announcement; empty if nothing has changed.
     std::vector<JobChange> announced(const WorkerAnnouncement &announcement, SteadyTimeMs now);
     /// Begins the removal of a worker and returns true; false if the deregistration concerns no
-    /// recorded incarnation. It names none, and a control instance that was suspended may pass it on
-    /// when the next one is already in use. The worker is removed by a later step(), when all its
-    /// runs have ended: until it gets an answer it goes on with them.
+    /// recorded incarnation. It names none, and a control instance that was suspended may pass it
+    /// on when the next one is already in use. The worker is removed by a later step(), when all
+    /// its runs have ended: until it gets an answer it goes on with them.
     bool deregistered(const std::string &worker);
     void renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
                  SteadyTimeMs now);
@@ -238,6 +238,8 @@
 
     // Placement.
     void placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
+    /// The workers of a service that may get tasks now.
+    Candidates candidatesOf(const std::string &service, SteadyTimeMs now);
     /// True if the job has tasks to place, or will have some as time passes, without a further
     /// change.
     bool collectPendingSteps(const JobRecord &job, WallTimeMs wallNow,
@@ -278,6 +280,8 @@
     WallTimeMs m_nextPurge = 0;
     SteadyTimeMs m_nextLeaseCheck = 0;
     std::map<std::string, WorkerView> m_workers;
+    /// The recorded workers by service; rebuilt when empty. Most placement passes change none.
+    std::map<std::string, Candidates> m_workersOfService;
     std::map<std::string, std::uint64_t> m_sequences;
     /// Worker of each assignment that is proposed and not yet applied.
     std::map<TaskKey, std::string> m_proposed;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -137,6 +137,28 @@
             && now - view.renewedAt < m_options.maxAnswerAgeMs && view.renewFailures == 0;
 }
 
+Dispatcher::Candidates Dispatcher::candidatesOf(const std::string &service, SteadyTimeMs now)
+{
+    if (m_workersOfService.empty()) {
+        for (const auto &[id, worker] : m_state.workers()) {
+            const auto known = m_workers.find(id);
+            if (known != m_workers.end()) {
+                m_workersOfService[worker.service].push_back({&worker, &known->second});
+            }
+        }
+    }
+    Candidates candidates;
+    const auto workers = m_workersOfService.find(service);
+    if (workers == m_workersOfService.end()) {
+        return candidates;
+    }
+    std::copy_if(workers->second.begin(), workers->second.end(), std::back_inserter(candidates),
+                 [&](const Candidate &candidate) {
+                     return isSchedulable(*candidate.worker, *candidate.view, now);
+                 });
+    return candidates;
+}
+
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
     std::map<std::string, std::vector<PendingStep>> byService;
@@ -148,23 +170,8 @@
     if (byService.empty()) {
         return;
     }
-    std::map<std::string, Candidates> candidatesOf;
-    // Both maps are ordered by id.
-    auto view = m_workers.begin();
-    for (const auto &[id, worker] : m_state.workers()) {
-        while (view != m_workers.end() && view->first < id) {
-            ++view;
-        }
-        if (view == m_workers.end()) {
-            break;
-        }
-        if (view->first == id && byService.contains(worker.service)
-            && isSchedulable(worker, view->second, now)) {
-            candidatesOf[worker.service].push_back({&worker, &view->second});
-        }
-    }
     for (auto &[service, steps] : byService) {
-        const Candidates &candidates = candidatesOf[service];
+        const Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
             continue;
         }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -268,12 +268,14 @@
         if (m_state.worker(joined->worker.id) != nullptr) {
             syncRuns(joined->worker.id);
         }
+        m_workersOfService.clear();
         m_workerCapacity[joined->worker.service] = joined->worker.capacity;
         m_placeableJobs = m_activeJobs;
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_state.worker(left->worker) == nullptr) {
             removeWorker(left->worker);
         }
+        m_workersOfService.clear();
         m_placeableJobs = m_activeJobs;
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
         std::erase_if(m_failedOn,
@@ -283,6 +285,7 @@
 
 void Dispatcher::removeWorker(const std::string &worker)
 {
+    m_workersOfService.clear();
     const auto found = m_workers.find(worker);
     if (found != m_workers.end()) {
         std::vector<TaskKey> lost;
--- a/Source/Scheduling/JobId.h
+++ b/Source/Scheduling/JobId.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <bit>
 #include <cstdint>
 #include <cstring>
 #include <functional>
@@ -40,13 +41,20 @@
     std::string text() const { return std::string(view()); }
     bool empty() const { return m_words[0] == 0; }
 
-    bool operator==(const JobId &) const = default;
+    bool operator==(const JobId &other) const
+    {
+        std::uint64_t difference = 0;
+        for (std::size_t word = 0; word < m_words.size(); ++word) {
+            difference |= m_words[word] ^ other.m_words[word];
+        }
+        return difference == 0;
+    }
     /// Orders by text.
     bool operator<(const JobId &other) const
     {
         for (std::size_t word = 0; word < m_words.size(); ++word) {
             if (m_words[word] != other.m_words[word]) {
-                return std::memcmp(&m_words[word], &other.m_words[word], sizeof m_words[word]) < 0;
+                return textOrder(m_words[word]) < textOrder(other.m_words[word]);
             }
         }
         return false;
@@ -62,6 +70,13 @@
     }
 
 private:
+    /// A number that orders like the bytes of the word. Comparisons avoid std::memcmp(), which the
+    /// compiler doesn't inline for an order.
+    static std::uint64_t textOrder(std::uint64_t word)
+    {
+        return std::endian::native == std::endian::little ? __builtin_bswap64(word) : word;
+    }
+
     /// An odd number with about half of its bits set, so that each bit of a word changes many of
     /// the hash.
     static constexpr std::uint64_t hashFactor = 0x9e3779b97f4a7c15U;
--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -11,8 +11,8 @@
 constexpr std::int64_t graceMs = 6000;
 /// A planned stop counts only if no other disruption was within this time.
 constexpr std::int64_t calmMs = 3000;
-constexpr int firstControlHost = 11;
-constexpr int firstGatewayHost = 31;
+constexpr int firstControlHost = 0;
+constexpr int firstGatewayHost = 50;
 /// Ports after the 16 for communication between the processes.
 constexpr int controlPortOffset = 16;
 constexpr int clientPortOffset = 17;
@@ -39,7 +39,7 @@
     process.name = role + "-" + std::to_string(index);
     const int host =
             (role == "control" ? firstControlHost : firstGatewayHost) + static_cast<int>(index);
-    process.ip = m_options.network + std::to_string(host);
+    process.ip = m_options.network.address(host);
     process.settingsPath = m_options.folder + "/" + process.name + ".toml";
     if (role == "control") {
         process.dataFolder = m_options.folder + "/" + process.name + ".data";
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -11,6 +11,7 @@
 #include "Model/Time.h"
 #include "Scenarios/ChildProcess.h"
 #include "Soak/Findings.h"
+#include "Soak/LoopbackNetwork.h"
 
 namespace dandelionloom::soak {
 
@@ -20,8 +21,7 @@
     std::string binaries;
     /// Folder for settings, data and logs.
     std::string folder;
-    /// First three parts of the loopback addresses, with a dot at the end.
-    std::string network;
+    LoopbackNetwork network;
     std::size_t controls = 3;
     std::size_t gateways = 3;
     /// Address of the platform's list of instances.
--- a/Tests/Soak/WorkerFleet.cpp
+++ b/Tests/Soak/WorkerFleet.cpp
@@ -24,9 +24,8 @@
 /// Bounds of the delay of a start that is carried out late.
 constexpr std::int64_t minLateMs = 2000;
 constexpr std::int64_t maxLateMs = 8000;
-/// Last part of the address of the instance list, and of the first worker.
-constexpr int listHost = 50;
-constexpr int firstWorkerHost = 60;
+constexpr int listHost = 400;
+constexpr int firstWorkerHost = 401;
 
 std::string jobOf(const std::string &task)
 {
@@ -52,9 +51,9 @@
       m_random(m_options.seed)
 { }
 
-std::string WorkerFleet::listAddress(const std::string &network, std::uint16_t port)
+std::string WorkerFleet::listAddress(const LoopbackNetwork &network, std::uint16_t port)
 {
-    return network + std::to_string(listHost) + ":" + std::to_string(port);
+    return network.address(listHost) + ":" + std::to_string(port);
 }
 
 void WorkerFleet::start()
@@ -71,8 +70,7 @@
     for (std::size_t index = 0; index < m_options.workers; ++index) {
         auto worker = std::make_unique<Worker>();
         worker->id = "worker-" + std::to_string(index);
-        worker->address = m_options.network
-                + std::to_string(firstWorkerHost + static_cast<int>(index)) + ":"
+        worker->address = m_options.network.address(firstWorkerHost + static_cast<int>(index)) + ":"
                 + std::to_string(m_options.port);
         worker->zone = "zone-" + std::to_string(index % zones);
         worker->control = index % m_options.controls.size();
--- a/Tests/Soak/WorkerFleet.h
+++ b/Tests/Soak/WorkerFleet.h
@@ -16,6 +16,7 @@
 #include "Adapters/Http/EventedHttpClient.h"
 #include "Adapters/Http/EventedHttpServer.h"
 #include "Soak/Findings.h"
+#include "Soak/LoopbackNetwork.h"
 
 namespace dandelionloom::soak {
 
@@ -27,8 +28,7 @@
 struct FleetOptions
 {
     std::size_t workers = 12;
-    /// First three parts of the loopback addresses, with a dot at the end.
-    std::string network;
+    LoopbackNetwork network;
     std::uint16_t port = 0;
     std::string service;
     /// Addresses of the control instances.
@@ -57,7 +57,7 @@
 
     /// Throws std::runtime_error if an address cannot be listened on.
     void start();
-    static std::string listAddress(const std::string &network, std::uint16_t port);
+    static std::string listAddress(const LoopbackNetwork &network, std::uint16_t port);
 
     std::size_t size() const { return m_workers.size(); }
     void setAnswerFaults(const AnswerFaults &faults) { m_faults = faults; }
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -56,8 +56,8 @@
     SoakRun(const RunOptions &options, const std::string &folder)
         : m_options(options), m_random(options.seed),
           m_pattern(static_cast<FaultPattern>(options.seed % 3)),
-          m_network("127." + std::to_string(64 + options.seed % 128) + "."
-                    + std::to_string(1 + static_cast<std::size_t>(::getpid()) % 250) + "."),
+          m_network{64 + static_cast<int>(options.seed % 128),
+                    static_cast<int>(::getpid()) % 32 * LoopbackNetwork::subnets},
           m_deployment(deploymentOptions(options, folder), m_findings),
           m_fleet(m_loop, fleetOptions(), m_findings),
           m_callers(m_loop, callersOptions(), m_fleet, m_findings),
@@ -323,7 +323,7 @@
     const RunOptions m_options;
     std::mt19937_64 m_random;
     const FaultPattern m_pattern;
-    const std::string m_network;
+    const LoopbackNetwork m_network;
     Findings m_findings;
     EventLoop m_loop;
     Deployment m_deployment;
