Maintenance: Keep counting an order that may still be carried out

An order that got no answer counts its instance as unavailable, as it may be carried out. When its repetition was not sent or throttled, the instance counted as available again, and another one was taken down. So did a refusal as busy, which the unanswered order may itself cause.

Now the instance stays unavailable until an order is confirmed, or a listing from after the refusal shows its worker in service. The test fails without the change for each of the three answers.

--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -163,15 +163,28 @@
         // Maintenance may have begun. Repeating the same order shows the result; until then the
         // instance counts as unavailable.
         progress.phase = Phase::Ordered;
+        progress.unanswered = true;
         progress.nextOrderAt = now + m_options.retryMs;
         return;
     }
     if (*fault == InstanceFault::NotSent || *fault == InstanceFault::Throttled) {
+        if (progress.unanswered) {
+            // An earlier order may still be carried out, so the instance stays unavailable.
+            progress.nextOrderAt = now + m_options.retryMs;
+            return;
+        }
         progress.phase = Phase::Draining;
         progress.nextOrderAt = now + m_options.retryMs;
         m_dispatcher.setLeaving(progress.worker, false);
         return;
     }
+    if (*fault == InstanceFault::Busy && progress.unanswered) {
+        // The instance may be busy with the unanswered order. The next listing shows whether its
+        // worker has ended (see finishReturned()).
+        progress.phase = Phase::InMaintenance;
+        progress.since = now;
+        return;
+    }
     release(order.instance);
 }
 
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -82,6 +82,9 @@
         SteadyTimeMs since = 0;
         SteadyTimeMs nextOrderAt = 0;
         std::string worker;
+        /// An order got no answer: it may be carried out even if a later one is not sent or
+        /// refused.
+        bool unanswered = false;
         /// The change WorkerLeft has been proposed.
         bool leftProposed = false;
     };
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(workerOverDisruptionBudget);
     CPPUNIT_TEST(recentlyStartedTask);
     CPPUNIT_TEST(retriedOrder);
+    CPPUNIT_TEST(unansweredOrder);
     CPPUNIT_TEST(earlierLeaderOrder);
     CPPUNIT_TEST(delayedOrderRecord);
     CPPUNIT_TEST(limitAfterFailover);
@@ -366,6 +367,44 @@
                                 .empty());
     }
 
+    /// Guards against tasks that count as available although an unanswered order may be ending
+    /// them, because a repetition of the order was not sent or refused (chamdakam-loom-large
+    /// scale-2: AVAIL).
+    void unansweredOrder()
+    {
+        for (const InstanceFault fault :
+             {InstanceFault::NotSent, InstanceFault::Throttled, InstanceFault::Busy}) {
+            FleetSimulation fleet(32);
+            fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+            for (int index = 0; index < 3; ++index) {
+                fleet.addWorker("pricing");
+            }
+            fleet.start();
+            fleet.run(100);
+            fleet.submit("a", "quotes", {longRunningStep(2, 1)});
+            fleet.run(1500);
+            const std::vector<std::string> occupiedWorkers = workersWithTasks(fleet);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), occupiedWorkers.size());
+            const std::string &worker = occupiedWorkers[0];
+            const std::string instance = "m" + worker.substr(1);
+            fleet.maintenanceDelayMs = 60000;
+            fleet.startWave({instance}, 1);
+            fleet.runUntil("an order", 5000, [&] { return fleet.ordersReceived == 1; });
+            const auto isLeaving = [&] { return fleet.dispatcher->view(worker)->leaving; };
+            CPPUNIT_ASSERT(isLeaving());
+            fleet.maintenance->answered({instance, 1, worker}, fault, fleet.now);
+            section("its tasks count as unavailable, and no other worker may be taken down", [&] {
+                CPPUNIT_ASSERT(isLeaving());
+                CPPUNIT_ASSERT(
+                        !fleet.dispatcher->disruptionBudgetViolation(occupiedWorkers[1], fleet.now)
+                                 .empty());
+            });
+            section("the order is repeated", [&] {
+                fleet.runUntil("the next order", 5000, [&] { return fleet.ordersReceived > 1; });
+            });
+        }
+    }
+
     /// Guards against a new leader that makes a task unavailable while the provider still carries
     /// out an order of the previous leader, which counts against the same disruption budget
     /// (chamdakam-loom scale-1, AVAIL).
