Scheduling: Rank waiting steps by their use and count no late work as demand

All accepted work counted as demand, also jobs that were past any use, so the balancer emptied the other pools for an old backlog; and such jobs took room that later jobs could have used in time.

Steps are on time, late or overdue now, in this order, and only work that can be in time is demand. What was accepted is finished with the capacity that is left. Waiting steps are kept in order by service and re-ranked when a job changes or its time comes: each pass used to read, rank and sort all waiting jobs.

DispatcherTest::overdueBacklog fails without the new demand (expected 0, found 352000 thousandths of a core). Ruled out: dropping overdue jobs, as they were accepted.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -43,7 +43,7 @@
     for (const auto &[id, job] : m_state.jobs()) {
         if (job.phase == JobPhase::Active) {
             m_activeJobs.insert(id);
-            m_placeableJobs.insert(id);
+            m_changedJobs.insert(id);
         }
     }
 }
@@ -72,7 +72,10 @@
     m_startedAt.clear();
     m_activeJobs.clear();
     m_startedJobs.clear();
-    m_placeableJobs.clear();
+    m_changedJobs.clear();
+    m_waiting.clear();
+    m_jobsByDueTime.clear();
+    m_lastWallTime = 0;
     m_pendingCountedAt = 0;
     m_arrivals.clear();
     m_turns = {};
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -11,8 +11,8 @@
 #include "Model/Result.h"
 #include "Scheduling/DispatchTypes.h"
 #include "Scheduling/SchedulerState.h"
-#include "Scheduling/StepRanking.h"
 #include "Scheduling/TurnForecast.h"
+#include "Scheduling/WaitingSteps.h"
 #include "Scheduling/WorkerView.h"
 
 namespace dandelionloom {
@@ -28,9 +28,9 @@
     std::int64_t clockMs = -1;
 };
 
-/// Demand of the accepted jobs of one service, without long-running and best-effort tasks. A task
-/// whose share of a worker's memory exceeds its share of the processor counts with the former, in
-/// the same unit.
+/// Demand of the accepted jobs of one service that can still be of use to their callers, without
+/// long-running and best-effort tasks. A task whose share of a worker's memory exceeds its share of
+/// the processor counts with the former, in the same unit.
 struct ServiceDemand
 {
     /// Core-milliseconds of unfinished work.
@@ -120,17 +120,6 @@
     const WorkerView *view(const std::string &worker) const;
 
 private:
-    struct StepKey
-    {
-        JobId job;
-        std::uint32_t occurrence = 0;
-        std::uint32_t step = 0;
-        bool operator<(const StepKey &other) const
-        {
-            return std::tie(job, occurrence, step)
-                    < std::tie(other.job, other.occurrence, other.step);
-        }
-    };
     struct Tickets
     {
         bool asked = false;
@@ -148,21 +137,6 @@
         const WorkerView *view = nullptr;
     };
     using Candidates = std::vector<Candidate>;
-    /// Position of a step in the placement order.
-    struct StepPosition
-    {
-        StepRank rank;
-        StepKey key;
-        bool operator<(const StepPosition &other) const
-        {
-            return std::tie(rank, key) < std::tie(other.rank, other.key);
-        }
-    };
-    struct PendingStep
-    {
-        StepPosition position;
-        std::vector<std::uint32_t> indices;
-    };
     /// Requirements of a task that no worker met.
     struct UnmetNeed
     {
@@ -240,25 +214,28 @@
     void placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
     /// The workers of a service that may get tasks now.
     Candidates candidatesOf(const std::string &service, SteadyTimeMs now);
-    /// True if the job has tasks to place, or will have some as time passes, without a further
-    /// change.
-    bool collectPendingSteps(const JobRecord &job, WallTimeMs wallNow,
-                             std::map<std::string, std::vector<PendingStep>> &byService) const;
-    void placeSteps(const std::string &service, const std::vector<PendingStep> &steps,
+    /// Brings m_waiting up to date with the changed jobs and the time.
+    void updateWaitingSteps(WallTimeMs wallNow);
+    std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
+    /// The attributes of a step, but for the unfinished work of its occurrence.
+    static StepAttributes attributesOf(const JobRecord &job,
+                                       const std::vector<std::int64_t> &stepMs,
+                                       std::uint32_t occurrence, std::uint32_t step);
+    void placeSteps(const std::string &service, const WaitingSteps::Order &steps,
                     PlacementPass &pass);
-    void placeStep(const PendingStep &pendingStep, PlacementPass &pass);
+    void placeStep(const WaitingStep &waiting, PlacementPass &pass);
     /// True if a task that requires no more has found no worker in this pass.
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
                                             WallTimeMs wallNow) const;
-    bool placeGang(const JobRecord &job, const PendingStep &pendingStep, const Tickets *tickets,
+    bool placeGang(const JobRecord &job, const WaitingStep &waiting, const Tickets *tickets,
                    PlacementPass &pass);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
                 DispatchOrders &orders);
     bool isSchedulable(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
-    const Tickets *ticketsFor(const PendingStep &pendingStep, PlacementPass &pass);
+    const Tickets *ticketsFor(const WaitingStep &waiting, PlacementPass &pass);
     std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
     std::string serviceOf(const JobRecord &job) const;
     TaskResources needOf(const TaskKey &task) const;
@@ -337,8 +314,14 @@
     /// Numbers of pending jobs by queue, and the time of the count; 0 if there is none.
     std::map<std::string, std::size_t> m_pendingCounts;
     SteadyTimeMs m_pendingCountedAt = 0;
-    /// Active jobs that may have tasks to place.
-    std::set<JobId> m_placeableJobs;
+    /// Jobs whose waiting steps may have changed since the last placement pass.
+    std::set<JobId> m_changedJobs;
+    WaitingSteps m_waiting;
+    /// Jobs with an occurrence that is not due yet, by the time at which the next one is.
+    std::set<std::pair<WallTimeMs, JobId>> m_jobsByDueTime;
+    /// Time of day of the last step, and its difference to the steady clock.
+    WallTimeMs m_lastWallTime = 0;
+    std::int64_t m_wallOffsetMs = 0;
 };
 
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -32,6 +32,7 @@
     if (std::exchange(m_turnsUnknown, false)) {
         rebuildTurns(now, wallNow);
     }
+    m_wallOffsetMs = wallNow - now;
     endRunsWithExpiredLeases(now);
     if (m_placementDirty || now >= m_nextPlacement) {
         placePendingSteps(now, wallNow, orders);
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -70,22 +70,39 @@
     return expected;
 }
 
-bool Dispatcher::collectPendingSteps(
-        const JobRecord &job, WallTimeMs wallNow,
-        std::map<std::string, std::vector<PendingStep>> &byService) const
+StepAttributes Dispatcher::attributesOf(const JobRecord &job,
+                                        const std::vector<std::int64_t> &stepMs,
+                                        std::uint32_t occurrence, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    StepAttributes attributes;
+    attributes.priority = job.queue.priority;
+    attributes.longRunning = spec.longRunning;
+    attributes.bestEffort = spec.bestEffort;
+    attributes.dueAtMs = job.spec.repeatCount > 0
+            ? job.spec.startAtMs + occurrence * job.spec.intervalMs
+            : job.acceptedAtMs;
+    attributes.jobPathMs = criticalPathMs(job.spec, stepMs, 0);
+    attributes.remainingPathMs = criticalPathMs(job.spec, stepMs, step);
+    attributes.stretch = job.queue.stretch;
+    attributes.targetLatencyMs = job.queue.targetLatencyMs;
+    return attributes;
+}
+
+std::vector<WaitingStep> Dispatcher::waitingStepsOf(const JobRecord &job, WallTimeMs wallNow)
 {
     const std::vector<std::int64_t> stepMs = expectedStepMs(job);
-    bool found = false;
+    std::vector<WaitingStep> waiting;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const OccurrenceRecord &record = job.occurrences[occurrence];
         if (record.stepsDone == record.steps.size()) {
             continue;
         }
-        WallTimeMs dueAt = job.acceptedAtMs;
         if (job.spec.repeatCount > 0) {
-            dueAt = job.spec.startAtMs + occurrence * job.spec.intervalMs;
+            const WallTimeMs dueAt = job.spec.startAtMs + occurrence * job.spec.intervalMs;
             if (wallNow < dueAt) {
-                return true;
+                m_jobsByDueTime.insert({dueAt, job.spec.id});
+                break;
             }
         }
         double work = 0;
@@ -96,37 +113,49 @@
                     * static_cast<double>(stepMs[step]);
         }
         for (std::uint32_t step = 0; step < record.steps.size(); ++step) {
-            const StepSpec &spec = job.spec.steps[step];
             const StepRecord &state = record.steps[step];
-            if (state.doneCount == state.tasks.size() || !isReady(spec, record)) {
+            if (state.doneCount == state.tasks.size() || !isReady(job.spec.steps[step], record)) {
                 continue;
             }
-            PendingStep pendingStep{{{}, {job.spec.id, occurrence, step}}, {}};
+            WaitingStep entry{{job.spec.id, occurrence, step}, {}, {}};
             for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
                 if (state.tasks[index].phase == TaskPhase::Pending
                     && !m_proposed.contains({job.spec.id, occurrence, step, index})) {
-                    pendingStep.indices.push_back(index);
+                    entry.indices.push_back(index);
                 }
             }
-            if (pendingStep.indices.empty()) {
+            if (entry.indices.empty()) {
                 continue;
             }
-            StepAttributes attributes;
-            attributes.priority = job.queue.priority;
-            attributes.longRunning = spec.longRunning;
-            attributes.bestEffort = spec.bestEffort;
-            attributes.dueAtMs = dueAt;
-            attributes.jobPathMs = criticalPathMs(job.spec, stepMs, 0);
-            attributes.remainingPathMs = criticalPathMs(job.spec, stepMs, step);
-            attributes.remainingWork = work;
-            attributes.stretch = job.queue.stretch;
-            attributes.targetLatencyMs = job.queue.targetLatencyMs;
-            pendingStep.position.rank = rankStep(attributes, wallNow);
-            byService[serviceOf(job)].push_back(std::move(pendingStep));
-            found = true;
+            entry.attributes = attributesOf(job, stepMs, occurrence, step);
+            entry.attributes.remainingWork = work;
+            waiting.push_back(std::move(entry));
+        }
+    }
+    return waiting;
+}
+
+void Dispatcher::updateWaitingSteps(WallTimeMs wallNow)
+{
+    if (wallNow < m_lastWallTime) {
+        // The time of day was set back, so that jobs may be on time or not due again.
+        m_changedJobs = m_activeJobs;
+    }
+    m_lastWallTime = wallNow;
+    while (!m_jobsByDueTime.empty() && m_jobsByDueTime.begin()->first <= wallNow) {
+        m_changedJobs.insert(m_jobsByDueTime.begin()->second);
+        m_jobsByDueTime.erase(m_jobsByDueTime.begin());
+    }
+    for (const JobId &id : m_changedJobs) {
+        const JobRecord *job = m_state.job(id);
+        if (job == nullptr || job->phase != JobPhase::Active) {
+            m_waiting.remove(id);
+        } else {
+            m_waiting.replace(id, serviceOf(*job), waitingStepsOf(*job, wallNow), wallNow);
         }
     }
-    return found;
+    m_changedJobs.clear();
+    m_waiting.advance(wallNow);
 }
 
 bool Dispatcher::isSchedulable(const WorkerRecord &worker, const WorkerView &view,
@@ -161,55 +190,39 @@
 
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
-    std::map<std::string, std::vector<PendingStep>> byService;
-    std::erase_if(m_placeableJobs, [&](const JobId &id) {
-        const JobRecord *job = m_state.job(id);
-        return job == nullptr || job->phase != JobPhase::Active
-                || !collectPendingSteps(*job, wallNow, byService);
-    });
-    if (byService.empty()) {
-        return;
-    }
-    for (auto &[service, steps] : byService) {
+    updateWaitingSteps(wallNow);
+    for (const auto &[service, steps] : m_waiting.byService()) {
         const Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
             continue;
         }
-        std::sort(steps.begin(), steps.end(),
-                  [](const PendingStep &left, const PendingStep &right) {
-                      return left.position < right.position;
-                  });
         PlacementPass pass{candidates, now, wallNow, orders, {}, 0};
         placeSteps(service, steps, pass);
     }
 }
 
-void Dispatcher::placeSteps(const std::string &service, const std::vector<PendingStep> &steps,
+void Dispatcher::placeSteps(const std::string &service, const WaitingSteps::Order &steps,
                             PlacementPass &pass)
 {
     auto next = steps.begin();
     const auto placeUntilFailed = [&](std::uint32_t limit) {
         for (; next != steps.end() && pass.failedSearches < limit; ++next) {
-            placeStep(*next, pass);
+            placeStep(m_waiting.at(next->key), pass);
         }
     };
     placeUntilFailed(maxFailedSearches);
     // Steps that can't be placed for a long time must not hide those behind them, so the latter
     // are searched a worker for in turn.
     const auto last = m_lastSearched.find(service);
-    if (last != m_lastSearched.end() && next != steps.end()) {
-        const auto resumed =
-                std::upper_bound(next, steps.end(), last->second,
-                                 [](const StepPosition &position, const PendingStep &pendingStep) {
-                                     return position < pendingStep.position;
-                                 });
+    if (last != m_lastSearched.end() && next != steps.end() && !(last->second < *next)) {
+        const auto resumed = steps.upper_bound(last->second);
         next = resumed == steps.end() ? next : resumed;
     }
     placeUntilFailed(2 * maxFailedSearches);
     if (next == steps.end()) {
         m_lastSearched.erase(service);
     } else {
-        m_lastSearched[service] = std::prev(next)->position;
+        m_lastSearched[service] = *std::prev(next);
     }
 }
 
@@ -222,9 +235,9 @@
     });
 }
 
-void Dispatcher::placeStep(const PendingStep &pendingStep, PlacementPass &pass)
+void Dispatcher::placeStep(const WaitingStep &waiting, PlacementPass &pass)
 {
-    const StepKey &key = pendingStep.position.key;
+    const StepKey &key = waiting.key;
     const JobRecord &job = *m_state.job(key.job);
     const StepSpec &step = job.spec.steps[key.step];
     const TaskResources need = needOf({key.job, key.occurrence, key.step, 0});
@@ -233,17 +246,17 @@
     }
     const Tickets *tickets = nullptr;
     if (job.queue.needsAdvice) {
-        tickets = ticketsFor(pendingStep, pass);
+        tickets = ticketsFor(waiting, pass);
         if (tickets == nullptr) {
             ++pass.failedSearches;
             return;
         }
     }
     if (step.gang) {
-        pass.failedSearches += placeGang(job, pendingStep, tickets, pass) ? 0 : 1;
+        pass.failedSearches += placeGang(job, waiting, tickets, pass) ? 0 : 1;
         return;
     }
-    for (const std::uint32_t index : pendingStep.indices) {
+    for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
         const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
@@ -347,18 +360,18 @@
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
-bool Dispatcher::placeGang(const JobRecord &job, const PendingStep &pendingStep,
-                           const Tickets *tickets, PlacementPass &pass)
+bool Dispatcher::placeGang(const JobRecord &job, const WaitingStep &waiting, const Tickets *tickets,
+                           PlacementPass &pass)
 {
-    const StepKey &key = pendingStep.position.key;
+    const StepKey &key = waiting.key;
     const StepSpec &step = job.spec.steps[key.step];
-    if (pendingStep.indices.size() < step.count) {
+    if (waiting.indices.size() < step.count) {
         // Some members of the previous run have not ended yet; a gang starts as a whole.
         return false;
     }
     std::vector<std::pair<TaskKey, std::string>> chosen;
     std::uint32_t run = 0;
-    for (const std::uint32_t index : pendingStep.indices) {
+    for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
         const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
@@ -368,7 +381,7 @@
         chosen.emplace_back(task, *worker);
         run = std::max(run, m_state.task(task)->run + 1);
     }
-    const bool allPlaced = chosen.size() == pendingStep.indices.size();
+    const bool allPlaced = chosen.size() == waiting.indices.size();
     for (const auto &[task, worker] : chosen) {
         if (allPlaced) {
             assign(task, run, worker, pass.now, pass.orders);
@@ -385,16 +398,16 @@
     const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
     reserve(m_workers.at(worker), task);
     m_proposed[task] = worker;
+    m_changedJobs.insert(task.job);
     orders.changes.emplace_back(RunAssigned{task, run, worker});
     orders.dispatchDecisions.push_back({"place", taskName(task), run, worker,
                                         step.longRunning ? "lasting" : "room",
                                         now - m_workers.at(worker).renewedAt});
 }
 
-const Dispatcher::Tickets *Dispatcher::ticketsFor(const PendingStep &pendingStep,
-                                                  PlacementPass &pass)
+const Dispatcher::Tickets *Dispatcher::ticketsFor(const WaitingStep &waiting, PlacementPass &pass)
 {
-    const StepKey &key = pendingStep.position.key;
+    const StepKey &key = waiting.key;
     Tickets &tickets = m_tickets[key];
     if (pass.now < tickets.validUntil && !tickets.byWorker.empty()) {
         return &tickets;
@@ -472,12 +485,19 @@
                                                     (step.count + perWorker - 1) / perWorker);
             }
         }
-        for (const OccurrenceRecord &occurrence : job->occurrences) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        for (std::uint32_t number = 0; number < job->occurrences.size(); ++number) {
+            const OccurrenceRecord &occurrence = job->occurrences[number];
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepSpec &spec = job->spec.steps[step];
-                if (spec.longRunning || spec.bestEffort) {
+                if (spec.longRunning || spec.bestEffort
+                    || occurrence.steps[step].doneCount == occurrence.steps[step].tasks.size()) {
                     continue;
                 }
+                // Capacity that comes for a job after its objective serves it too late.
+                const StepAttributes attributes = attributesOf(*job, stepMs, number, step);
+                if (rankStep(attributes, now + m_wallOffsetMs).group != StepGroup::OnTime) {
+                    break;
+                }
                 const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
                                                             - occurrence.steps[step].doneCount);
                 const std::int64_t milli = left * dominantMilli(jobService, spec.need);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -144,7 +144,7 @@
     if (job == nullptr || !m_activeJobs.insert(accepted.spec.id).second) {
         return;
     }
-    m_placeableJobs.insert(accepted.spec.id);
+    m_changedJobs.insert(accepted.spec.id);
     const double coreMs = expectedCoreMs(*job);
     if (coreMs > 0) {
         m_arrivals[serviceOf(*job)].push_back({now, coreMs});
@@ -203,7 +203,7 @@
     if (worker != m_workers.end() && !worker->second.runs.contains(assigned.task)) {
         release(worker->second, assigned.task);
     }
-    m_placeableJobs.insert(assigned.task.job);
+    m_changedJobs.insert(assigned.task.job);
 }
 
 void Dispatcher::onEnded(const RunEnded &ended, SteadyTimeMs now)
@@ -239,9 +239,8 @@
             }
         }
     }
-    if (job != nullptr && job->phase == JobPhase::Active) {
-        m_placeableJobs.insert(ended.task.job);
-    } else {
+    m_changedJobs.insert(ended.task.job);
+    if (job == nullptr || job->phase != JobPhase::Active) {
         m_activeJobs.erase(ended.task.job);
         m_startedJobs.erase(ended.task.job);
     }
@@ -254,6 +253,7 @@
         return;
     }
     m_placementDirty = true;
+    m_changedJobs.insert(m_state.jobsWithLostRuns().begin(), m_state.jobsWithLostRuns().end());
     if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
         onAccepted(*accepted, now);
     } else if (const auto *assigned = std::get_if<RunAssigned>(&change)) {
@@ -261,6 +261,7 @@
     } else if (const auto *ended = std::get_if<RunEnded>(&change)) {
         onEnded(*ended, now);
     } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
+        m_changedJobs.insert(cancelled->job);
         m_activeJobs.erase(cancelled->job);
         m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
@@ -270,13 +271,14 @@
         }
         m_workersOfService.clear();
         m_workerCapacity[joined->worker.service] = joined->worker.capacity;
-        m_placeableJobs = m_activeJobs;
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_state.worker(left->worker) == nullptr) {
             removeWorker(left->worker);
         }
         m_workersOfService.clear();
-        m_placeableJobs = m_activeJobs;
+    } else if (std::holds_alternative<ConfigurationAccepted>(change)) {
+        // Queues may be served by other services from now on.
+        m_changedJobs = m_activeJobs;
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -14,6 +14,7 @@
 
 void SchedulerState::apply(const JobChange &change)
 {
+    m_jobsWithLostRuns.clear();
     std::visit([this](const auto &body) { on(body); }, change);
 }
 
@@ -271,6 +272,7 @@
     for (const TaskKey &key : lost) {
         JobRecord &job = m_jobs.at(key.job);
         endRun(job, {key, findTask(key)->run, RunOutcome::WorkerLost, {}, 0});
+        m_jobsWithLostRuns.push_back(key.job);
     }
 }
 
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -70,6 +70,8 @@
 {
 public:
     void apply(const JobChange &change);
+    /// Jobs that lost runs with a worker by the last change.
+    const std::vector<JobId> &jobsWithLostRuns() const { return m_jobsWithLostRuns; }
 
     const FleetConfiguration &configuration() const { return m_configuration; }
     const std::unordered_map<JobId, JobRecord> &jobs() const { return m_jobs; }
@@ -121,6 +123,7 @@
     std::map<std::uint64_t, MaintenanceWave> m_waves;
     /// Index of the assigned tasks by worker; derived from m_jobs and not stored.
     std::map<std::string, std::set<TaskKey>> m_tasksOfWorker;
+    std::vector<JobId> m_jobsWithLostRuns;
 };
 
 } // namespace dandelionloom
--- a/Source/Scheduling/StepRanking.cpp
+++ b/Source/Scheduling/StepRanking.cpp
@@ -4,16 +4,6 @@
 
 namespace dandelionloom {
 
-namespace {
-
-// Groups of StepRank, in placement order.
-constexpr int longRunningGroup = 0;
-constexpr int onTimeGroup = 1;
-constexpr int lateGroup = 2;
-constexpr int bestEffortGroup = 3;
-
-} // namespace
-
 WallTimeMs objectiveDeadline(const StepAttributes &attributes)
 {
     return attributes.dueAtMs
@@ -22,19 +12,43 @@
             + attributes.targetLatencyMs;
 }
 
+WallTimeMs usefulDeadline(const StepAttributes &attributes)
+{
+    const auto objectiveMs =
+            static_cast<double>(objectiveDeadline(attributes) - attributes.dueAtMs);
+    return attributes.dueAtMs + static_cast<std::int64_t>(maxUsefulLateness * objectiveMs);
+}
+
 StepRank rankStep(const StepAttributes &attributes, WallTimeMs nowMs)
 {
     if (attributes.bestEffort) {
-        return {bestEffortGroup, attributes.priority, static_cast<double>(attributes.dueAtMs)};
+        return {StepGroup::BestEffort, attributes.priority,
+                static_cast<double>(attributes.dueAtMs)};
     }
     if (attributes.longRunning) {
-        return {longRunningGroup, attributes.priority, static_cast<double>(attributes.dueAtMs)};
+        return {StepGroup::LongRunning, attributes.priority,
+                static_cast<double>(attributes.dueAtMs)};
     }
-    const WallTimeMs latestStart = objectiveDeadline(attributes) - attributes.remainingPathMs;
-    if (latestStart >= nowMs) {
-        return {onTimeGroup, attributes.priority, attributes.remainingWork};
+    const WallTimeMs endsAt = nowMs + attributes.remainingPathMs;
+    const StepGroup group = endsAt <= objectiveDeadline(attributes) ? StepGroup::OnTime
+            : endsAt <= usefulDeadline(attributes)                  ? StepGroup::Late
+                                                                    : StepGroup::Overdue;
+    return {group, attributes.priority, attributes.remainingWork};
+}
+
+std::optional<WallTimeMs> nextRankChange(const StepAttributes &attributes, WallTimeMs nowMs)
+{
+    switch (rankStep(attributes, nowMs).group) {
+    case StepGroup::OnTime:
+        return objectiveDeadline(attributes) - attributes.remainingPathMs + 1;
+    case StepGroup::Late:
+        return usefulDeadline(attributes) - attributes.remainingPathMs + 1;
+    case StepGroup::LongRunning:
+    case StepGroup::BestEffort:
+    case StepGroup::Overdue:
+        break;
     }
-    return {lateGroup, attributes.priority, attributes.remainingWork};
+    return std::nullopt;
 }
 
 std::int64_t criticalPathMs(const JobSpec &spec, const std::vector<std::int64_t> &stepMs,
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(failuresAndCancellations);
     CPPUNIT_TEST(placementLimits);
     CPPUNIT_TEST(blockedSteps);
+    CPPUNIT_TEST(overdueBacklog);
+    CPPUNIT_TEST(queueOnAnotherService);
     CPPUNIT_TEST(hungWorker);
     CPPUNIT_TEST(randomFaults);
     CPPUNIT_TEST_SUITE_END();
@@ -538,6 +540,51 @@
         }
     }
 
+    /// Guards against a backlog that is of no more use to its callers and counts as demand, for
+    /// which the balancer then empties other pools (chamdakam-loom-large scale-1: SHORT).
+    void overdueBacklog()
+    {
+        FleetSimulation fleet(25);
+        setUpFleet(fleet, 1);
+        constexpr int jobs = 30;
+        for (int job = 0; job < jobs; ++job) {
+            fleet.submit("old" + std::to_string(job), "quotes", {shortStep(16)});
+        }
+        fleet.run(200);
+        CPPUNIT_ASSERT(fleet.dispatcher->demands(fleet.now)["pricing"].runnableMilli > 32 * 1000);
+        fleet.run(6000);
+        section("what can't be in time any more is no demand", [&] {
+            CPPUNIT_ASSERT(!isCompleted(fleet, "old" + std::to_string(jobs - 1)));
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0),
+                                 fleet.dispatcher->demands(fleet.now)["pricing"].runnableMilli);
+        });
+        section("a job that comes now is placed before it, and is in time", [&] {
+            fleet.submit("new", "quotes", {shortStep(16)});
+            fleet.runUntil("the new job", 1688, [&] { return isCompleted(fleet, "new"); });
+        });
+        section("what was accepted is finished all the same", [&] {
+            fleet.runUntil("all jobs", 30000, [&] { return fleet.completedAt.size() == jobs + 1; });
+        });
+    }
+
+    /// Guards against waiting steps that stay with the service that their queue had before.
+    void queueOnAnotherService()
+    {
+        FleetSimulation fleet(26);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing", "stock"});
+        fleet.addWorker("stock");
+        fleet.start();
+        fleet.submit("a", "quotes", {shortStep(3)});
+        fleet.run(2000);
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.starts);
+        FleetConfiguration changed = fleet.state.configuration();
+        ++changed.version;
+        changed.queues = {queueOf("quotes", "stock")};
+        fleet.state.apply(ConfigurationAccepted{changed});
+        fleet.dispatcher->applied(ConfigurationAccepted{changed}, fleet.now);
+        fleet.runUntil("the job", 2000, [&] { return isCompleted(fleet, "a"); });
+    }
+
     /// Guards against tasks that stay forever on a hung worker whose health check passes.
     void hungWorker()
     {
