Maintenance: Look up a step's availability once for each pass

A wave of the large fleet has some 200 instances that wait at once.

The availability of a step is kept until something changes or time passes, and a waiting instance is logged each 3 s. The decisions are the same; the tests of budgets are unchanged.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -64,6 +64,7 @@
     m_deregistered.clear();
     m_workersToReview.clear();
     m_maintenanceDue.clear();
+    forgetAvailability();
     m_changes.clear();
     m_orphanStops.clear();
     m_lastSearched.clear();
@@ -151,6 +152,7 @@
             }
             changes.emplace_back(WorkerLeft{id, other.startTimeMs});
         }
+        forgetAvailability();
         removeWorker(worker.id);
     }
     changes.emplace_back(WorkerJoined{worker});
@@ -165,6 +167,7 @@
     if (known == nullptr || !known->draining || found == m_workers.end()) {
         return false;
     }
+    forgetAvailability();
     found->second.deregistered = true;
     m_deregistered.insert(worker);
     for (auto &[task, run] : found->second.runs) {
@@ -182,6 +185,7 @@
     if (!m_leads || found == m_workers.end() || record == nullptr) {
         return;
     }
+    forgetAvailability();
     WorkerView &view = found->second;
     view.renewalInFlight = false;
     if (!isOk(answer)) {
@@ -367,6 +371,7 @@
     if (slot == view.runs.end() || slot->second.run != run) {
         return;
     }
+    forgetAvailability();
     RunView &started = slot->second;
     if (fault != CallFault::NoAnswer) {
         view.unansweredOrders = 0;
@@ -500,6 +505,7 @@
     const auto found = m_workers.find(worker);
     if (found != m_workers.end()) {
         found->second.leaving = leaving;
+        forgetAvailability();
     }
 }
 
@@ -521,34 +527,50 @@
     return known == nullptr ? 0 : known->reserved.size() - known->longRunningCount;
 }
 
-std::pair<std::uint32_t, std::uint32_t> Dispatcher::disruptionBudgetUsage(const TaskKey &task,
-                                                                          const std::string &worker,
-                                                                          SteadyTimeMs now) const
+const Dispatcher::StepAvailability &Dispatcher::availabilityOf(const StepKey &step,
+                                                               SteadyTimeMs now) const
 {
-    const JobRecord &job = *m_state.job(task.job);
-    std::uint32_t unavailable = 0;
-    std::uint32_t onWorker = 0;
-    const auto &tasks = job.occurrences[task.occurrence].steps[task.step].tasks;
+    if (now != m_availabilityAt) {
+        m_availability.clear();
+        m_availabilityAt = now;
+    }
+    const auto [slot, added] = m_availability.try_emplace(step);
+    StepAvailability &availability = slot->second;
+    if (!added) {
+        return availability;
+    }
+    const auto &tasks = m_state.job(step.job)->occurrences[step.occurrence].steps[step.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const std::string &entry = tasks[index].worker;
         const WorkerView *other = view(entry);
+        const RunView *run = findRun(entry, {step.job, step.occurrence, step.step, index});
         const WorkerRecord *record = m_state.worker(entry);
-        const TaskKey key{task.job, task.occurrence, task.step, index};
-        const bool available = other != nullptr && record != nullptr && !record->draining
-                && !other->leaving && hasRecentAnswer(entry, now) && other->runs.contains(key)
-                && other->runs.at(key).state == RunState::Running && !other->runs.at(key).stopping
-                && other->runs.at(key).percent >= 100;
-        const bool stopping =
-                other != nullptr && other->runs.contains(key) && other->runs.at(key).stopping;
-        if (entry == worker && !stopping) {
-            // A task on this worker counts even if its last reading, up to a second old, was below
-            // 100%: it may have become available since.
-            ++onWorker;
-        } else if (!available) {
-            ++unavailable;
+        const bool stopping = run != nullptr && run->stopping;
+        const bool available = run != nullptr && record != nullptr && !record->draining
+                && !other->leaving && hasRecentAnswer(entry, now) && run->state == RunState::Running
+                && !stopping && run->percent >= 100;
+        availability.unavailable += available ? 0 : 1;
+        if (!stopping) {
+            StepAvailability::OnWorker &here = availability.onWorker[entry];
+            ++here.tasks;
+            here.unavailable += available ? 0 : 1;
         }
     }
-    return {unavailable, onWorker};
+    return availability;
+}
+
+std::pair<std::uint32_t, std::uint32_t> Dispatcher::disruptionBudgetUsage(const TaskKey &task,
+                                                                          const std::string &worker,
+                                                                          SteadyTimeMs now) const
+{
+    const StepAvailability &step = availabilityOf({task.job, task.occurrence, task.step}, now);
+    const auto found = step.onWorker.find(worker);
+    if (found == step.onWorker.end()) {
+        return {step.unavailable, 0};
+    }
+    // A task on this worker counts even if its last reading, up to a second old, was below 100%: it
+    // may have become available since.
+    return {step.unavailable - found->second.unavailable, found->second.tasks};
 }
 
 bool Dispatcher::evictOneTask(const std::string &worker, SteadyTimeMs now)
@@ -569,6 +591,7 @@
             && unavailable < step.maxUnavailable) {
             run.stopping = true;
             m_workersWithStops.insert(worker);
+            forgetAvailability();
             return true;
         }
     }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -156,6 +156,23 @@
         std::uint32_t failedSearches = 0;
     };
 
+    /// Availability of the tasks of a long-running step.
+    struct StepAvailability
+    {
+        struct OnWorker
+        {
+            std::uint32_t tasks = 0;
+            std::uint32_t unavailable = 0;
+        };
+        /// Tasks that are unavailable anywhere.
+        std::uint32_t unavailable = 0;
+        /// Tasks by worker, without those that are being stopped.
+        std::map<std::string, OnWorker> onWorker;
+    };
+    /// A wave asks for the steps of some hundred workers in one pass, so that results are kept
+    /// until something changes.
+    const StepAvailability &availabilityOf(const StepKey &step, SteadyTimeMs now) const;
+    void forgetAvailability() { m_availability.clear(); }
     /// Numbers of tasks of the task's step that are unavailable elsewhere, and that are on this
     /// worker.
     std::pair<std::uint32_t, std::uint32_t>
@@ -279,6 +296,9 @@
     /// targets.
     std::set<std::string> m_workersToReview;
     std::set<std::string> m_maintenanceDue;
+    /// Results of availabilityOf() at m_availabilityAt.
+    mutable std::map<StepKey, StepAvailability> m_availability;
+    mutable SteadyTimeMs m_availabilityAt = 0;
     std::vector<JobChange> m_changes;
     /// Stops of runs that a worker lists although they are not assigned to it.
     std::vector<StopOrder> m_orphanStops;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -33,6 +33,7 @@
         rebuildTurns(now, wallNow);
     }
     m_wallOffsetMs = wallNow - now;
+    forgetAvailability();
     endRunsWithExpiredLeases(now);
     if (m_placementDirty || now >= m_nextPlacement) {
         placePendingSteps(now, wallNow, orders);
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -12,6 +12,10 @@
 /// the next one is ready when one returns.
 constexpr std::uint32_t drainAhead = 1;
 
+/// Interval at which it is logged that an instance waits. A wave of the largest fleet has two
+/// hundred that wait at once.
+constexpr std::int64_t waitLogIntervalMs = 3000;
+
 /// Maximum number of workers with long-running tasks that are checked in one pass; each check
 /// examines all tasks of the worker's steps.
 constexpr std::size_t maxExaminedCandidates = 8;
@@ -341,8 +345,11 @@
         if (!fault.empty()) {
             progress.nextOrderAt = now + m_options.retryMs;
             m_dispatcher.evictOneTask(progress.worker, now);
-            orders.dispatchDecisions.push_back(
-                    {"maintenance-waits", instance, 0, progress.worker, fault, 0});
+            if (now >= progress.nextWaitLogAt) {
+                progress.nextWaitLogAt = now + waitLogIntervalMs;
+                orders.dispatchDecisions.push_back(
+                        {"maintenance-waits", instance, 0, progress.worker, fault, 0});
+            }
             continue;
         }
         progress.phase = Phase::Ordered;
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -82,6 +82,8 @@
         SteadyTimeMs since = 0;
         SteadyTimeMs nextOrderAt = 0;
         std::string worker;
+        /// Time from which on it is logged again that the order waits.
+        SteadyTimeMs nextWaitLogAt = 0;
         /// An order got no answer: it may be carried out even if a later one is not sent or
         /// refused.
         bool unanswered = false;
