Maintenance: Follow an instance to its next worker

An instance that waits for its maintenance was bound to the worker of the time when it was chosen. If that worker crashed, its successor got tasks, and the order ended them unchecked.

The planner follows the listing to the successor, and neither a maintenance order nor a move is sent for a worker that the last listing doesn't show. The related path, moves that are repeated after a refusal, had the same cause. PlannersTest::replacedWorker fails without the change.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -476,7 +476,7 @@
     for (const MoveOrder &order : orders.moves) {
         sendAfterCommit(order.instance, order.worker,
                         [this, alive, authority, order](bool leaseHeld) {
-                            if (!leaseHeld) {
+                            if (!leaseHeld || !m_balancer.mayMove(order)) {
                                 m_balancer.answered(order, InstanceFault::NotSent, steadyTimeNow());
                                 return;
                             }
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -63,10 +63,31 @@
 bool MaintenancePlanner::mayBegin(const MaintenanceOrder &order, SteadyTimeMs now) const
 {
     const auto found = m_progress.find(order.instance);
-    return found != m_progress.end()
+    return found != m_progress.end() && !hasOtherWorker(order.instance, found->second.worker)
             && m_dispatcher.disruptionBudgetViolation(found->second.worker, now).empty();
 }
 
+bool MaintenancePlanner::hasOtherWorker(const std::string &instance,
+                                        const std::string &worker) const
+{
+    const auto listed = m_instances.find(instance);
+    return listed != m_instances.end() && listed->second.state == InstanceState::InService
+            && listed->second.worker != worker;
+}
+
+void MaintenancePlanner::followWorker(const std::string &instance, Progress &progress)
+{
+    if (hasOtherWorker(instance, progress.worker)) {
+        // The worker has ended, and tasks may run on its successor by now.
+        m_dispatcher.setCordoned(progress.worker, false);
+        m_dispatcher.setLeaving(progress.worker, false);
+        progress.worker = m_instances.at(instance).worker;
+    }
+    // A worker that has restarted or announced itself since is not cordoned yet.
+    m_dispatcher.setCordoned(progress.worker, true);
+    m_dispatcher.setLeaving(progress.worker, progress.phase == Phase::Ordered);
+}
+
 void MaintenancePlanner::trackEarlierOrders(SteadyTimeMs now)
 {
     for (const auto &[id, instance] : m_instances) {
@@ -325,6 +346,7 @@
             || isFinished(wave, instance)) {
             continue;
         }
+        followWorker(instance, progress);
         if (progress.phase == Phase::Ordered) {
             // The unanswered order may not have arrived, and other tasks of a step may have become
             // unavailable since.
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -91,6 +91,10 @@
         bool leftProposed = false;
     };
 
+    /// True if the last listing shows another worker on the instance, in service.
+    bool hasOtherWorker(const std::string &instance, const std::string &worker) const;
+    /// Makes the worker that the instance has now the one to be drained.
+    void followWorker(const std::string &instance, Progress &progress);
     void stepWave(const MaintenanceWave &wave, SteadyTimeMs now, WallTimeMs wallNow,
                   MaintenanceOrders &orders);
     /// Proposes WorkerLeft, once a listing shows that the worker has ended.
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -243,6 +243,16 @@
     return orders;
 }
 
+bool PoolBalancer::mayMove(const MoveOrder &order) const
+{
+    const auto listed = m_instances.find(order.instance);
+    const bool hasOtherWorker = listed != m_instances.end()
+            && listed->second.state == InstanceState::InService && listed->second.pool != order.pool
+            && listed->second.worker != order.worker;
+    const WorkerView *view = m_dispatcher.view(order.worker);
+    return !hasOtherWorker && (view == nullptr || view->reserved.empty());
+}
+
 void PoolBalancer::answered(const MoveOrder &order, std::optional<InstanceFault> fault,
                             SteadyTimeMs now)
 {
--- a/Source/Scheduling/PoolBalancer.h
+++ b/Source/Scheduling/PoolBalancer.h
@@ -56,6 +56,8 @@
 
     void beginTerm(std::uint64_t term, SteadyTimeMs now);
     void listed(const std::vector<ListedInstance> &instances);
+    /// True if the order still ends no task: the instance may have another worker by now.
+    bool mayMove(const MoveOrder &order) const;
     void answered(const MoveOrder &order, std::optional<InstanceFault> fault, SteadyTimeMs now);
     BalanceOrders step(SteadyTimeMs now);
 
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -626,6 +626,10 @@
 void FleetSimulation::execute(const BalanceOrders &orders)
 {
     for (const MoveOrder &order : orders.moves) {
+        if (!balancer->mayMove(order)) {
+            balancer->answered(order, InstanceFault::NotSent, now);
+            continue;
+        }
         ListedInstance &instance = instances.at(order.instance);
         if (instance.state != InstanceState::InService) {
             balancer->answered(order, InstanceFault::Busy, now);
@@ -656,20 +660,25 @@
     }
     for (const auto &[id, pool] : back) {
         returning.erase(id);
-        ListedInstance instance = instances.at(id);
-        instances.erase(id);
-        const std::int64_t milli = instance.capacity.processorMilli;
-        addWorker(pool, milli);
-        // The instance keeps its id; only its worker is new.
-        const std::string added = "m" + std::to_string(m_lastWorker);
-        instance.worker = instances.at(added).worker;
-        instance.pool = pool;
-        instance.state = InstanceState::InService;
-        instances.erase(added);
-        instances[id] = instance;
+        instances.at(id).pool = pool;
+        replaceWorker(id);
     }
 }
 
+std::string FleetSimulation::replaceWorker(const std::string &id)
+{
+    ListedInstance instance = instances.at(id);
+    instances.erase(id);
+    addWorker(instance.pool, instance.capacity.processorMilli);
+    // The instance keeps its id; only its worker is new.
+    const std::string added = "m" + std::to_string(m_lastWorker);
+    instance.worker = instances.at(added).worker;
+    instance.state = InstanceState::InService;
+    instances.erase(added);
+    instances[id] = instance;
+    return instance.worker;
+}
+
 std::size_t FleetSimulation::runningCount(const std::string &job) const
 {
     std::size_t count = 0;
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -107,6 +107,8 @@
     JobPhase phaseOf(const std::string &id) const { return state.job(id)->phase; }
     std::size_t runningCount(const std::string &job) const;
     void crash(const std::string &worker);
+    /// Starts another worker on the instance. Returns its id.
+    std::string replaceWorker(const std::string &instance);
     /// Restarts a worker under its id.
     void restart(const std::string &worker);
     [[noreturn]] void reportViolation(const std::string &what) const;
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -142,6 +142,8 @@
     CPPUNIT_TEST(recentlyStartedTask);
     CPPUNIT_TEST(retriedOrder);
     CPPUNIT_TEST(unansweredOrder);
+    CPPUNIT_TEST(replacedWorker);
+    CPPUNIT_TEST(moveOfReplacedWorker);
     CPPUNIT_TEST(earlierLeaderOrder);
     CPPUNIT_TEST(delayedOrderRecord);
     CPPUNIT_TEST(limitAfterFailover);
@@ -502,6 +504,73 @@
         }
     }
 
+    /// Guards against maintenance of an instance whose worker has ended since it was chosen, and
+    /// whose next worker has tasks (chamdakam-loom-large scale-2: AVAIL).
+    void replacedWorker()
+    {
+        FleetSimulation fleet(33);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        fleet.addWorker("pricing");
+        fleet.addWorker("pricing");
+        fleet.start();
+        fleet.run(100);
+        StepSpec lasting = longRunningStep(2, 1);
+        lasting.maxPerWorker = 1;
+        fleet.submit("a", "quotes", {lasting});
+        fleet.run(1500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), workersWithTasks(fleet).size());
+        // The other task is unavailable, so that the instance must wait.
+        fleet.dispatcher->setLeaving("w2", true);
+        fleet.startWave({"m1"}, 1);
+        fleet.run(1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.ordersReceived);
+        fleet.crash("w1");
+        const std::string successor = fleet.replaceWorker("m1");
+        section("the order comes while the next worker of the instance has no tasks", [&] {
+            bool hasTasks = false;
+            const SteadyTimeMs limit = fleet.now + 15000;
+            while (fleet.ordersReceived == 0) {
+                CPPUNIT_ASSERT(fleet.now < limit);
+                hasTasks = !fleet.workers.at(successor).running.empty();
+                fleet.run(5);
+            }
+            CPPUNIT_ASSERT(!hasTasks);
+        });
+    }
+
+    /// Guards against the repetition of a move that ends tasks of the instance's next worker.
+    void moveOfReplacedWorker()
+    {
+        FleetSimulation fleet(34);
+        fleet.balancerEnabled = true;
+        fleet.configure({queueOf("first", "a"), queueOf("second", "b")}, {"a", "b"});
+        fleet.addWorker("a");
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.start();
+        fleet.run(1000);
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.moves);
+        const MoveOrder order{"m1", "b", "w1"};
+        CPPUNIT_ASSERT(fleet.balancer->mayMove(order));
+        section("not while the worker has tasks", [&] {
+            fleet.submit("a", "first", {shortStep(32)});
+            fleet.run(300);
+            CPPUNIT_ASSERT(!fleet.balancer->mayMove(order));
+        });
+        section("not once a listing shows another worker", [&] {
+            fleet.crash("w1");
+            fleet.replaceWorker("m1");
+            fleet.run(1000);
+            CPPUNIT_ASSERT(!fleet.balancer->mayMove(order));
+        });
+        section("a move that was carried out may be repeated", [&] {
+            fleet.instances.at("m1").pool = "b";
+            fleet.run(1000);
+            CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->reserved.empty()
+                           || fleet.balancer->mayMove(order));
+        });
+    }
+
     /// Guards against a new leader that makes a task unavailable while the provider still carries
     /// out an order of the previous leader, which counts against the same disruption budget
     /// (chamdakam-loom scale-1, AVAIL).
