Logging: Keep lines for events other than placements and ends

These two are of severity debug now, and leave half of a burst to all other events. The bound is the same.

--- a/Source/Adapters/Logging/JsonLineLog.cpp
+++ b/Source/Adapters/Logging/JsonLineLog.cpp
@@ -16,6 +16,9 @@
 /// that has a quarter of a core.
 constexpr double maxLinesPerSecond = 1000;
 constexpr double maxBurstLines = 2000;
+/// Lines that only events other than placements and ends of tasks may use. These come by the
+/// thousand in a peak, and would hide why an instance was taken down.
+constexpr double reservedLines = 1000;
 constexpr std::size_t maxBufferBytes = 256 * 1024;
 /// Buffer size that triggers a write, so that a burst does not wait for the next flush().
 constexpr std::size_t flushThresholdBytes = 8 * 1024;
@@ -32,13 +35,14 @@
     flush();
 }
 
-bool JsonLineLog::admitLine(SteadyTimeMs now)
+bool JsonLineLog::admitLine(SteadyTimeMs now, LogSeverity severity)
 {
     const auto elapsedMs = static_cast<double>(now - m_tokensUpdatedAt);
     m_tokens = std::min(maxBurstLines,
                         m_tokens + elapsedMs * maxLinesPerSecond / millisecondsPerSecond);
     m_tokensUpdatedAt = now;
-    if (m_tokens < 1 || m_buffer.size() >= maxBufferBytes) {
+    const double minTokens = severity == LogSeverity::Debug ? reservedLines : 1;
+    if (m_tokens < minTokens || m_buffer.size() >= maxBufferBytes) {
         ++m_dropped;
         return false;
     }
@@ -51,7 +55,7 @@
 {
     const SteadyTimeMs now = steadyTimeNow();
     const std::lock_guard lock(m_mutex);
-    if (!admitLine(now)) {
+    if (!admitLine(now, severity)) {
         return;
     }
     JsonWriter writer;
--- a/Source/Adapters/Logging/JsonLineLog.h
+++ b/Source/Adapters/Logging/JsonLineLog.h
@@ -38,7 +38,7 @@
 private:
     /// Takes a token of the rate limit. Counts the line as dropped and returns false if there is
     /// none or the buffer is full.
-    bool admitLine(SteadyTimeMs now);
+    bool admitLine(SteadyTimeMs now, LogSeverity severity);
     void flushLocked();
 
     const std::string m_instance;
--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -356,7 +356,8 @@
 void JobService::logDecisions(const std::vector<DispatchDecision> &dispatchDecisions)
 {
     for (const DispatchDecision &note : dispatchDecisions) {
-        m_log.line(LogSeverity::Info, note.decision,
+        const bool isFrequent = note.decision == "place" || note.decision == "end";
+        m_log.line(isFrequent ? LogSeverity::Debug : LogSeverity::Info, note.decision,
                    {{"task", note.task},
                     {"run", static_cast<std::int64_t>(note.run)},
                     {"worker", note.worker},
