Scheduling: Hold a worker for a long-running task that fits nowhere

In a full pool smaller tasks take each bit of capacity as it gets free, and a large one never finds enough on one worker. It now holds the worker that gets ready first, which gets no other tasks until then.

DispatcherTest::largeLongRunningTask timed out after 3 s without the change.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -146,7 +146,8 @@
     /// State of a placement pass over the steps of one service.
     struct PlacementPass
     {
-        const Candidates &candidates;
+        /// Workers that may get further tasks in this pass.
+        Candidates candidates;
         SteadyTimeMs now = 0;
         WallTimeMs wallNow = 0;
         DispatchOrders &orders;
@@ -242,6 +243,9 @@
                     PlacementPass &pass);
     void placeStep(const WaitingStep &waiting, PlacementPass &pass);
     /// True if a task that requires no more has found no worker in this pass.
+    /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
+    /// long-running task that fits on no worker.
+    void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -192,11 +192,11 @@
 {
     updateWaitingSteps(wallNow);
     for (const auto &[service, steps] : m_waiting.byService()) {
-        const Candidates candidates = candidatesOf(service, now);
+        Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
             continue;
         }
-        PlacementPass pass{candidates, now, wallNow, orders, {}, 0};
+        PlacementPass pass{std::move(candidates), now, wallNow, orders, {}, 0};
         placeSteps(service, steps, pass);
     }
 }
@@ -261,6 +261,9 @@
         const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
             ++pass.failedSearches;
+            if (step.longRunning) {
+                holdWorkerFor(task, pass);
+            }
             // Other limits concern this step only.
             const bool onlyNeed =
                     tickets == nullptr && step.maxPerWorker == 0 && step.maxUnavailable == 0;
@@ -273,6 +276,45 @@
     }
 }
 
+void Dispatcher::holdWorkerFor(const TaskKey &task, PlacementPass &pass)
+{
+    // In a full pool, smaller tasks take each bit of capacity as it gets free, and a large one
+    // never finds enough of it on one worker. The worker with the most free capacity gets ready
+    // first.
+    const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
+    const TaskResources need = needOf(task);
+    auto best = pass.candidates.end();
+    double bestShare = -1;
+    for (auto candidate = pass.candidates.begin(); candidate != pass.candidates.end();
+         ++candidate) {
+        const WorkerRecord &worker = *candidate->worker;
+        const WorkerView &view = *candidate->view;
+        const std::uint32_t perWorker = maxTasksPerWorker(step);
+        if (!fits(need, worker.capacity - view.longRunningNeed)
+            || (perWorker > 0 && runsOfStepOn(view, task) >= perWorker)
+            || (!step.requiredLabel.empty()
+                && std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel)
+                        == worker.labels.end())) {
+            continue;
+        }
+        const auto share = [](std::int64_t amount, std::int64_t required) {
+            return required <= 0 ? 1.0
+                                 : static_cast<double>(amount) / static_cast<double>(required);
+        };
+        const TaskResources freeCapacity = worker.capacity - view.used;
+        const double free = std::min({share(freeCapacity.processorMilli, need.processorMilli),
+                                      share(freeCapacity.memoryMb, need.memoryMb),
+                                      share(freeCapacity.accelerators, need.accelerators)});
+        if (free > bestShare) {
+            bestShare = free;
+            best = candidate;
+        }
+    }
+    if (best != pass.candidates.end()) {
+        pass.candidates.erase(best);
+    }
+}
+
 std::uint32_t Dispatcher::runsOfStepOn(const WorkerView &view, const TaskKey &task)
 {
     const auto &reserved = view.reserved;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(blockedSteps);
     CPPUNIT_TEST(overdueBacklog);
     CPPUNIT_TEST(queueOnAnotherService);
+    CPPUNIT_TEST(largeLongRunningTask);
     CPPUNIT_TEST(hungWorker);
     CPPUNIT_TEST(randomFaults);
     CPPUNIT_TEST_SUITE_END();
@@ -567,6 +568,27 @@
         });
     }
 
+    /// Guards against a long-running task that never finds room in a full pool, because smaller
+    /// tasks take what gets free (chamdakam-loom-large scale-2: LOST).
+    void largeLongRunningTask()
+    {
+        FleetSimulation fleet(27);
+        fleet.durationOf = [](const TaskKey &task) { return 500 + 70 * (task.index % 8); };
+        setUpFleet(fleet, 2);
+        StepSpec small = shortStep(8, 500);
+        small.need.memoryMb = 8000;
+        for (int job = 0; job < 200; ++job) {
+            fleet.submit("small" + std::to_string(job), "quotes", {small});
+        }
+        fleet.run(5000);
+        StepSpec large = longRunningStep(1, 0);
+        large.need.memoryMb = 24000;
+        fleet.submit("large", "quotes", {large});
+        fleet.runUntil("the long-running task", 3000,
+                       [&] { return fleet.runningCount("large") == 1; });
+        CPPUNIT_ASSERT(fleet.completedAt.size() < 200);
+    }
+
     /// Guards against waiting steps that stay with the service that their queue had before.
     void queueOnAnotherService()
     {
