Scheduling: Give no orders on an old listing of the instances

The listing of 1,100 instances comes in pages that each wait for the event loop; under overload it was over ten seconds old. A moved instance that it did not show within 6 s was given up, and then moved again from the standby pool, where instances count as empty, with its tasks.

Neither maintenance nor moves are decided or sent on a listing that began over 3 s ago, an ordered instance is given up only after a listing from after the order, and a move that may still be carried out stays counted.

--- a/Source/Ports/InstanceProvider.h
+++ b/Source/Ports/InstanceProvider.h
@@ -16,6 +16,10 @@
 inline constexpr EnumNames<InstanceState, 4> instanceStateNames{
         {"in-service", "moving", "maintenance", "down"}};
 
+/// Age at which a listing no longer shows which worker an instance has: it may have moved, been
+/// maintained or restarted since.
+inline constexpr std::int64_t maxListAgeMs = 3000;
+
 /// An instance as reported by its provider.
 struct ListedInstance
 {
--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -374,7 +374,7 @@
                 (*service)->m_listInFlight = false;
                 if (isOk(listed)) {
                     (*service)->m_maintenance.listed(valueOf(listed), readAt);
-                    (*service)->m_balancer.listed(valueOf(listed));
+                    (*service)->m_balancer.listed(valueOf(listed), readAt);
                 } else {
                     (*service)->m_log.line(LogSeverity::Warning, "instance-list",
                                            {{"reason", instanceFaultNames.name(errorOf(listed))}});
@@ -515,7 +515,7 @@
         sendAfterCommit(order.instance, order.worker,
                         [this, alive, authority, order](bool leaseHeld) {
                             if (!leaseHeld || m_lagMs > maxPlanningLagMs
-                                || !m_balancer.mayMove(order)) {
+                                || !m_balancer.mayMove(order, steadyTimeNow())) {
                                 m_balancer.answered(order, InstanceFault::NotSent, steadyTimeNow());
                                 return;
                             }
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -63,7 +63,8 @@
 bool MaintenancePlanner::mayBegin(const MaintenanceOrder &order, SteadyTimeMs now) const
 {
     const auto found = m_progress.find(order.instance);
-    return found != m_progress.end() && !hasOtherWorker(order.instance, found->second.worker)
+    return found != m_progress.end() && now - m_listedAt <= maxListAgeMs
+            && !hasOtherWorker(order.instance, found->second.worker)
             && m_dispatcher.disruptionBudgetViolation(found->second.worker, now).empty();
 }
 
@@ -85,7 +86,9 @@
     }
     // A worker that has restarted or announced itself since is not cordoned yet.
     m_dispatcher.setCordoned(progress.worker, true);
-    m_dispatcher.setLeaving(progress.worker, progress.phase == Phase::Ordered);
+    if (progress.phase == Phase::Ordered) {
+        m_dispatcher.setLeaving(progress.worker, true);
+    }
 }
 
 void MaintenancePlanner::trackEarlierOrders(SteadyTimeMs now)
@@ -335,7 +338,7 @@
 void MaintenancePlanner::stepWave(const MaintenanceWave &wave, SteadyTimeMs now, WallTimeMs wallNow,
                                   MaintenanceOrders &orders)
 {
-    if (m_instances.empty()) {
+    if (m_instances.empty() || now - m_listedAt > maxListAgeMs) {
         return;
     }
     const std::uint32_t concurrency = maintenanceConcurrency(wave, m_options, wallNow);
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -17,6 +17,7 @@
     m_term = term;
     m_termStartedAt = now;
     m_instances.clear();
+    m_listedAt = now;
     m_progress.clear();
     m_surplusSince.clear();
     m_draining.clear();
@@ -24,8 +25,9 @@
     m_decisions.clear();
 }
 
-void PoolBalancer::listed(const std::vector<ListedInstance> &instances)
+void PoolBalancer::listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt)
 {
+    m_listedAt = readAt;
     m_instances.clear();
     for (const ListedInstance &instance : instances) {
         m_instances[instance.instance] = instance;
@@ -63,7 +65,10 @@
         const bool arrived = listedInPool
                 && ((pool != nullptr && pool->standby)
                     || m_state.worker(listed->second.worker) != nullptr);
-        if (progress.ordered && (arrived || now - progress.since >= m_options.arrivalLimitMs)) {
+        // A listing from before the order still shows the instance where it was.
+        const bool overdue =
+                now - progress.since >= m_options.arrivalLimitMs && m_listedAt > progress.since;
+        if (progress.ordered && (arrived || overdue)) {
             m_orderLog.release(item->first);
             item = m_progress.erase(item);
         } else {
@@ -219,7 +224,7 @@
 {
     BalanceOrders orders;
     finishArrived(now);
-    if (!m_instances.empty()) {
+    if (!m_instances.empty() && now - m_listedAt <= maxListAgeMs) {
         std::uint32_t remaining = std::max(
                 m_options.maxOrdersPerStep,
                 static_cast<std::uint32_t>(m_instances.size() / m_options.instancesPerOrder));
@@ -243,14 +248,15 @@
     return orders;
 }
 
-bool PoolBalancer::mayMove(const MoveOrder &order) const
+bool PoolBalancer::mayMove(const MoveOrder &order, SteadyTimeMs now) const
 {
     const auto listed = m_instances.find(order.instance);
     const bool hasOtherWorker = listed != m_instances.end()
             && listed->second.state == InstanceState::InService && listed->second.pool != order.pool
             && listed->second.worker != order.worker;
     const WorkerView *view = m_dispatcher.view(order.worker);
-    return !hasOtherWorker && (view == nullptr || view->reserved.empty());
+    return now - m_listedAt <= maxListAgeMs && !hasOtherWorker
+            && (view == nullptr || view->reserved.empty());
 }
 
 void PoolBalancer::answered(const MoveOrder &order, std::optional<InstanceFault> fault,
@@ -273,6 +279,13 @@
                            std::string(instanceFaultNames.name(*fault)), -1});
     if (*fault == InstanceFault::NoAnswer || *fault == InstanceFault::Throttled) {
         // The move may have begun; repeating the same order shows the result.
+        progress.unanswered = progress.unanswered || *fault == InstanceFault::NoAnswer;
+        progress.nextOrderAt = now + m_options.retryMs;
+        return;
+    }
+    if (*fault == InstanceFault::NotSent && progress.unanswered
+        && now - progress.since < m_options.arrivalLimitMs) {
+        // An earlier order may still be carried out; until then the instance gets no tasks.
         progress.nextOrderAt = now + m_options.retryMs;
         return;
     }
--- a/Source/Scheduling/PoolBalancer.h
+++ b/Source/Scheduling/PoolBalancer.h
@@ -55,9 +55,10 @@
                  const MaintenancePlanner &maintenance, PoolBalancerOptions options);
 
     void beginTerm(std::uint64_t term, SteadyTimeMs now);
-    void listed(const std::vector<ListedInstance> &instances);
+    /// `readAt` is the time at which the listing began.
+    void listed(const std::vector<ListedInstance> &instances, SteadyTimeMs readAt);
     /// True if the order still ends no task: the instance may have another worker by now.
-    bool mayMove(const MoveOrder &order) const;
+    bool mayMove(const MoveOrder &order, SteadyTimeMs now) const;
     void answered(const MoveOrder &order, std::optional<InstanceFault> fault, SteadyTimeMs now);
     BalanceOrders step(SteadyTimeMs now);
 
@@ -69,6 +70,8 @@
         bool ordered = false;
         SteadyTimeMs since = 0;
         SteadyTimeMs nextOrderAt = 0;
+        /// An order got no answer: it may be carried out even if a later one is not sent.
+        bool unanswered = false;
     };
 
     std::vector<PoolStatus> poolStatuses(SteadyTimeMs now);
@@ -93,6 +96,7 @@
     SteadyTimeMs m_termStartedAt = 0;
     std::uint64_t m_term = 0;
     std::map<std::string, ListedInstance> m_instances;
+    SteadyTimeMs m_listedAt = 0;
     std::map<std::string, Progress> m_progress;
     std::map<std::string, SteadyTimeMs> m_surplusSince;
     /// Instances that get no new tasks, so that they can move, and their workers.
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -279,14 +279,14 @@
     commitDueChanges();
     carryOutLateStarts();
     answerRenewals();
-    if (now >= m_nextList) {
+    if (listsInstances && now >= m_nextList) {
         m_nextList = now + listMs;
         std::vector<ListedInstance> list;
         for (const auto &[id, instance] : instances) {
             list.push_back(instance);
         }
         maintenance->listed(list, now);
-        balancer->listed(list);
+        balancer->listed(list, now);
     }
     if (now < m_nextStep) {
         return;
@@ -626,7 +626,7 @@
 void FleetSimulation::execute(const BalanceOrders &orders)
 {
     for (const MoveOrder &order : orders.moves) {
-        if (!balancer->mayMove(order)) {
+        if (!balancer->mayMove(order, now)) {
             balancer->answered(order, InstanceFault::NotSent, now);
             continue;
         }
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -78,6 +78,8 @@
     double answerLossRate = 0;
     /// If above 0, the provider answers no maintenance order and carries each out after this time.
     std::int64_t maintenanceDelayMs = 0;
+    /// False while the provider does not list its instances.
+    bool listsInstances = true;
     /// Time between a maintenance order and the commit of its record in the journal.
     std::int64_t orderCommitMs = 0;
     /// Workers that the advice service allows for queues that need advice.
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -144,6 +144,7 @@
     CPPUNIT_TEST(unansweredOrder);
     CPPUNIT_TEST(replacedWorker);
     CPPUNIT_TEST(moveOfReplacedWorker);
+    CPPUNIT_TEST(outdatedListing);
     CPPUNIT_TEST(earlierLeaderOrder);
     CPPUNIT_TEST(delayedOrderRecord);
     CPPUNIT_TEST(limitAfterFailover);
@@ -551,23 +552,63 @@
         fleet.run(1000);
         CPPUNIT_ASSERT_EQUAL(0U, fleet.moves);
         const MoveOrder order{"m1", "b", "w1"};
-        CPPUNIT_ASSERT(fleet.balancer->mayMove(order));
+        CPPUNIT_ASSERT(fleet.balancer->mayMove(order, fleet.now));
         section("not while the worker has tasks", [&] {
             fleet.submit("a", "first", {shortStep(32)});
             fleet.run(300);
-            CPPUNIT_ASSERT(!fleet.balancer->mayMove(order));
+            CPPUNIT_ASSERT(!fleet.balancer->mayMove(order, fleet.now));
         });
         section("not once a listing shows another worker", [&] {
             fleet.crash("w1");
             fleet.replaceWorker("m1");
             fleet.run(1000);
-            CPPUNIT_ASSERT(!fleet.balancer->mayMove(order));
+            CPPUNIT_ASSERT(!fleet.balancer->mayMove(order, fleet.now));
         });
         section("a move that was carried out may be repeated", [&] {
             fleet.instances.at("m1").pool = "b";
             fleet.run(1000);
             CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->reserved.empty()
-                           || fleet.balancer->mayMove(order));
+                           || fleet.balancer->mayMove(order, fleet.now));
+        });
+    }
+
+    /// Guards against orders that rest on an old listing of the instances: one that it shows in the
+    /// standby pool may have moved since, and its worker have tasks (chamdakam-loom-large scale-2:
+    /// AVAIL).
+    void outdatedListing()
+    {
+        FleetSimulation fleet(35);
+        fleet.configure({queueOf("first", "a"), queueOf("second", "b")}, {"a", "b", "spare"},
+                        "spare");
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.addWorker("spare");
+        fleet.start();
+        fleet.run(1000);
+        fleet.balancerEnabled = true;
+        const auto submit = [&](const std::string &id, const std::string &queue) {
+            fleet.submit(id, queue, {shortStep(40, 2000)});
+        };
+        fleet.listsInstances = false;
+        submit("first", "first");
+        fleet.runUntil("a move from the standby pool", 2000, [&] { return fleet.moves == 1; });
+        fleet.run(2000);
+        CPPUNIT_ASSERT(fleet.workers.contains("w4"));
+        fleet.submit("lasting", "first", {longRunningStep(40, 0)});
+        fleet.run(maxListAgeMs);
+        const std::uint32_t moves = fleet.moves;
+        // Beyond the time after which an instance that has not appeared is given up.
+        for (int job = 0; job < 20; ++job) {
+            submit("second" + std::to_string(job), "second");
+            fleet.run(500);
+        }
+        CPPUNIT_ASSERT_EQUAL(moves, fleet.moves);
+        section("a fresh listing shows where the instance is", [&] {
+            fleet.listsInstances = true;
+            submit("last", "second");
+            fleet.run(2000);
+            CPPUNIT_ASSERT(fleet.workers.contains("w4"));
+            CPPUNIT_ASSERT(!fleet.workers.at("w4").running.empty());
         });
     }
 
