--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -28,7 +28,7 @@
     std::int64_t clockMs = -1;
 };
 
-/// Demand of the accepted jobs of one service that can still be of use to their callers, without
+/// Demand of the accepted jobs of one service that can still meet their objective, without
 /// long-running and best-effort tasks. A task whose share of a worker's memory exceeds its share of
 /// the processor counts with the former, in the same unit.
 struct ServiceDemand
--- a/Tests/Consensus/RelayedWorkerCallsTest.cpp
+++ b/Tests/Consensus/RelayedWorkerCallsTest.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -101,6 +102,7 @@
                               [this](const std::string &from, const std::string &body,
                                      const PeerTransport::Reply &reply) {
                                   loop.post([this, from, body] { calls->onResults(from, body); });
+                                  ++resultMessages;
                                   reply(std::string());
                               });
         network.setUp("leader", true);
@@ -171,6 +173,8 @@
     std::unique_ptr<PeerTransport> transport = network.transport("leader");
     EventLoop loop;
     std::unique_ptr<RelayedWorkerCalls> calls;
+    /// Messages with results that have been posted to the loop.
+    std::atomic<int> resultMessages{0};
     RelayMember first{network, signal, "r1"};
     RelayMember second{network, signal, "r2"};
 };
@@ -187,6 +191,7 @@
     CPPUNIT_TEST(ordersOfAnEarlierLeader);
     CPPUNIT_TEST(ordersAfterAPause);
     CPPUNIT_TEST(malformedMessages);
+    CPPUNIT_TEST(resultsOfABusyLoop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -323,6 +328,37 @@
         CPPUNIT_ASSERT(fleet.first.workers.starts.empty());
     }
 
+    /// Guards against workers that count as silent although their results have arrived and wait for
+    /// the event loop (chamdakam-loom-large scale-2: 4,747 workers were called silent).
+    void resultsOfABusyLoop()
+    {
+        RelayFixture fleet;
+        fleet.waitForRelay();
+        bool answered = false;
+        std::optional<CallFault> result;
+        fleet.loop.runAndWait([&] {
+            fleet.calls->start(
+                    {"w", "10.0.0.1:80", {"job", 0, 0, 1}, 2, "payload", 99, "saved", {}}, term,
+                    [&](std::optional<CallFault> fault) {
+                        fleet.signal.change([&] {
+                            result = fault;
+                            answered = true;
+                        });
+                    });
+        });
+        // The first task sends the batch.
+        fleet.loop.runAndWait([] {});
+        const int before = fleet.resultMessages;
+        fleet.loop.runAndWait([&] {
+            const SteadyTimeMs begin = steadyTimeNow();
+            const SteadyTimeMs timeout = begin + WorkerCallTimeouts{}.orderTimeoutMs + 500;
+            while (steadyTimeNow() < timeout
+                   || (fleet.resultMessages == before && steadyTimeNow() < begin + 10000)) { }
+        });
+        CPPUNIT_ASSERT(fleet.signal.waitFor([&] { return answered; }));
+        CPPUNIT_ASSERT(!result);
+    }
+
     /// Guards against a malformed message that ends the process or leaves calls without an end.
     void malformedMessages()
     {
--- a/Tests/Consensus/ReplicatedJournalTest.cpp
+++ b/Tests/Consensus/ReplicatedJournalTest.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -81,6 +82,7 @@
         signal.change([&] { statuses.erase(name); });
     }
 
+    ReplicatedJournal &journal(const std::string &name) { return *m_nodes.at(name).journal; }
     MemoryLogStorage &storage(const std::string &name) { return *m_nodes.at(name).storage; }
 
     /// Waits for a leader with a valid lease and returns its name; empty after the timeout.
@@ -147,6 +149,7 @@
     CPPUNIT_TEST(emptiedDisk);
     CPPUNIT_TEST(noSecondBootstrap);
     CPPUNIT_TEST(leaseEndsWithoutQuorum);
+    CPPUNIT_TEST(leaseWithoutEvents);
     CPPUNIT_TEST(fullDiskEndsTerm);
     CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +233,47 @@
                 [&] { CPPUNIT_ASSERT(cluster.statuses[old].leaseUntil <= steadyTimeNow()); });
     }
 
+    /// Guards against a leader that holds its lease for ended because events wait for its busy
+    /// event loop (chamdakam-loom-large scale-2: 583 moves were not sent), and against one that
+    /// acts on the lease of an earlier term.
+    void leaseWithoutEvents()
+    {
+        JournalCluster cluster(threeNames);
+        for (const std::string &name : threeNames) {
+            cluster.start(name, true);
+        }
+        const std::string leader = cluster.leader();
+        CPPUNIT_ASSERT(!leader.empty());
+        std::uint64_t term = 0;
+        SteadyTimeMs firstEnd = 0;
+        cluster.signal.change([&] {
+            term = cluster.statuses[leader].term;
+            firstEnd = cluster.statuses[leader].leaseUntil;
+        });
+        section("it is renewed and belongs to the term", [&] {
+            const SteadyTimeMs limit = steadyTimeNow() + 10000;
+            while (cluster.journal(leader).lease().until <= firstEnd) {
+                CPPUNIT_ASSERT(steadyTimeNow() < limit);
+            }
+            CPPUNIT_ASSERT_EQUAL(term, cluster.journal(leader).lease().term);
+        });
+        section("the others have none", [&] {
+            for (const std::string &name : threeNames) {
+                CPPUNIT_ASSERT(name == leader || cluster.journal(name).lease().until == 0);
+            }
+        });
+        section("it ends without a quorum, before another instance leads", [&] {
+            cluster.network.isolate(leader);
+            CPPUNIT_ASSERT(cluster.signal.waitFor([&] {
+                return std::any_of(cluster.statuses.begin(), cluster.statuses.end(),
+                                   [&](const auto &item) {
+                                       return item.first != leader && item.second.isLeader;
+                                   });
+            }));
+            CPPUNIT_ASSERT(cluster.journal(leader).lease().until <= steadyTimeNow());
+        });
+    }
+
     /// Guards against a leader that goes on leading after its full disk has dropped a record. Its
     /// owner would wait for that record for the rest of the term (review/1: LOST).
     void fullDiskEndsTerm()
