Peers: Complete a call whose connection ends while it is written

The core shows PeerClient::onTimeout without a connection. Writing a request may end the connection at once; the calls that have a stream are failed then, and the call that is being written got its stream only afterwards. Its time-out reset that stream on a connection that was gone, and its number could be taken for a call's on the next connection.

The call is completed as unanswered now. PeerTransportTest::callOnResetConnection ends the test program with code 139 without the change.

--- a/Source/Adapters/Peers/PeerClient.cpp
+++ b/Source/Adapters/Peers/PeerClient.cpp
@@ -274,7 +274,14 @@
         }
         m_lastUsedAt = now;
         // From here on the message counts as sent, even if none of its bytes has been written.
-        const std::int32_t stream = m_connection->request(std::move(found->second.message));
+        const std::shared_ptr<Http2Connection> connection = m_connection;
+        const std::int32_t stream = connection->request(std::move(found->second.message));
+        if (m_connection != connection) {
+            // The connection was lost while the request was written. Its calls have been completed
+            // without this one, which had no stream yet.
+            completeCall(id, PeerError{PeerErrorKind::NoAnswer, m_lastError});
+            return;
+        }
         if (stream <= 0) {
             completeCall(id, PeerError{PeerErrorKind::NotSent, "no stream left on the connection"});
             m_connection->close("no stream left");
--- a/Tests/Peers/PeerTransportTest.cpp
+++ b/Tests/Peers/PeerTransportTest.cpp
@@ -1,7 +1,11 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <atomic>
+#include <optional>
 #include <thread>
 
 #include "Adapters/Peers/PeerEnvelope.h"
@@ -42,6 +46,20 @@
                                  std::string(peerErrorKindNames.name(errorOf(result).kind)));
 }
 
+/// Shuts down the connections of this process to a port of its own.
+void shutDownConnectionsTo(std::uint16_t port)
+{
+    constexpr int maxDescriptors = 1024;
+    for (int descriptor = 0; descriptor < maxDescriptors; ++descriptor) {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (::getpeername(descriptor, reinterpret_cast<sockaddr *>(&peer), &size) == 0
+            && peer.sin_family == AF_INET && ntohs(peer.sin_port) == port) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+}
+
 } // namespace
 
 class PeerTransportTest : public CppUnit::TestFixture
@@ -54,6 +72,7 @@
     CPPUNIT_TEST(restartedPeerIsReconnected);
     CPPUNIT_TEST(reconnectsAreBackedOff);
     CPPUNIT_TEST(silentConnectionIsClosed);
+    CPPUNIT_TEST(callOnResetConnection);
     CPPUNIT_TEST(longPollOutlivesReceiveTimeout);
     CPPUNIT_TEST(stopCompletesAllCalls);
     CPPUNIT_TEST(settingsAreValidated);
@@ -272,6 +291,39 @@
         CPPUNIT_ASSERT(relay.acceptedCount() <= 16);
     }
 
+    /// Guards against a call that is written while its connection is found to be reset. It kept its
+    /// stream without a connection, and its time-out ended the process (soak seed 223).
+    void callOnResetConnection()
+    {
+        PeerNode server("b");
+        server.transport.setHandler(PeerMessageKind::Vote, echo);
+        assertStarted(server);
+        PeerNode client("a", {{"b", "zone-1", server.address()}}, shortTimeoutOptions());
+        assertStarted(client);
+        Signal signal;
+        std::optional<PeerResult> second;
+        client.transport.call(
+                "b", PeerMessageKind::Vote, "1", Milliseconds(5000), [&](const PeerResult &) {
+                    // On the thread of the transport, which sees the end of the connection when it
+                    // writes the call.
+                    shutDownConnectionsTo(server.transport.port());
+                    client.transport.call("b", PeerMessageKind::Vote, "2", Milliseconds(300),
+                                          [&](const PeerResult &result) {
+                                              signal.change([&] { second = result; });
+                                          });
+                });
+        CPPUNIT_ASSERT(signal.waitFor([&] { return second.has_value(); }));
+        assertError(PeerErrorKind::NoAnswer, *second);
+        section("later calls get their own replies on a new connection", [&] {
+            PeerResult result = PeerError{};
+            for (int attempt = 0; attempt < 20 && !isOk(result); ++attempt) {
+                result = client.call("b", PeerMessageKind::Vote, "3", Milliseconds(300));
+            }
+            CPPUNIT_ASSERT(isOk(result));
+            CPPUNIT_ASSERT_EQUAL(std::string("a:3"), valueOf(result));
+        });
+    }
+
     /// Guards against calls that hang when the network loses the bytes of one direction, so that
     /// the connection stays open but no response arrives.
     void silentConnectionIsClosed()
