Scheduling: Divide what services demand from the dispatcher

The dispatcher held the history of arrivals, turns and run times beside its runs and leases. They move to DemandTracker and RunDurations, the facts of a step that both need to StepFacts. No behaviour is changed.

--- /dev/null
+++ b/Source/Scheduling/DemandTracker.cpp
@@ -0,0 +1,177 @@
+#include "Scheduling/DemandTracker.h"
+
+#include <algorithm>
+
+#include "Scheduling/StepFacts.h"
+
+namespace dandelionloom {
+
+DemandTracker::DemandTracker(const SchedulerState &state, const RunDurations &durations,
+                             DemandOptions options)
+    : m_state(state), m_durations(durations), m_options(options)
+{ }
+
+void DemandTracker::beginTerm(SteadyTimeMs now)
+{
+    m_termStartedAt = now;
+    m_arrivals.clear();
+    m_turns = {};
+    for (const auto &[id, worker] : m_state.workers()) {
+        onWorkerJoined(worker);
+    }
+}
+
+void DemandTracker::rebuildTurns(SteadyTimeMs now, WallTimeMs wallNow)
+{
+    std::vector<const JobRecord *> jobs;
+    for (const auto &[id, job] : m_state.jobs()) {
+        if (job.acceptedAtMs <= wallNow && expectedCoreMs(job) > 0) {
+            jobs.push_back(&job);
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const JobRecord *left, const JobRecord *right) {
+        return left->acceptedAtMs < right->acceptedAtMs;
+    });
+    m_turns = {};
+    for (const JobRecord *job : jobs) {
+        recordArrival(m_turns, serviceOf(m_state, *job), expectedCoreMs(*job),
+                      now - (wallNow - job->acceptedAtMs));
+    }
+}
+
+void DemandTracker::onJobAccepted(const JobRecord &job, SteadyTimeMs now)
+{
+    const double coreMs = expectedCoreMs(job);
+    if (coreMs > 0) {
+        const std::string service = serviceOf(m_state, job);
+        m_arrivals[service].push_back({now, coreMs});
+        recordArrival(m_turns, service, coreMs, now);
+    }
+}
+
+void DemandTracker::onWorkerJoined(const WorkerRecord &worker)
+{
+    m_workerCapacity[worker.service] = worker.capacity;
+}
+
+std::int64_t DemandTracker::dominantMilli(const std::string &service,
+                                          const TaskResources &need) const
+{
+    const auto known = m_workerCapacity.find(service);
+    if (known == m_workerCapacity.end() || known->second.memoryMb <= 0) {
+        return need.processorMilli;
+    }
+    return std::max(need.processorMilli,
+                    need.memoryMb * known->second.processorMilli / known->second.memoryMb);
+}
+
+double DemandTracker::expectedCoreMs(const JobRecord &job) const
+{
+    if (job.spec.repeatCount > 0) {
+        return 0;
+    }
+    const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
+    const std::string service = serviceOf(m_state, job);
+    double coreMs = 0;
+    for (std::size_t step = 0; step < stepMs.size(); ++step) {
+        const StepSpec &spec = job.spec.steps[step];
+        if (!spec.longRunning && !spec.bestEffort) {
+            coreMs += static_cast<double>(spec.count)
+                    * static_cast<double>(dominantMilli(service, spec.need))
+                    * static_cast<double>(stepMs[step]) / milliPerCore;
+        }
+    }
+    return coreMs;
+}
+
+void DemandTracker::addArrivingDemand(std::map<std::string, ServiceDemand> &demands,
+                                      SteadyTimeMs now)
+{
+    for (auto &[service, arrivals] : m_arrivals) {
+        while (!arrivals.empty() && now - arrivals.front().at > m_options.arrivalWindowMs) {
+            arrivals.pop_front();
+        }
+        if (arrivals.size() >= m_options.minArrivalsForRate) {
+            double coreMs = 0;
+            for (const Arrival &arrival : arrivals) {
+                coreMs += arrival.coreMs;
+            }
+            demands[service].arrivingMilli = static_cast<std::int64_t>(
+                    coreMs * milliPerCore / static_cast<double>(m_options.arrivalWindowMs));
+        }
+    }
+}
+
+void DemandTracker::addForeseenDemand(std::map<std::string, ServiceDemand> &demands,
+                                      SteadyTimeMs now) const
+{
+    std::vector<std::string> services;
+    for (const ServiceConfig &service : m_state.configuration().services) {
+        if (!service.standby) {
+            services.push_back(service.name);
+        }
+    }
+    for (const TurnForecast &forecast : nextTurn(m_turns, services)) {
+        demands[forecast.service].foreseenMilli = isDue(forecast, now) ? forecast.milli : 0;
+    }
+    // On a service that has no turns, the order never becomes known.
+    const bool learning =
+            !isOrderKnown(m_turns) && now - m_termStartedAt < m_options.turnLearningMs;
+    for (const std::string &service : services) {
+        demands[service].turnUnknown = learning && !hadTurn(m_turns, service);
+    }
+}
+
+void DemandTracker::addJobDemand(const JobRecord &job, ServiceDemand &demand,
+                                 WallTimeMs wallNow) const
+{
+    const std::string service = serviceOf(m_state, job);
+    const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
+    for (const StepSpec &step : job.spec.steps) {
+        const std::uint32_t perWorker = maxTasksPerWorker(step);
+        if (step.longRunning && perWorker > 0) {
+            demand.longRunningSpread =
+                    std::max(demand.longRunningSpread, (step.count + perWorker - 1) / perWorker);
+        }
+    }
+    for (std::uint32_t number = 0; number < job.occurrences.size(); ++number) {
+        const OccurrenceRecord &occurrence = job.occurrences[number];
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const StepSpec &spec = job.spec.steps[step];
+            if (spec.longRunning || spec.bestEffort
+                || occurrence.steps[step].doneCount == occurrence.steps[step].tasks.size()) {
+                continue;
+            }
+            // Capacity that comes for a job after its objective serves it too late.
+            if (rankStep(stepAttributes(job, stepMs, number, step), wallNow).group
+                != StepGroup::OnTime) {
+                break;
+            }
+            const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
+                                                        - occurrence.steps[step].doneCount);
+            const std::int64_t milli = left * dominantMilli(service, spec.need);
+            demand.backlogCoreMs +=
+                    static_cast<double>(milli) * static_cast<double>(stepMs[step]) / milliPerCore;
+            if (isReady(spec, occurrence)) {
+                demand.runnableMilli += milli;
+            }
+        }
+    }
+}
+
+std::map<std::string, ServiceDemand> DemandTracker::demands(const std::set<JobId> &activeJobs,
+                                                            SteadyTimeMs now, WallTimeMs wallNow)
+{
+    std::map<std::string, ServiceDemand> demands;
+    addArrivingDemand(demands, now);
+    addForeseenDemand(demands, now);
+    for (const JobId &id : activeJobs) {
+        const JobRecord *job = m_state.job(id);
+        if (job != nullptr && job->phase == JobPhase::Active) {
+            addJobDemand(*job, demands[serviceOf(m_state, *job)], wallNow);
+        }
+    }
+    return demands;
+}
+
+} // namespace dandelionloom
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "Scheduling/DemandTracker.h"
 #include "Scheduling/JobChanges.h"
 
 namespace dandelionloom {
@@ -72,12 +73,7 @@
     /// that move into the pool arrive within it, and it is well below the 3 s after which the task
     /// counts as neglected.
     std::int64_t spreadWaitMs = 2000;
-    /// Window in which the arrival rate of jobs is measured, and the fewest arrivals in it that
-    /// count as a rate: outside its peaks a queue receives less than one job in this time.
-    std::int64_t arrivalWindowMs = 400;
-    std::size_t minArrivalsForRate = 4;
-    /// Time of a term within which services that have had no turn are expected to have one.
-    std::int64_t turnLearningMs = 60000;
+    DemandOptions demand;
     /// Fraction of a task's latency target above which best-effort tasks on the same worker are
     /// paused. Leaves time for the 0.5 s age of a reading and the 0.1 s that pacing takes.
     double paceTargetShare = 0.7;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Minimum weight of the newest run in the moving average of a queue's run times; the last few
-/// dozen runs determine the average.
-constexpr double minRunWeight = 0.05;
-
 /// Delay before a worker that refused a start is given another one.
 constexpr std::int64_t refusalPauseMs = 300;
 constexpr std::int64_t unhealthyPauseMs = 1500;
@@ -23,7 +19,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
-    : m_state(state), m_options(options)
+    : m_state(state), m_options(options), m_demand(state, m_durations, options.demand)
 { }
 
 void Dispatcher::beginTerm(SteadyTimeMs now)
@@ -33,8 +29,8 @@
     m_termStartedAt = now;
     m_placementDirty = true;
     m_turnsUnknown = true;
+    m_demand.beginTerm(now);
     for (const auto &[id, worker] : m_state.workers()) {
-        m_workerCapacity[worker.service] = worker.capacity;
         syncRuns(id);
         for (auto &[task, run] : m_workers[id].runs) {
             run.state = RunState::Unknown;
@@ -78,8 +74,6 @@
     m_jobsByDueTime.clear();
     m_lastWallTime = 0;
     m_pendingCountedAt = 0;
-    m_arrivals.clear();
-    m_turns = {};
 }
 
 void Dispatcher::recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
@@ -94,12 +88,7 @@
         view.failuresInRow = 0;
         view.failedJobs.clear();
         if (job != nullptr && started != m_startedAt.end()) {
-            Duration &duration = m_durations[job->spec.queue];
-            const auto tookMs = static_cast<double>(now - started->second);
-            const double weight =
-                    std::max(minRunWeight, 1.0 / static_cast<double>(duration.runs + 1));
-            duration.meanMs += (tookMs - duration.meanMs) * weight;
-            ++duration.runs;
+            m_durations.record(job->spec.queue, now - started->second);
         }
     } else if (ended.runOutcome == RunOutcome::Failed) {
         m_failedOn[ended.task] = worker;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -9,9 +9,10 @@
 #include <vector>
 
 #include "Model/Result.h"
+#include "Scheduling/DemandTracker.h"
 #include "Scheduling/DispatchTypes.h"
+#include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
-#include "Scheduling/TurnForecast.h"
 #include "Scheduling/WaitingSteps.h"
 #include "Scheduling/WorkerView.h"
 
@@ -28,27 +29,6 @@
     std::int64_t clockMs = -1;
 };
 
-/// Demand of the accepted jobs of one service that can still meet their objective, without
-/// long-running and best-effort tasks. A task whose share of a worker's memory exceeds its share of
-/// the processor counts with the former, in the same unit.
-struct ServiceDemand
-{
-    /// Core-milliseconds of unfinished work.
-    double backlogCoreMs = 0;
-    /// Thousandths of a core required by all tasks that run or could start now. More capacity than
-    /// this is of no use, however long the work that depends on these tasks.
-    std::int64_t runnableMilli = 0;
-    /// Thousandths of a core that recent arrivals keep busy if jobs continue to arrive at that
-    /// rate.
-    std::int64_t arrivingMilli = 0;
-    /// Thousandths of a core for the work that the service's next turn is expected to bring.
-    std::int64_t foreseenMilli = 0;
-    /// The service may have a turn that has not been seen yet.
-    bool turnUnknown = false;
-    /// Workers required by the long-running step with the widest spread.
-    std::uint32_t longRunningSpread = 0;
-};
-
 /// Places tasks on workers and maintains the workers' leases, for the leader. A state machine
 /// without I/O, clock or threads: it takes events and the current time, and returns orders with the
 /// reasons for them. In a new term everything beyond SchedulerState is rebuilt from the answers of
@@ -113,10 +93,13 @@
     /// Thousandths of a core that the long-running tasks on a worker take, as in ServiceDemand.
     std::int64_t longRunningMilli(const WorkerRecord &worker, const WorkerView &view) const
     {
-        return dominantMilli(worker.service, view.longRunningNeed);
+        return m_demand.dominantMilli(worker.service, view.longRunningNeed);
     }
     /// Demand of each service that has jobs, by service name.
-    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now);
+    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now)
+    {
+        return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
+    }
     const WorkerView *view(const std::string &worker) const;
 
 private:
@@ -222,10 +205,6 @@
     void endRunsWithExpiredLeases(SteadyTimeMs now);
     void removeDeregisteredWorkers();
     void purgeOldJobs(WallTimeMs wallNow);
-    /// Rebuilds the history of turns from the jobs that SchedulerState retains.
-    void rebuildTurns(SteadyTimeMs now, WallTimeMs wallNow);
-    /// Core-milliseconds of the job's tasks that end by themselves; 0 for a job that repeats.
-    double expectedCoreMs(const JobRecord &job) const;
     std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
 
     // Placement.
@@ -235,10 +214,6 @@
     /// Brings m_waiting up to date with the changed jobs and the time.
     void updateWaitingSteps(WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
-    /// The attributes of a step, but for the unfinished work of its occurrence.
-    static StepAttributes attributesOf(const JobRecord &job,
-                                       const std::vector<std::int64_t> &stepMs,
-                                       std::uint32_t occurrence, std::uint32_t step);
     void placeSteps(const std::string &service, const WaitingSteps::Order &steps,
                     PlacementPass &pass);
     void placeStep(const WaitingStep &waiting, PlacementPass &pass);
@@ -257,12 +232,7 @@
                 DispatchOrders &orders);
     bool isSchedulable(const WorkerRecord &worker, const WorkerView &view, SteadyTimeMs now) const;
     const Tickets *ticketsFor(const WaitingStep &waiting, PlacementPass &pass);
-    std::vector<std::int64_t> expectedStepMs(const JobRecord &job) const;
-    std::string serviceOf(const JobRecord &job) const;
     TaskResources needOf(const TaskKey &task) const;
-    /// Thousandths of a core that the resources take of a worker of the service, by the resource of
-    /// which they need the largest part.
-    std::int64_t dominantMilli(const std::string &service, const TaskResources &need) const;
     bool isLongRunning(const TaskKey &task) const;
     bool isBestEffort(const TaskKey &task) const;
     static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
@@ -313,23 +283,8 @@
     /// Worker on which each task failed last.
     std::map<TaskKey, std::string> m_failedOn;
     std::map<TaskKey, SteadyTimeMs> m_startedAt;
-    /// Mean run time of a queue's tasks in milliseconds, and the number of runs in the mean.
-    struct Duration
-    {
-        double meanMs = 0;
-        std::uint32_t runs = 0;
-    };
-    std::map<std::string, Duration> m_durations;
-    struct Arrival
-    {
-        SteadyTimeMs at = 0;
-        double coreMs = 0;
-    };
-    /// Jobs accepted within DispatchOptions::arrivalWindowMs, by service.
-    std::map<std::string, std::deque<Arrival>> m_arrivals;
-    /// Capacity of a worker of each service.
-    std::map<std::string, TaskResources> m_workerCapacity;
-    TurnHistory m_turns;
+    RunDurations m_durations;
+    DemandTracker m_demand;
     /// Set until the first step of a term, which knows the time of day.
     bool m_turnsUnknown = false;
     std::set<JobId> m_activeJobs;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -30,7 +30,7 @@
         return orders;
     }
     if (std::exchange(m_turnsUnknown, false)) {
-        rebuildTurns(now, wallNow);
+        m_demand.rebuildTurns(now, wallNow);
     }
     m_wallOffsetMs = wallNow - now;
     forgetAvailability();
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -2,6 +2,7 @@
 #include <limits>
 
 #include "Scheduling/Dispatcher.h"
+#include "Scheduling/StepFacts.h"
 
 // Placement: assigns pending tasks to workers.
 
@@ -9,9 +10,6 @@
 
 namespace {
 
-/// Completed runs of a queue from which its mean run time replaces the declared estimates.
-constexpr std::uint32_t minRunsForMean = 8;
-
 /// Failed searches for a worker, for one service, after which a placement pass ends its search in
 /// placement order, and after which it ends its search among the other steps. A pass must not scan
 /// a whole backlog.
@@ -27,71 +25,11 @@
 /// Workers named in one call to the advice service.
 constexpr std::size_t maxAdviceWorkers = 30;
 
-/// True if all steps that the step depends on have completed.
-bool isReady(const StepSpec &step, const OccurrenceRecord &occurrence)
-{
-    return std::all_of(step.dependsOn.begin(), step.dependsOn.end(),
-                       [&occurrence](std::uint32_t needed) {
-                           return needed < occurrence.steps.size()
-                                   && occurrence.steps[needed].doneCount
-                                   == occurrence.steps[needed].tasks.size();
-                       });
-}
-
-/// Maximum number of tasks of a long-running step per worker; 0 for no limit. The submitter's limit
-/// applies as well as the disruption budget: a worker that holds more tasks than the budget allows
-/// to be unavailable could not be maintained.
-std::uint32_t maxTasksPerWorker(const StepSpec &step)
-{
-    if (step.maxPerWorker == 0 || step.maxUnavailable == 0) {
-        return std::max(step.maxPerWorker, step.maxUnavailable);
-    }
-    return std::min(step.maxPerWorker, step.maxUnavailable);
-}
-
 } // namespace
 
-std::string Dispatcher::serviceOf(const JobRecord &job) const
-{
-    const QueueConfig *queue = m_state.queue(job.spec.queue);
-    return queue != nullptr ? queue->service : job.queue.service;
-}
-
-std::vector<std::int64_t> Dispatcher::expectedStepMs(const JobRecord &job) const
-{
-    const auto known = m_durations.find(job.spec.queue);
-    const bool useMean = known != m_durations.end() && known->second.runs >= minRunsForMean;
-    std::vector<std::int64_t> expected;
-    expected.reserve(job.spec.steps.size());
-    for (const StepSpec &step : job.spec.steps) {
-        expected.push_back(useMean ? static_cast<std::int64_t>(known->second.meanMs)
-                                   : step.estimateMs);
-    }
-    return expected;
-}
-
-StepAttributes Dispatcher::attributesOf(const JobRecord &job,
-                                        const std::vector<std::int64_t> &stepMs,
-                                        std::uint32_t occurrence, std::uint32_t step)
-{
-    const StepSpec &spec = job.spec.steps[step];
-    StepAttributes attributes;
-    attributes.priority = job.queue.priority;
-    attributes.longRunning = spec.longRunning;
-    attributes.bestEffort = spec.bestEffort;
-    attributes.dueAtMs = job.spec.repeatCount > 0
-            ? job.spec.startAtMs + occurrence * job.spec.intervalMs
-            : job.acceptedAtMs;
-    attributes.jobPathMs = criticalPathMs(job.spec, stepMs, 0);
-    attributes.remainingPathMs = criticalPathMs(job.spec, stepMs, step);
-    attributes.stretch = job.queue.stretch;
-    attributes.targetLatencyMs = job.queue.targetLatencyMs;
-    return attributes;
-}
-
 std::vector<WaitingStep> Dispatcher::waitingStepsOf(const JobRecord &job, WallTimeMs wallNow)
 {
-    const std::vector<std::int64_t> stepMs = expectedStepMs(job);
+    const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
     std::vector<WaitingStep> waiting;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const OccurrenceRecord &record = job.occurrences[occurrence];
@@ -127,7 +65,7 @@
             if (entry.indices.empty()) {
                 continue;
             }
-            entry.attributes = attributesOf(job, stepMs, occurrence, step);
+            entry.attributes = stepAttributes(job, stepMs, occurrence, step);
             entry.attributes.remainingWork = work;
             waiting.push_back(std::move(entry));
         }
@@ -151,7 +89,7 @@
         if (job == nullptr || job->phase != JobPhase::Active) {
             m_waiting.remove(id);
         } else {
-            m_waiting.replace(id, serviceOf(*job), waitingStepsOf(*job, wallNow), wallNow);
+            m_waiting.replace(id, serviceOf(m_state, *job), waitingStepsOf(*job, wallNow), wallNow);
         }
     }
     m_changedJobs.clear();
@@ -343,10 +281,7 @@
                                                     WallTimeMs wallNow) const
 {
     const StepSpec &step = job.spec.steps[task.step];
-    TaskResources need = step.need;
-    if (step.bestEffort) {
-        need.processorMilli = 0;
-    }
+    const TaskResources need = reservedNeed(step);
     const auto failedOn = m_failedOn.find(task);
     const std::string *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
@@ -481,77 +416,4 @@
     return nullptr;
 }
 
-std::map<std::string, ServiceDemand> Dispatcher::demands(SteadyTimeMs now)
-{
-    std::map<std::string, ServiceDemand> demands;
-    for (auto &[service, arrivals] : m_arrivals) {
-        while (!arrivals.empty() && now - arrivals.front().at > m_options.arrivalWindowMs) {
-            arrivals.pop_front();
-        }
-        if (arrivals.size() >= m_options.minArrivalsForRate) {
-            double coreMs = 0;
-            for (const Arrival &arrival : arrivals) {
-                coreMs += arrival.coreMs;
-            }
-            demands[service].arrivingMilli = static_cast<std::int64_t>(
-                    coreMs * milliPerCore / static_cast<double>(m_options.arrivalWindowMs));
-        }
-    }
-    std::vector<std::string> services;
-    for (const ServiceConfig &service : m_state.configuration().services) {
-        if (!service.standby) {
-            services.push_back(service.name);
-        }
-    }
-    for (const TurnForecast &forecast : nextTurn(m_turns, services)) {
-        demands[forecast.service].foreseenMilli = isDue(forecast, now) ? forecast.milli : 0;
-    }
-    // On a service that has no turns, the order never becomes known.
-    const bool learning =
-            !isOrderKnown(m_turns) && now - m_termStartedAt < m_options.turnLearningMs;
-    for (const std::string &service : services) {
-        demands[service].turnUnknown = learning && !hadTurn(m_turns, service);
-    }
-    for (const JobId &id : m_activeJobs) {
-        const JobRecord *job = m_state.job(id);
-        if (job == nullptr || job->phase != JobPhase::Active) {
-            continue;
-        }
-        const std::string jobService = serviceOf(*job);
-        ServiceDemand &demand = demands[jobService];
-        const std::vector<std::int64_t> stepMs = expectedStepMs(*job);
-        for (const StepSpec &step : job->spec.steps) {
-            const std::uint32_t perWorker = maxTasksPerWorker(step);
-            if (step.longRunning && perWorker > 0) {
-                demand.longRunningSpread = std::max(demand.longRunningSpread,
-                                                    (step.count + perWorker - 1) / perWorker);
-            }
-        }
-        for (std::uint32_t number = 0; number < job->occurrences.size(); ++number) {
-            const OccurrenceRecord &occurrence = job->occurrences[number];
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const StepSpec &spec = job->spec.steps[step];
-                if (spec.longRunning || spec.bestEffort
-                    || occurrence.steps[step].doneCount == occurrence.steps[step].tasks.size()) {
-                    continue;
-                }
-                // Capacity that comes for a job after its objective serves it too late.
-                const StepAttributes attributes = attributesOf(*job, stepMs, number, step);
-                if (rankStep(attributes, now + m_wallOffsetMs).group != StepGroup::OnTime) {
-                    break;
-                }
-                const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
-                                                            - occurrence.steps[step].doneCount);
-                const std::int64_t milli = left * dominantMilli(jobService, spec.need);
-                demand.backlogCoreMs += static_cast<double>(milli)
-                        * static_cast<double>(stepMs[step]) / milliPerCore;
-                if (isReady(spec, occurrence)) {
-                    demand.runnableMilli += milli;
-                }
-            }
-        }
-    }
-    return demands;
-}
-
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Scheduling/Dispatcher.h"
+#include "Scheduling/StepFacts.h"
 
 // Tracks runs and jobs from the applied changes.
 
@@ -8,22 +9,7 @@
 
 TaskResources Dispatcher::needOf(const TaskKey &task) const
 {
-    const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
-    TaskResources need = step.need;
-    if (step.bestEffort) {
-        need.processorMilli = 0;
-    }
-    return need;
-}
-
-std::int64_t Dispatcher::dominantMilli(const std::string &service, const TaskResources &need) const
-{
-    const auto known = m_workerCapacity.find(service);
-    if (known == m_workerCapacity.end() || known->second.memoryMb <= 0) {
-        return need.processorMilli;
-    }
-    return std::max(need.processorMilli,
-                    need.memoryMb * known->second.processorMilli / known->second.memoryMb);
+    return reservedNeed(m_state.job(task.job)->spec.steps[task.step]);
 }
 
 bool Dispatcher::isLongRunning(const TaskKey &task) const
@@ -145,48 +131,7 @@
         return;
     }
     m_changedJobs.insert(accepted.spec.id);
-    const double coreMs = expectedCoreMs(*job);
-    if (coreMs > 0) {
-        m_arrivals[serviceOf(*job)].push_back({now, coreMs});
-        recordArrival(m_turns, serviceOf(*job), coreMs, now);
-    }
-}
-
-double Dispatcher::expectedCoreMs(const JobRecord &job) const
-{
-    if (job.spec.repeatCount > 0) {
-        return 0;
-    }
-    const std::vector<std::int64_t> stepMs = expectedStepMs(job);
-    const std::string service = serviceOf(job);
-    double coreMs = 0;
-    for (std::size_t step = 0; step < stepMs.size(); ++step) {
-        const StepSpec &spec = job.spec.steps[step];
-        if (!spec.longRunning && !spec.bestEffort) {
-            coreMs += static_cast<double>(spec.count)
-                    * static_cast<double>(dominantMilli(service, spec.need))
-                    * static_cast<double>(stepMs[step]) / milliPerCore;
-        }
-    }
-    return coreMs;
-}
-
-void Dispatcher::rebuildTurns(SteadyTimeMs now, WallTimeMs wallNow)
-{
-    std::vector<const JobRecord *> jobs;
-    for (const auto &[id, job] : m_state.jobs()) {
-        if (job.acceptedAtMs <= wallNow && expectedCoreMs(job) > 0) {
-            jobs.push_back(&job);
-        }
-    }
-    std::sort(jobs.begin(), jobs.end(), [](const JobRecord *left, const JobRecord *right) {
-        return left->acceptedAtMs < right->acceptedAtMs;
-    });
-    m_turns = {};
-    for (const JobRecord *job : jobs) {
-        recordArrival(m_turns, serviceOf(*job), expectedCoreMs(*job),
-                      now - (wallNow - job->acceptedAtMs));
-    }
+    m_demand.onJobAccepted(*job, now);
 }
 
 void Dispatcher::onAssigned(const RunAssigned &assigned)
@@ -271,7 +216,7 @@
             syncRuns(joined->worker.id);
         }
         m_workersOfService.clear();
-        m_workerCapacity[joined->worker.service] = joined->worker.capacity;
+        m_demand.onWorkerJoined(joined->worker);
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_state.worker(left->worker) == nullptr) {
             removeWorker(left->worker);
--- a/Tests/Scheduling/TurnLoad.cpp
+++ b/Tests/Scheduling/TurnLoad.cpp
@@ -106,7 +106,7 @@
     fleet.balancerEnabled = true;
     if (!load.foresight) {
         fleet.balancerOptions.demand.foreseenHeadroom = 0;
-        fleet.dispatchOptions.turnLearningMs = 0;
+        fleet.dispatchOptions.demand.turnLearningMs = 0;
     }
     fleet.stepMs = intervalMs;
     fleet.planMs = load.planMs;
