--- a/Source/Adapters/Http/EventedHttpServer.cpp
+++ b/Source/Adapters/Http/EventedHttpServer.cpp
@@ -28,6 +28,8 @@
         return "Temporary Redirect";
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
     case 404:
         return "Not Found";
     case 409:
--- a/Source/Adapters/Http/HttpLimits.h
+++ b/Source/Adapters/Http/HttpLimits.h
@@ -28,6 +28,9 @@
     /// HttpListener uses one thread for each connection.
     std::size_t maxConnections = 512;
     std::size_t maxRequestsPerConnection = 100000;
+    /// Bytes of requests and responses that all connections of an EventedHttpServer together may
+    /// hold; 0 for no limit.
+    std::size_t maxBufferedBytes = 0;
     /// How long stop() waits for requests in progress.
     Milliseconds stopTimeout{5000};
 };
--- a/Source/Runtime/JobCalls.h
+++ b/Source/Runtime/JobCalls.h
@@ -38,6 +38,8 @@
     /// Submit, Status and Cancel: host and path that select the queue.
     std::string host;
     std::string path;
+    /// Submit, Status and Cancel: key of the caller's team; empty for none.
+    std::string apiKey;
     /// Submit: the job. Its id and queue are left empty; the leader derives them from the path.
     JobSpec spec;
     FleetConfiguration configuration;
@@ -49,7 +51,7 @@
     MaintenanceWave wave;
 
     MSGPACK_DEFINE_ARRAY(kind, requestId, host, path, spec, configuration, worker, sequence,
-                         clockMs, wave)
+                         clockMs, wave, apiKey)
 };
 
 enum class JobCallOutcome {
@@ -64,10 +66,13 @@
     NotLeader,
     /// The call may or may not take effect.
     Unknown,
-    Invalid
+    Invalid,
+    /// The call has no valid key of a team; it had no effect.
+    Unauthenticated
 };
-inline constexpr EnumNames<JobCallOutcome, 7> jobCallOutcomeNames{
-        {"done", "not-found", "gone", "busy", "not-leader", "unknown", "invalid"}};
+inline constexpr EnumNames<JobCallOutcome, 8> jobCallOutcomeNames{{"done", "not-found", "gone",
+                                                                   "busy", "not-leader", "unknown",
+                                                                   "invalid", "unauthenticated"}};
 
 struct JobCallAnswer
 {
--- a/Source/Scheduling/JobTypes.h
+++ b/Source/Scheduling/JobTypes.h
@@ -97,9 +97,14 @@
     std::uint32_t repeatCount = 0;
     WallTimeMs startAtMs = 0;
     std::int64_t intervalMs = 0;
+    /// Team that submitted the job; empty if the queue needs no key.
+    std::string team;
+    /// The team had submitted more than its share when the job was accepted.
+    bool beyondShare = false;
 
     std::uint32_t occurrences() const { return repeatCount > 0 ? repeatCount : 1; }
-    MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeatCount, startAtMs, intervalMs)
+    MSGPACK_DEFINE_ARRAY(id, queue, payload, steps, repeatCount, startAtMs, intervalMs, team,
+                         beyondShare)
 };
 
 struct TaskKey
@@ -174,9 +179,11 @@
     /// The workers on which the queue's steps may run are known only to the advice service.
     bool needsAdvice = false;
     std::int64_t adviceValidMs = 0;
+    /// Calls of the queue need no key of a team.
+    bool isPublic = false;
 
     MSGPACK_DEFINE_ARRAY(name, host, pathPrefix, service, timeoutMs, priority, maxAttempts, stretch,
-                         targetLatencyMs, needsAdvice, adviceValidMs)
+                         targetLatencyMs, needsAdvice, adviceValidMs, isPublic)
 };
 
 struct ServiceConfig
@@ -190,6 +197,22 @@
     MSGPACK_DEFINE_ARRAY(name, enforcesCapacity, standby)
 };
 
+/// A team whose jobs share the fleet with those of other teams.
+struct TeamConfig
+{
+    std::string name;
+    /// Keys that identify the team's calls. A team has several while they are rotated, and none
+    /// once all are revoked.
+    std::vector<std::string> apiKeys;
+    /// Jobs per second that are served before other teams' excess while capacity is short; 0 for no
+    /// limit.
+    std::int64_t weight = 0;
+    /// Resources that the team's tasks may use at once on all workers; 0 for no limit.
+    TaskResources maxRunning;
+
+    MSGPACK_DEFINE_ARRAY(name, apiKeys, weight, maxRunning)
+};
+
 struct FleetConfiguration
 {
     std::uint64_t version = 0;
@@ -197,8 +220,11 @@
     std::vector<ServiceConfig> services;
     /// The document as sent by the operator, returned when the configuration is read.
     std::string document;
+    /// Calls need a key of one of the teams, but for those of public queues.
+    bool requiresKeys = false;
+    std::vector<TeamConfig> teams;
 
-    MSGPACK_DEFINE_ARRAY(version, queues, services, document)
+    MSGPACK_DEFINE_ARRAY(version, queues, services, document, requiresKeys, teams)
 };
 
 /// Attributes that a worker announces.
--- /dev/null
+++ b/Source/Scheduling/TeamDirectory.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "Model/EnumNames.h"
+#include "Scheduling/JobTypes.h"
+
+namespace dandelionloom {
+
+/// The teams of one configuration, by key.
+struct TeamDirectory
+{
+    bool requiresKeys = false;
+    std::unordered_map<std::string, std::string> teamOfKey;
+};
+
+TeamDirectory makeTeamDirectory(const FleetConfiguration &configuration);
+
+enum class KeyCheck {
+    /// The key belongs to a team.
+    Known,
+    /// The queue is public, or the configuration has no teams.
+    NotRequired,
+    Missing,
+    /// No team of the configuration in force has the key.
+    Unknown
+};
+inline constexpr EnumNames<KeyCheck, 4> keyCheckNames{
+        {"known", "not-required", "missing", "unknown"}};
+
+struct KeyDecision
+{
+    KeyCheck check = KeyCheck::NotRequired;
+    /// Team of the key; empty if the check failed or the caller sent no key.
+    std::string team;
+
+    bool isAllowed() const { return check == KeyCheck::Known || check == KeyCheck::NotRequired; }
+};
+
+/// Checks the key of a call against the configuration in force.
+KeyDecision checkKey(const TeamDirectory &directory, const QueueConfig &queue,
+                     const std::string &apiKey);
+
+} // namespace dandelionloom
