Scheduling: Find queues by an index

Each call, each accepted job and each job in the demand of a step searched all queues of the configuration. An index is rebuilt when the configuration changes.

--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -64,12 +64,8 @@
 
 const QueueConfig *SchedulerState::queue(const std::string &name) const
 {
-    for (const QueueConfig &queue : m_configuration.queues) {
-        if (queue.name == name) {
-            return &queue;
-        }
-    }
-    return nullptr;
+    const auto position = m_queueIndex.named(name);
+    return position ? &m_configuration.queues[*position] : nullptr;
 }
 
 const ServiceConfig *SchedulerState::service(const std::string &name) const
@@ -84,20 +80,15 @@
 
 const QueueConfig *SchedulerState::queueFor(const std::string &host, const std::string &path) const
 {
-    const QueueConfig *best = nullptr;
-    for (const QueueConfig &queue : m_configuration.queues) {
-        if (queue.host == host && path.starts_with(queue.pathPrefix)
-            && (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())) {
-            best = &queue;
-        }
-    }
-    return best;
+    const auto position = m_queueIndex.serving(host, path);
+    return position ? &m_configuration.queues[*position] : nullptr;
 }
 
 void SchedulerState::on(const ConfigurationAccepted &change)
 {
     if (change.configuration.version > m_configuration.version) {
         m_configuration = change.configuration;
+        m_queueIndex = QueueIndex(m_configuration.queues);
     }
 }
 
@@ -314,6 +305,7 @@
         return JobChangeError{std::string("expected a job scheduler state, found malformed bytes: ")
                               + error.what()};
     }
+    state.m_queueIndex = QueueIndex(state.m_configuration.queues);
     for (const auto &[id, job] : state.m_jobs) {
         for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
             const auto &steps = job.occurrences[occurrence].steps;
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Scheduling/JobChanges.h"
+#include "Scheduling/QueueIndex.h"
 
 namespace dandelionloom {
 
@@ -115,6 +116,8 @@
     void finishTask(JobRecord &job, const TaskKey &key, WallTimeMs atMs);
 
     FleetConfiguration m_configuration;
+    /// Derived from m_configuration and not stored.
+    QueueIndex m_queueIndex;
     std::unordered_map<JobId, JobRecord> m_jobs;
     std::map<std::string, WorkerRecord> m_workers;
     /// Last ended incarnation of each worker that left, so that a delayed announcement does not add
