--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -113,6 +113,7 @@
     void sendAfterCommit(const std::string &instance, const std::string &worker,
                          std::function<void(bool)> send);
     void logDecisions(const std::vector<DispatchDecision> &dispatchDecisions);
+    void exportQuotaGauges();
 
     /// Must be called whenever the configuration applied here may have changed.
     void rebuildTeams();
@@ -176,6 +177,7 @@
     SteadyTimeMs m_nextProposal = 0;
     bool m_stepScheduled = false;
     SteadyTimeMs m_nextMaintenance = 0;
+    SteadyTimeMs m_nextGauges = 0;
     bool m_listInFlight = false;
     std::multimap<std::string, PendingReply> m_pendingReplies;
     /// Teams of the jobs that are proposed and not yet applied, by job.
