Platform, Scheduling: Allow a team's share the slack of the settings

A share counted weight times the window, so a small team whose jobs arrive unevenly was beyond it now and then and was refused while capacity was short. The deployment's settings tell the window, the overage and the slack.

--- a/Source/Scheduling/ShareMeter.cpp
+++ b/Source/Scheduling/ShareMeter.cpp
@@ -10,10 +10,11 @@
 
 /// Jobs that a team may submit within a window. At least one, so that a small weight never refuses
 /// a team that has submitted nothing.
-std::size_t jobsPerWindow(std::int64_t weight, std::int64_t windowMs)
+std::size_t jobsPerWindow(std::int64_t weight, const ShareOptions &options)
 {
-    const double jobs = static_cast<double>(weight) * static_cast<double>(windowMs)
-            / static_cast<double>(millisecondsPerSecond);
+    const double jobs = static_cast<double>(weight) * static_cast<double>(options.windowMs)
+                    / static_cast<double>(millisecondsPerSecond) * (1 + options.overage)
+            + static_cast<double>(options.slackJobs);
     return static_cast<std::size_t>(std::max(1.0, jobs));
 }
 
@@ -43,7 +44,7 @@
     const std::deque<SteadyTimeMs> &times = found->second;
     const auto first = std::upper_bound(times.begin(), times.end(), now - m_options.windowMs);
     const auto count = static_cast<std::size_t>(times.end() - first);
-    const std::size_t limit = jobsPerWindow(weight, m_options.windowMs);
+    const std::size_t limit = jobsPerWindow(weight, m_options);
     if (count < limit) {
         return 0;
     }
--- a/Source/Scheduling/ShareMeter.h
+++ b/Source/Scheduling/ShareMeter.h
@@ -14,6 +14,10 @@
     /// Sliding window in which the jobs of a team are compared with its weight. A team may submit
     /// the jobs of a whole window at once.
     std::int64_t windowMs = 5000;
+    /// Fraction of these jobs, and number of jobs, that a team may submit in addition. Arrivals
+    /// vary, and those of a small team by more than its share.
+    double overage = 0;
+    std::int64_t slackJobs = 0;
 };
 
 /// Counts the jobs that each team submits, to tell its share from its excess. Answers the load of
--- a/Tests/Scheduling/ShareMeterTest.cpp
+++ b/Tests/Scheduling/ShareMeterTest.cpp
@@ -30,6 +30,7 @@
 {
     CPPUNIT_TEST_SUITE(ShareMeterTest);
     CPPUNIT_TEST(slidingWindow);
+    CPPUNIT_TEST(slack);
     CPPUNIT_TEST(hotTeam);
     CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +67,18 @@
         });
     }
 
+    /// Guards against a small team whose jobs arrive unevenly being taken for one that sends many
+    /// times its usual.
+    void slack()
+    {
+        ShareMeter meter({5000, 0.1, 20});
+        for (int job = 0; job < 2 * 5 * 11 / 10 + 20; ++job) {
+            CPPUNIT_ASSERT(meter.isWithinShare("t", 2, 4000));
+            meter.record("t", 4000);
+        }
+        CPPUNIT_ASSERT(!meter.isWithinShare("t", 2, 4000));
+    }
+
     /// Guards against a team that sends seven times its share and takes more than its share, and
     /// against teams within theirs that are held for it.
     void hotTeam()
