--- a/Tests/Platform/PlatformProtocolsTest.cpp
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -236,6 +236,12 @@
             const FleetConfiguration read = decodeConfiguration(configurationBody);
             CPPUNIT_ASSERT(!read.requiresKeys && read.teams.empty());
         });
+        section("a team without the list of keys has none", [&] {
+            std::string body = teamsBody;
+            const std::string keys = R"(,"api_keys":[])";
+            body.erase(body.find(keys), keys.size());
+            CPPUNIT_ASSERT(decodeConfiguration(body).teams[1].apiKeys.empty());
+        });
         section("a weight below one job a second is no unlimited one", [&] {
             std::string body = teamsBody;
             body.replace(body.find("205"), 3, "0.5");
