Platform, Scheduling: Decode teams and check keys of calls

A configuration may list teams with keys, a weight and a quota, and queues that need no key. Without the list all is as before; a list of another type, names or keys that are empty or not unique, and negative limits are refused with the field, and messages name keys by team and position only. Weights below one job a second are rounded up, as 0 means no limit. checkKey() finds the team of a key.

--- a/Source/Scheduling/TeamDirectory.h
+++ b/Source/Scheduling/TeamDirectory.h
@@ -42,4 +42,8 @@
 KeyDecision checkKey(const TeamDirectory &directory, const QueueConfig &queue,
                      const std::string &apiKey);
 
+/// False if the job is of another team than the caller's. An empty team is no other team: jobs of
+/// public queues, and those accepted before the configuration had teams, have none.
+bool mayAccess(const std::string &callerTeam, const std::string &jobTeam);
+
 } // namespace dandelionloom
--- a/Tests/Platform/PlatformProtocolsTest.cpp
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -31,6 +31,13 @@
         R"("advice":{"decision_ms":5,"valid_ms":4000}}],"services":[{"name":"s1",)"
         R"("admission_control":true}],"limits":{}})";
 
+const std::string teamsBody =
+        R"({"version":8,"routes":[{"name":"q","host":"h","path_prefix":"/p/","timeout_ms":3000,)"
+        R"("service":"s1","public":true}],"services":[{"name":"s1"}],"tenants":[)"
+        R"({"name":"cugo130","api_keys":["k1","k2"],"priority":1,"weight":205,)"
+        R"("max_count":{"cpu":10971100,"mem_mb":17720334,"gpu":0}},)"
+        R"({"name":"small","api_keys":[]}]})";
+
 const std::string jobBody =
         R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900},)"
         R"({"count":2,"depends_on":[0],"long_running":true,"max_unavailable":1,"fills":true}]})";
@@ -72,6 +79,7 @@
     CPPUNIT_TEST(clientRequests);
     CPPUNIT_TEST(workerAnnouncements);
     CPPUNIT_TEST(configurations);
+    CPPUNIT_TEST(teams);
     CPPUNIT_TEST(oddEntries);
     CPPUNIT_TEST(mutatedInput);
     CPPUNIT_TEST(settingsFile);
@@ -82,15 +90,24 @@
     void clientRequests()
     {
         ClientProtocol protocol;
-        const auto decoded =
-                protocol.decode({"POST",
-                                 "/p/5c0e",
-                                 "",
-                                 {{"Host", "h:80"}, {"X-Dandelionloom-Deadline-Ms", "700"}},
-                                 jobBody});
+        const auto decoded = protocol.decode({"POST",
+                                              "/p/5c0e",
+                                              "",
+                                              {{"Host", "h:80"},
+                                               {"X-Dandelionloom-Deadline-Ms", "700"},
+                                               {"X-Dandelionloom-Key", "k1"}},
+                                              jobBody});
         const auto &timed = std::get<TimedJobCall>(decoded);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(700), timed.callTimeoutMs);
         CPPUNIT_ASSERT_EQUAL(std::string("h"), timed.call.host);
+        CPPUNIT_ASSERT_EQUAL(std::string("k1"), timed.call.apiKey);
+        section("status and cancel carry the key too", [&] {
+            for (const char *method : {"GET", "DELETE"}) {
+                const auto other =
+                        protocol.decode({method, "/p/5", "", {{"x-dandelionloom-key", "k2"}}, ""});
+                CPPUNIT_ASSERT_EQUAL(std::string("k2"), std::get<TimedJobCall>(other).call.apiKey);
+            }
+        });
         CPPUNIT_ASSERT_EQUAL(4U, timed.call.spec.steps[0].count);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(500), timed.call.spec.steps[0].need.processorMilli);
         CPPUNIT_ASSERT(timed.call.spec.steps[1].longRunning && timed.call.spec.steps[1].bestEffort);
@@ -102,6 +119,8 @@
             CPPUNIT_ASSERT_EQUAL(504, protocol.encode(call, answer).status);
             answer = makeAnswer(JobCallOutcome::NotLeader, "no-leader-in-time");
             CPPUNIT_ASSERT_EQUAL(503, protocol.encode(call, answer).status);
+            answer = makeAnswer(JobCallOutcome::Unauthenticated, "key-missing");
+            CPPUNIT_ASSERT_EQUAL(401, protocol.encode(call, answer).status);
             answer = makeAnswer(JobCallOutcome::Busy, "backlog");
             answer.retryAfterMs = 1200;
             const HttpResponse busyResponse = protocol.encode(call, answer);
@@ -182,6 +201,78 @@
         });
     }
 
+    /// Guards against teams that are lost in decoding, and against a configuration whose keys are
+    /// ambiguous or that drops all teams.
+    void teams()
+    {
+        ControlProtocol protocol("10.0.0.9:8623");
+        const auto answerTo = [&](const std::string &from, const std::string &to) {
+            std::string body = teamsBody;
+            body.replace(body.find(from), from.size(), to);
+            const auto decoded = protocol.decode({"PUT", "/v1/config", "", {}, body});
+            const auto *answer = std::get_if<HttpResponse>(&decoded);
+            return answer == nullptr ? HttpResponse{0, {}, {}} : *answer;
+        };
+        const auto assertRefused = [&](const std::string &from, const std::string &to,
+                                       const std::string &message) {
+            const HttpResponse answer = answerTo(from, to);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(to, 400, answer.status);
+            CPPUNIT_ASSERT_MESSAGE(answer.body, answer.body.find(message) != std::string::npos);
+        };
+        section("teams, keys, weights and quotas are read", [&] {
+            const FleetConfiguration read = decodeConfiguration(teamsBody);
+            CPPUNIT_ASSERT_EQUAL(std::string(), configurationFault(read));
+            CPPUNIT_ASSERT(read.requiresKeys);
+            CPPUNIT_ASSERT(read.queues[0].isPublic);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.teams.size());
+            const TeamConfig &team = read.teams[0];
+            CPPUNIT_ASSERT_EQUAL(std::string("cugo130"), team.name);
+            CPPUNIT_ASSERT_EQUAL(std::string("k2"), team.apiKeys.at(1));
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(205), team.weight);
+            CPPUNIT_ASSERT(team.maxRunning == (TaskResources{10971100, 17720334, 0}));
+            CPPUNIT_ASSERT(read.teams[1].apiKeys.empty());
+        });
+        section("without teams no call needs a key", [&] {
+            const FleetConfiguration read = decodeConfiguration(configurationBody);
+            CPPUNIT_ASSERT(!read.requiresKeys && read.teams.empty());
+        });
+        section("a weight below one job a second is no unlimited one", [&] {
+            std::string body = teamsBody;
+            body.replace(body.find("205"), 3, "0.5");
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(1), decodeConfiguration(body).teams[0].weight);
+        });
+        section("lists that are null or of another type", [&] {
+            for (const char *value : {"null", "{}", "0", "\"\""}) {
+                const std::string body = R"({"version":9,"routes":[],"services":[],"tenants":)"
+                        + std::string(value) + "}";
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                        body, 400, statusOf(protocol.decode({"PUT", "/v1/config", "", {}, body})));
+                assertRefused("[\"k1\",\"k2\"]", value, "tenants[0]: expected a list in api_keys");
+            }
+            assertRefused("[\"k1\",\"k2\"]", "[\"k1\",7]", "list of text in api_keys");
+        });
+        section("two teams with one key, and a key listed twice", [&] {
+            assertRefused("\"api_keys\":[]", "\"api_keys\":[\"k1\"]",
+                          "team small: key 0: expected a key that is listed once, found the one of "
+                          "team cugo130: key 0");
+            assertRefused("\"k2\"", "\"k1\"", "team cugo130: key 1");
+            assertRefused("\"k2\"", "\"\"", "expected a non-empty key");
+        });
+        section("messages hold no key", [&] {
+            const HttpResponse answer = answerTo("\"api_keys\":[]", "\"api_keys\":[\"k1\"]");
+            CPPUNIT_ASSERT(answer.body.find("k1") == std::string::npos);
+        });
+        section("names, weights and quotas", [&] {
+            assertRefused("\"small\"", "\"cugo130\"", "unique, non-empty name");
+            assertRefused("\"small\"", "\"\"", "unique, non-empty name");
+            assertRefused("\"small\"", "5", "tenants[1]: expected text in name");
+            assertRefused("205", "-1", "expected a weight from 0 on, found -1");
+            assertRefused("205", "1e300", "in weight");
+            assertRefused("17720334", "-5", "expected a quota of memory from 0 on, found -5");
+            assertRefused("\"public\":true", "\"public\":1", "true or false in public");
+        });
+    }
+
     /// Guards against one odd entry of another writer that ends the process, that changes what is
     /// known of a worker, or that hides the other entries.
     void oddEntries()
@@ -264,6 +355,7 @@
             (void)clients.decode({"POST", "/p/1", "", {}, mutated(jobBody, random)});
             (void)control.decode({"PUT", "/v1/instances/i", "", {}, mutated(workerBody, random)});
             (void)control.decode({"PUT", "/v1/config", "", {}, mutated(configurationBody, random)});
+            (void)control.decode({"PUT", "/v1/config", "", {}, mutated(teamsBody, random)});
             (void)control.decode({"POST",
                                   "/v1/wave-start",
                                   "",
