Runtime, Scheduling: Serve teams by key and share, refuse what can't be served

The leader checks the key of each submission, status and cancel, by a directory that is rebuilt with each applied or restored configuration. Jobs of other teams answer as if they did not exist. A submission is marked if it lies beyond its team's share. Where the configuration has teams, a job whose predicted wait makes it useless, and a job beyond its share while others would wait, get 429 before anything is proposed. Predictions are logged and compared with the first start. A gateway reports a refusal after a lost answer as unknown, also for 401.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -1,6 +1,9 @@
 #include "Runtime/JobService.h"
 
 #include <algorithm>
+#include <cstdlib>
+
+#include "Scheduling/StepFacts.h"
 
 // Leadership, orders and timers. The handlers of calls are in JobServiceCalls.cpp.
 
@@ -63,6 +66,12 @@
     return cancelled == nullptr ? std::string() : cancelled->job;
 }
 
+/// True if the job counts towards its team's share.
+bool countsTowardsShare(const JobRecord &job)
+{
+    return !job.spec.team.empty() && !job.spec.beyondShare && !isLongRunning(job.spec);
+}
+
 } // namespace
 
 JobService::JobService(EventLoop &loop, JobServiceOptions options, JsonLineLog &log,
@@ -71,7 +80,8 @@
       m_workers(workers), m_instances(instances), m_alive(std::make_shared<JobService *>(this)),
       m_dispatcher(m_schedulerState, m_options.dispatch), m_orderLog(m_options.minOrderIntervalMs),
       m_maintenance(m_schedulerState, m_dispatcher, m_orderLog, m_options.maintenance),
-      m_balancer(m_schedulerState, m_dispatcher, m_orderLog, m_maintenance, m_options.balance)
+      m_balancer(m_schedulerState, m_dispatcher, m_orderLog, m_maintenance, m_options.balance),
+      m_shares(m_options.shares), m_loads(m_schedulerState, m_dispatcher)
 { }
 
 JobService::~JobService()
@@ -157,6 +167,7 @@
     }
     m_schedulerState = takeValue(std::move(restored));
     m_appliedIndex = index;
+    rebuildTeams();
 }
 
 void JobService::onSnapshotRequested()
@@ -177,6 +188,7 @@
     m_schedulerState.apply(change);
     if (phaseOf(job) != before) {
         const JobRecord &ended = *m_schedulerState.job(job);
+        m_predictedStarts.erase(job);
         m_log.line(LogSeverity::Info, "job-ended",
                    {{"job", job},
                     {"phase", jobPhaseNames.name(ended.phase)},
@@ -188,6 +200,9 @@
         m_metrics.observe("dandelionloom_job_seconds", "",
                           static_cast<double>(ended.endedAtMs - ended.acceptedAtMs) / 1000);
     }
+    if (std::holds_alternative<ConfigurationAccepted>(change)) {
+        rebuildTeams();
+    }
     const auto *ordered = std::get_if<InstanceOrdered>(&change);
     if (ordered != nullptr) {
         m_orderLog.applied(*ordered, steadyTimeNow());
@@ -196,6 +211,9 @@
         return;
     }
     m_dispatcher.applied(change, steadyTimeNow());
+    if (const auto *assigned = std::get_if<RunAssigned>(&change)) {
+        checkPrediction(*assigned);
+    }
     sendPendingReplies(change);
     if (ordered != nullptr && ordered->term == m_status.term) {
         const auto order = m_uncommittedOrders.extract(ordered->instance);
@@ -214,6 +232,8 @@
     m_orderLog.releaseAll();
     m_maintenance.beginTerm(m_status.term);
     m_balancer.beginTerm(m_status.term, now);
+    rebuildShares();
+    m_loads.beginTerm();
     m_log.line(LogSeverity::Info, "lead",
                {{"term", static_cast<std::int64_t>(m_status.term)},
                 {"jobs", static_cast<std::int64_t>(m_schedulerState.jobs().size())},
@@ -229,6 +249,8 @@
     m_dispatcher.endTerm();
     m_unproposedChanges.clear();
     m_uncommittedOrders.clear();
+    m_teamsOfProposedJobs.clear();
+    m_predictedStarts.clear();
     m_log.line(LogSeverity::Info, "step-down",
                {{"term", static_cast<std::int64_t>(m_status.term)}, {"leader", m_status.leader}});
     std::multimap<std::string, PendingReply> pendingReplies;
@@ -241,6 +263,44 @@
     }
 }
 
+void JobService::rebuildTeams()
+{
+    m_teams = makeTeamDirectory(m_schedulerState.configuration());
+}
+
+void JobService::checkPrediction(const RunAssigned &assigned)
+{
+    const auto predicted = m_predictedStarts.find(assigned.task.job);
+    if (predicted == m_predictedStarts.end()) {
+        return;
+    }
+    const std::int64_t error = steadyTimeNow() - predicted->second;
+    m_predictedStarts.erase(predicted);
+    m_metrics.observe("dandelionloom_start_prediction_error_seconds",
+                      error < 0 ? "start=\"earlier\"" : "start=\"later\"",
+                      static_cast<double>(std::abs(error)) / 1000);
+}
+
+void JobService::rebuildShares()
+{
+    m_shares.clear();
+    const SteadyTimeMs now = steadyTimeNow();
+    const WallTimeMs wallNow = wallTimeNow();
+    std::vector<std::pair<std::int64_t, const std::string *>> recent;
+    for (const auto &[id, job] : m_schedulerState.jobs()) {
+        // A clock that was set back shows an acceptance in the future, which counts as just now.
+        const std::int64_t age = std::max<std::int64_t>(0, wallNow - job.acceptedAtMs);
+        if (age < m_options.shares.windowMs && countsTowardsShare(job)) {
+            recent.emplace_back(age, &job.spec.team);
+        }
+    }
+    std::sort(recent.begin(), recent.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    for (const auto &[age, name] : recent) {
+        m_shares.record(*name, now - age);
+    }
+}
+
 void JobService::propose(std::vector<JobChange> changes)
 {
     std::move(changes.begin(), changes.end(), std::back_inserter(m_unproposedChanges));
@@ -375,6 +435,7 @@
                 if (isOk(listed)) {
                     (*service)->m_maintenance.listed(valueOf(listed), readAt);
                     (*service)->m_balancer.listed(valueOf(listed), readAt);
+                    (*service)->m_loads.listed(valueOf(listed));
                 } else {
                     (*service)->m_log.line(LogSeverity::Warning, "instance-list",
                                            {{"reason", instanceFaultNames.name(errorOf(listed))}});
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Adapters/Logging/JsonLineLog.h"
@@ -19,6 +20,10 @@
 #include "Scheduling/Dispatcher.h"
 #include "Scheduling/MaintenancePlanner.h"
 #include "Scheduling/PoolBalancer.h"
+#include "Scheduling/ServiceLoads.h"
+#include "Scheduling/ShareMeter.h"
+#include "Scheduling/SubmissionForecast.h"
+#include "Scheduling/TeamDirectory.h"
 
 namespace dandelionloom {
 
@@ -31,6 +36,8 @@
     DispatchOptions dispatch;
     MaintenanceOptions maintenance;
     PoolBalancerOptions balance;
+    ShareOptions shares;
+    SubmissionOptions submissions;
 };
 
 /// State machine of a control instance on top of the journal. Applies committed changes and, while
@@ -107,6 +114,25 @@
                          std::function<void(bool)> send);
     void logDecisions(const std::vector<DispatchDecision> &dispatchDecisions);
 
+    /// Must be called whenever the configuration applied here may have changed.
+    void rebuildTeams();
+    /// Restores the shares from the jobs that were accepted within the last window.
+    void rebuildShares();
+    /// Null if the configuration in force has no such team.
+    const TeamConfig *team(const std::string &name) const;
+    /// Team of the caller, see KeyDecision::team. If the key is not valid for the queue, replies so
+    /// and returns none.
+    std::optional<std::string> findTeamOrReply(const QueueConfig &queue, const JobCall &call,
+                                               const JobReplyCallback &reply);
+    /// Team of a job that is recorded or proposed; empty for none.
+    std::string teamOfJob(const std::string &job) const;
+    /// Accepts the job or refuses it, as it would end too late or its team is beyond its share.
+    SubmissionDecision decide(const JobSpec &spec, const QueueConfig &queue,
+                              const TeamConfig *owner, const std::string &requestId);
+    /// Compares the first start of a job with its predicted one.
+    void checkPrediction(const RunAssigned &assigned);
+    /// False if the job is of another team than the caller's.
+    bool findsJob(const std::string &caller, const std::string &job, const JobCall &call);
     void submit(const JobCall &call, const JobReplyCallback &reply);
     void status(const JobCall &call, const JobReplyCallback &reply);
     void cancel(const JobCall &call, const JobReplyCallback &reply);
@@ -152,6 +178,13 @@
     SteadyTimeMs m_nextMaintenance = 0;
     bool m_listInFlight = false;
     std::multimap<std::string, PendingReply> m_pendingReplies;
+    /// Teams of the jobs that are proposed and not yet applied, by job.
+    std::map<std::string, std::string> m_teamsOfProposedJobs;
+    TeamDirectory m_teams;
+    ShareMeter m_shares;
+    ServiceLoads m_loads;
+    /// Predicted first start of each job that was accepted in this term and has not started.
+    std::unordered_map<JobId, SteadyTimeMs> m_predictedStarts;
     /// Callbacks, by instance, that send an order once its record is committed. The argument is
     /// false if the lease was lost in the meantime and the order must not be sent.
     std::map<std::string, std::function<void(bool)>> m_uncommittedOrders;
--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "Runtime/JobService.h"
+#include "Scheduling/StepFacts.h"
 
 // Handlers of the calls of clients, workers and operators. They run on the leader only.
 
@@ -12,6 +13,9 @@
 /// jobs in use have a hundred tasks.
 constexpr std::uint64_t maxTasksPerJob = 20000;
 
+/// Number of different delays that callers of one refusal get, by a hash of their job's id.
+constexpr std::uint64_t spreadSteps = 1024;
+
 std::string jobKey(const std::string &job)
 {
     return "job/" + job;
@@ -53,6 +57,12 @@
     return queue;
 }
 
+/// Reason of an answer to a call without a valid key.
+std::string keyReason(KeyCheck check)
+{
+    return "key-" + std::string(keyCheckNames.name(check));
+}
+
 /// Returns why the job is invalid, or an empty string.
 std::string jobSpecError(const JobSpec &spec)
 {
@@ -159,6 +169,7 @@
 void JobService::sendPendingReplies(const JobChange &change)
 {
     if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
+        m_teamsOfProposedJobs.erase(accepted->spec.id);
         sendPendingReplies(jobKey(accepted->spec.id));
     } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
         sendPendingReplies(cancelKey(cancelled->job));
@@ -173,15 +184,130 @@
     }
 }
 
+const TeamConfig *JobService::team(const std::string &name) const
+{
+    const std::vector<TeamConfig> &teams = m_schedulerState.configuration().teams;
+    const auto found = std::find_if(teams.begin(), teams.end(),
+                                    [&name](const TeamConfig &each) { return each.name == name; });
+    return found == teams.end() ? nullptr : &*found;
+}
+
+std::optional<std::string> JobService::findTeamOrReply(const QueueConfig &queue,
+                                                       const JobCall &call,
+                                                       const JobReplyCallback &reply)
+{
+    const KeyDecision decision = checkKey(m_teams, queue, call.apiKey);
+    if (decision.isAllowed()) {
+        return decision.team;
+    }
+    // Without the key, which may be a valid one of another deployment.
+    m_log.line(LogSeverity::Info, "key-refused",
+               {{"request", call.requestId},
+                {"queue", queue.name},
+                {"check", keyCheckNames.name(decision.check)},
+                {"configuration",
+                 static_cast<std::int64_t>(m_schedulerState.configuration().version)}});
+    m_metrics.count("dandelionloom_keys_refused_total",
+                    "check=\"" + std::string(keyCheckNames.name(decision.check)) + "\"", 1);
+    reply(makeAnswer(JobCallOutcome::Unauthenticated, keyReason(decision.check)));
+    return std::nullopt;
+}
+
+SubmissionDecision JobService::decide(const JobSpec &spec, const QueueConfig &queue,
+                                      const TeamConfig *owner, const std::string &requestId)
+{
+    const bool startsLater = spec.repeatCount > 0 || spec.startAtMs > 0;
+    if (!m_teams.requiresKeys || isLongRunning(spec) || isBestEffort(spec) || startsLater) {
+        return {};
+    }
+    JobRecord job;
+    job.spec = spec;
+    job.queue = queue;
+    job.acceptedAtMs = wallTimeNow();
+    const SubmittedJob submitted =
+            submittedJob(job, m_dispatcher.durations().expectedStepMs(spec), job.acceptedAtMs);
+    const SteadyTimeMs now = steadyTimeNow();
+    const std::optional<ServiceLoad> load =
+            m_loads.loadOf(queue.service, submitted.rank, !spec.beyondShare, now);
+    if (!load) {
+        return {};
+    }
+    SubmissionFacts facts;
+    facts.now = job.acceptedAtMs;
+    facts.jobCoreMs = submitted.coreMs;
+    facts.jobPathMs = submitted.pathMs;
+    facts.usefulUntil = submitted.usefulUntil;
+    facts.withinShare = !spec.beyondShare;
+    facts.msUntilWithinShare =
+            owner == nullptr ? 0 : m_shares.msUntilWithinShare(owner->name, owner->weight, now);
+    facts.targetLatencyMs = queue.targetLatencyMs;
+    facts.callerSpread = static_cast<double>(JobId(spec.id).hash() % spreadSteps)
+            / static_cast<double>(spreadSteps);
+    facts.load = *load;
+    const SubmissionDecision decision = decideSubmission(facts, m_options.submissions);
+    const bool accepted = decision.verdict == SubmissionVerdict::Accepted;
+    if (accepted) {
+        m_predictedStarts[spec.id] = now + decision.predictedWaitMs;
+    } else {
+        m_metrics.count(
+                "dandelionloom_submissions_refused_total",
+                "reason=\"" + std::string(submissionVerdictNames.name(decision.verdict)) + "\"", 1);
+    }
+    // Accepted jobs come by the hundred a second and must not use the lines of rarer events.
+    m_log.line(accepted ? LogSeverity::Debug : LogSeverity::Info, "forecast",
+               {{"request", requestId},
+                {"job", spec.id},
+                {"queue", queue.name},
+                {"team", spec.team},
+                {"verdict", submissionVerdictNames.name(decision.verdict)},
+                {"wait_ms", decision.predictedWaitMs},
+                {"retry_after_ms", decision.retryAfterMs},
+                {"ahead_core_ms", static_cast<std::int64_t>(load->aheadCoreMs)},
+                {"capacity_milli", load->capacityMilli},
+                {"reachable_milli", load->reachableMilli},
+                {"input_age_ms", m_loads.ageMs(now)}});
+    return decision;
+}
+
+bool JobService::findsJob(const std::string &caller, const std::string &job, const JobCall &call)
+{
+    if (mayAccess(caller, teamOfJob(job))) {
+        return true;
+    }
+    // Logged here only, as the answer must not show that the job exists.
+    m_log.line(LogSeverity::Info, "job-of-other-team",
+               {{"request", call.requestId}, {"job", job}, {"team", caller}});
+    return false;
+}
+
+std::string JobService::teamOfJob(const std::string &job) const
+{
+    if (const JobRecord *record = m_schedulerState.job(job)) {
+        return record->spec.team;
+    }
+    const auto proposed = m_teamsOfProposedJobs.find(job);
+    return proposed == m_teamsOfProposedJobs.end() ? std::string() : proposed->second;
+}
+
 void JobService::submit(const JobCall &call, const JobReplyCallback &reply)
 {
     const QueueConfig *queue = findQueueOrReply(m_schedulerState, call, reply);
     if (queue == nullptr) {
         return;
     }
+    const std::optional<std::string> caller = findTeamOrReply(*queue, call, reply);
+    if (!caller) {
+        return;
+    }
     JobSpec spec = call.spec;
     spec.id = call.path.substr(queue->pathPrefix.size());
     spec.queue = queue->name;
+    spec.team = *caller;
+    if (!findsJob(*caller, spec.id, call)) {
+        reply(makeAnswer(JobCallOutcome::Invalid,
+                         "expected a job id that is not in use, found \"" + spec.id + "\""));
+        return;
+    }
     if (m_schedulerState.job(spec.id) != nullptr) {
         reply(makeAnswer(JobCallOutcome::Done, "known-job"));
         return;
@@ -199,7 +325,23 @@
         reply(makeAnswer(JobCallOutcome::Invalid, std::move(fault)));
         return;
     }
+    const TeamConfig *owner = team(spec.team);
+    const SteadyTimeMs now = steadyTimeNow();
+    spec.beyondShare = owner != nullptr && !isLongRunning(spec)
+            && !m_shares.isWithinShare(owner->name, owner->weight, now);
+    const SubmissionDecision decision = decide(spec, *queue, owner, call.requestId);
+    if (decision.verdict != SubmissionVerdict::Accepted) {
+        JobCallAnswer refusal = makeAnswer(
+                JobCallOutcome::Busy, std::string(submissionVerdictNames.name(decision.verdict)));
+        refusal.retryAfterMs = decision.retryAfterMs;
+        reply(refusal);
+        return;
+    }
+    if (owner != nullptr && !isLongRunning(spec) && !spec.beyondShare) {
+        m_shares.record(owner->name, now);
+    }
     replyWhenApplied(key, makeAnswer(JobCallOutcome::Done, "accepted"), reply);
+    m_teamsOfProposedJobs[spec.id] = spec.team;
     propose({JobAccepted{std::move(spec), *queue, wallTimeNow()}});
 }
 
@@ -209,6 +351,10 @@
     if (queue == nullptr) {
         return;
     }
+    const std::optional<std::string> caller = findTeamOrReply(*queue, call, reply);
+    if (!caller) {
+        return;
+    }
     JobCallAnswer answer;
     answer.outcome = JobCallOutcome::Done;
     const std::string id = call.path.substr(queue->pathPrefix.size());
@@ -219,7 +365,7 @@
         return;
     }
     const JobRecord *job = m_schedulerState.job(id);
-    if (job == nullptr) {
+    if (job == nullptr || !findsJob(*caller, id, call)) {
         reply(makeAnswer(JobCallOutcome::Gone, "no-job"));
         return;
     }
@@ -239,16 +385,33 @@
     const std::string id = queue != nullptr ? call.path.substr(queue->pathPrefix.size())
                                             : call.path.substr(call.path.rfind('/') + 1);
     const JobRecord *job = m_schedulerState.job(id);
+    // The submission may be proposed but not applied yet.
+    const bool isProposed = job == nullptr && m_pendingReplies.contains(jobKey(id));
+    if (queue == nullptr && job == nullptr && !isProposed) {
+        reply(makeAnswer(JobCallOutcome::NotFound, "no-job"));
+        return;
+    }
+    // The rules of a removed queue are those of the job's acceptance.
+    const QueueConfig rules = queue != nullptr ? *queue
+            : job != nullptr                   ? job->queue
+                                               : QueueConfig();
+    const std::optional<std::string> caller = findTeamOrReply(rules, call, reply);
+    if (!caller) {
+        return;
+    }
+    if (!findsJob(*caller, id, call)) {
+        reply(makeAnswer(queue == nullptr ? JobCallOutcome::NotFound : JobCallOutcome::Gone,
+                         "no-job"));
+        return;
+    }
     if (job == nullptr) {
-        if (m_pendingReplies.contains(jobKey(id))) {
-            // The submission is proposed but not applied yet. The cancellation follows it in the
-            // journal.
+        if (isProposed) {
+            // The cancellation follows the submission in the journal.
             replyWhenApplied(cancelKey(id), makeAnswer(JobCallOutcome::Done, "cancelled"), reply);
             propose({JobCancelled{id, wallTimeNow()}});
             return;
         }
-        reply(makeAnswer(queue == nullptr ? JobCallOutcome::NotFound : JobCallOutcome::Gone,
-                         "no-job"));
+        reply(makeAnswer(JobCallOutcome::Gone, "no-job"));
         return;
     }
     if (job->phase != JobPhase::Active) {
--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -167,7 +167,9 @@
     }
     m_leaderHeardAt = steadyTimeNow();
     m_leader = target;
-    if (answer.outcome == JobCallOutcome::Busy && forwarded->inDoubt) {
+    const bool refused = answer.outcome == JobCallOutcome::Busy
+            || answer.outcome == JobCallOutcome::Unauthenticated;
+    if (refused && forwarded->inDoubt) {
         // An earlier attempt may have been accepted, so the call can't be reported as refused.
         JobCallAnswer unknown;
         unknown.outcome = JobCallOutcome::Unknown;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -101,6 +101,9 @@
         return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
     }
     const WorkerView *view(const std::string &worker) const;
+    /// As of the last placement pass.
+    const WaitingSteps &waitingSteps() const { return m_waiting; }
+    const RunDurations &durations() const { return m_durations; }
 
 private:
     struct Tickets
--- /dev/null
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -0,0 +1,142 @@
+#include "Scheduling/ServiceLoads.h"
+
+#include <algorithm>
+
+#include "Scheduling/StepFacts.h"
+
+namespace dandelionloom {
+
+double WaitingWork::coreMsBefore(const StepRank &rank) const
+{
+    const auto next = std::upper_bound(
+            coreMsUpTo.begin(), coreMsUpTo.end(), rank,
+            [](const StepRank &limit, const auto &entry) { return limit < entry.first; });
+    return next == coreMsUpTo.begin() ? 0 : std::prev(next)->second;
+}
+
+WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
+                          const WaitingSteps::Order &steps)
+{
+    WaitingWork work;
+    const StepKey *previous = nullptr;
+    for (const StepPosition &position : steps) {
+        const StepKey &key = position.key;
+        const StepGroup group = position.rank.group;
+        if (group != StepGroup::OnTime && group != StepGroup::Late) {
+            continue;
+        }
+        // The remaining work is that of the whole occurrence, whose steps follow one another.
+        const bool isCounted = previous != nullptr && previous->job == key.job
+                && previous->occurrence == key.occurrence;
+        previous = &key;
+        const JobRecord *job = state.job(key.job);
+        if (isCounted || job == nullptr || job->spec.beyondShare) {
+            continue;
+        }
+        const double coreMs = waiting.at(key).attributes.remainingWork / milliPerCore;
+        work.coreMsUpTo.emplace_back(position.rank, work.totalCoreMs() + coreMs);
+    }
+    return work;
+}
+
+SubmittedJob submittedJob(const JobRecord &job, const std::vector<std::int64_t> &stepMs,
+                          WallTimeMs now)
+{
+    StepAttributes attributes = stepAttributes(job, stepMs, 0, 0);
+    attributes.remainingPathMs = attributes.jobPathMs;
+    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+        const StepSpec &spec = job.spec.steps[step];
+        attributes.remainingWork += static_cast<double>(spec.count)
+                * static_cast<double>(spec.need.processorMilli) * static_cast<double>(stepMs[step]);
+    }
+    return {attributes.remainingWork / milliPerCore, attributes.jobPathMs,
+            usefulDeadline(attributes), rankStep(attributes, now)};
+}
+
+ServiceLoads::ServiceLoads(const SchedulerState &state, const Dispatcher &dispatcher,
+                           ServiceLoadOptions options)
+    : m_state(state), m_dispatcher(dispatcher), m_options(options)
+{ }
+
+void ServiceLoads::beginTerm()
+{
+    m_instances.reset();
+    m_sumsAt = 0;
+}
+
+void ServiceLoads::listed(std::vector<ListedInstance> instances)
+{
+    m_instances = std::move(instances);
+}
+
+std::optional<ServiceLoad> ServiceLoads::loadOf(const std::string &service, const StepRank &rank,
+                                                bool withinShare, SteadyTimeMs now)
+{
+    if (!m_instances) {
+        return std::nullopt;
+    }
+    if (m_sumsAt == 0 || now - m_sumsAt >= m_options.maxAgeMs) {
+        sumUp();
+        m_sumsAt = now;
+    }
+    ServiceLoad load;
+    if (const auto work = m_waiting.find(service); work != m_waiting.end()) {
+        load.aheadCoreMs =
+                withinShare ? work->second.coreMsBefore(rank) : work->second.totalCoreMs();
+    }
+    if (const auto capacity = m_capacityMilli.find(service); capacity != m_capacityMilli.end()) {
+        load.capacityMilli = capacity->second;
+    }
+    const auto own = m_unusedMilli.find(service);
+    load.reachableMilli = m_totalUnusedMilli - (own == m_unusedMilli.end() ? 0 : own->second);
+    return load;
+}
+
+void ServiceLoads::sumUp()
+{
+    m_waiting.clear();
+    for (const auto &[service, steps] : m_dispatcher.waitingSteps().byService()) {
+        m_waiting[service] = waitingWorkOf(m_state, m_dispatcher.waitingSteps(), steps);
+    }
+    sumUpWorkers();
+    sumUpInstances();
+}
+
+void ServiceLoads::sumUpWorkers()
+{
+    m_capacityMilli.clear();
+    for (const auto &[id, worker] : m_state.workers()) {
+        // In a new term a worker that has not answered yet counts like one that has.
+        const WorkerView *view = m_dispatcher.view(id);
+        const bool isLeaving = worker.draining
+                || (view != nullptr && (view->cordoned || view->leaving || view->deregistered));
+        if (isLeaving) {
+            continue;
+        }
+        const std::int64_t longRunning =
+                view == nullptr ? 0 : m_dispatcher.longRunningMilli(worker, *view);
+        m_capacityMilli[worker.service] +=
+                std::max<std::int64_t>(0, worker.capacity.processorMilli - longRunning);
+    }
+}
+
+void ServiceLoads::sumUpInstances()
+{
+    m_unusedMilli.clear();
+    m_totalUnusedMilli = 0;
+    for (const ListedInstance &instance : *m_instances) {
+        const WorkerRecord *worker = m_state.worker(instance.worker);
+        const WorkerView *view = m_dispatcher.view(instance.worker);
+        const bool isPinned = view != nullptr && view->longRunningCount > 0;
+        if (instance.state == InstanceState::Down || isPinned) {
+            continue;
+        }
+        const std::int64_t used = view == nullptr ? 0 : view->used.processorMilli;
+        const std::int64_t unused =
+                std::max<std::int64_t>(0, instance.capacity.processorMilli - used);
+        m_unusedMilli[worker == nullptr ? std::string() : worker->service] += unused;
+        m_totalUnusedMilli += unused;
+    }
+}
+
+} // namespace dandelionloom
--- a/Source/Scheduling/StepFacts.cpp
+++ b/Source/Scheduling/StepFacts.cpp
@@ -10,6 +10,18 @@
     return queue != nullptr ? queue->service : job.queue.service;
 }
 
+bool isLongRunning(const JobSpec &spec)
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+                       [](const StepSpec &step) { return step.longRunning; });
+}
+
+bool isBestEffort(const JobSpec &spec)
+{
+    return std::all_of(spec.steps.begin(), spec.steps.end(),
+                       [](const StepSpec &step) { return step.bestEffort; });
+}
+
 bool isReady(const StepSpec &step, const OccurrenceRecord &occurrence)
 {
     return std::all_of(step.dependsOn.begin(), step.dependsOn.end(),
--- a/Source/Scheduling/StepFacts.h
+++ b/Source/Scheduling/StepFacts.h
@@ -13,6 +13,12 @@
 /// its acceptance if the queue was removed since.
 std::string serviceOf(const SchedulerState &state, const JobRecord &job);
 
+/// True if the job has tasks that run until it is cancelled.
+bool isLongRunning(const JobSpec &spec);
+
+/// True if all tasks of the job use idle processor time only.
+bool isBestEffort(const JobSpec &spec);
+
 /// True if all steps that the step depends on have completed.
 bool isReady(const StepSpec &step, const OccurrenceRecord &occurrence);
 
--- a/Source/Scheduling/SubmissionForecast.h
+++ b/Source/Scheduling/SubmissionForecast.h
@@ -10,7 +10,7 @@
 /// Load of the service that would run a job.
 struct ServiceLoad
 {
-    /// Core-milliseconds of the waiting and running work that is placed before the job.
+    /// Core-milliseconds of unfinished work of the waiting jobs that are placed before the job.
     double aheadCoreMs = 0;
     /// Thousandths of a core for tasks that end by themselves: on the workers of the pool, and on
     /// the instances that can still move into it.
@@ -30,6 +30,11 @@
     bool withinShare = true;
     /// Time after which the team is within its share again.
     std::int64_t msUntilWithinShare = 0;
+    /// Wait from which on jobs within their team's share are served late.
+    std::int64_t targetLatencyMs = 0;
+    /// Position of the caller among the refused ones, from 0 to 1. Callers that differ in it return
+    /// at different times.
+    double callerSpread = 0;
     ServiceLoad load;
 };
 
--- a/Tests/Gateway/LeaderClientTest.cpp
+++ b/Tests/Gateway/LeaderClientTest.cpp
@@ -49,10 +49,11 @@
                 PeerMessageKind::JobCall,
                 [this, leads](const std::string &, const std::string &,
                               const PeerTransport::Reply &reply) {
-                    JobCallAnswer answer = makeAnswer(
-                            leads ? JobCallOutcome::Done : JobCallOutcome::NotLeader, "");
+                    JobCallAnswer answer =
+                            makeAnswer(leads ? outcome.load() : JobCallOutcome::NotLeader, "");
                     answer.leader = "a";
-                    if (!(leads && silent)) {
+                    const bool isLost = leads && lostAnswers.load() > 0 && lostAnswers-- > 0;
+                    if (!(leads && silent) && !isLost) {
                         reply(packMessage(answer));
                     }
                 });
@@ -87,6 +88,9 @@
     FakePeerNetwork network;
     /// The leader receives calls and doesn't answer.
     std::atomic<bool> silent{false};
+    /// The leader's answer, and the number of calls whose answer is lost before.
+    std::atomic<JobCallOutcome> outcome{JobCallOutcome::Done};
+    std::atomic<int> lostAnswers{0};
     std::vector<std::unique_ptr<PeerTransport>> controls;
     std::unique_ptr<PeerTransport> transport;
     EventLoop loop;
@@ -103,6 +107,7 @@
     CPPUNIT_TEST(findsTheLeader);
     CPPUNIT_TEST(failsFastWithoutLeader);
     CPPUNIT_TEST(reportsUnknownOutcome);
+    CPPUNIT_TEST(refusesOnlyWhatWasNotAccepted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +144,24 @@
         gateway.silent = true;
         CPPUNIT_ASSERT(gateway.call(8000).outcome == JobCallOutcome::Unknown);
     }
+
+    /// Guards against a caller that is told of a refusal although an earlier attempt may have been
+    /// accepted: the job would run all the same.
+    void refusesOnlyWhatWasNotAccepted()
+    {
+        LeaderClientFixture gateway;
+        gateway.waitUntilReady(true);
+        for (const JobCallOutcome refusal :
+             {JobCallOutcome::Busy, JobCallOutcome::Unauthenticated}) {
+            gateway.outcome = refusal;
+            section("a call that reached the leader once is refused",
+                    [&] { CPPUNIT_ASSERT(gateway.call(8000).outcome == refusal); });
+            section("after a lost answer the outcome is unknown", [&] {
+                gateway.lostAnswers = 1;
+                CPPUNIT_ASSERT(gateway.call(8000).outcome == JobCallOutcome::Unknown);
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaderClientTest);
