--- a/Tests/Scheduling/JobServiceFixture.cpp
+++ b/Tests/Scheduling/JobServiceFixture.cpp
@@ -96,18 +96,18 @@
     std::vector<ListedInstance> instances;
 };
 
-void MetricRecorder::count(const std::string &name, const std::string &labels, double amount)
+void MetricTotals::count(const std::string &name, const std::string &labels, double amount)
 {
     const std::lock_guard lock(m_mutex);
     m_totals[name + "{" + labels + "}"] += amount;
 }
 
-void MetricRecorder::observe(const std::string &name, const std::string &labels, double)
+void MetricTotals::observe(const std::string &name, const std::string &labels, double)
 {
     count(name, labels, 1);
 }
 
-double MetricRecorder::total(const std::string &name, const std::string &labels) const
+double MetricTotals::total(const std::string &name, const std::string &labels) const
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_totals.find(name + "{" + labels + "}");
--- a/Tests/Scheduling/JobServiceFixture.h
+++ b/Tests/Scheduling/JobServiceFixture.h
@@ -16,7 +16,7 @@
 namespace dandelionloom::test {
 
 /// Sums of the counters and numbers of the observations. Thread-safe.
-class MetricRecorder : public MetricSink
+class MetricTotals : public MetricSink
 {
 public:
     void count(const std::string &name, const std::string &labels, double amount) override;
@@ -58,7 +58,7 @@
     /// The lines logged so far.
     std::string logged();
 
-    MetricRecorder metrics;
+    MetricTotals metrics;
 
 private:
     class FakeWorkers;
