Tests: Report where instances stand in the replay of turns

Seconds of instances in pools are the largest price of all sites, and the replay gave only their sum. It now counts them by what the instances do and late jobs by the second of the peak, and knows two loads of 350 workers with turns of four seconds, tasks of several widths, long-running tasks that need an instance each, and turns in another order.

--- a/Tests/Scheduling/GrownLoadTest.cpp
+++ b/Tests/Scheduling/GrownLoadTest.cpp
@@ -18,9 +18,10 @@
 /// Seconds of instances in pools if the whole fleet were always on.
 double alwaysOnSeconds(const TurnLoad &load)
 {
-    const auto instances =
-            static_cast<double>(load.queues.size()) * static_cast<double>(load.instancesPerPool)
-            + static_cast<double>(load.spareInstances);
+    int instances = load.spareInstances;
+    for (const QueueLoad &queue : load.queues) {
+        instances += queue.instances > 0 ? queue.instances : load.instancesPerPool;
+    }
     return instances * static_cast<double>(load.idleMs + load.turns * load.turnMs) / 1000;
 }
 
@@ -31,6 +32,7 @@
     CPPUNIT_TEST_SUITE(GrownLoadTest);
     CPPUNIT_TEST(schedulingCost);
     CPPUNIT_TEST(foreseenTurns);
+    CPPUNIT_TEST(unevenTurns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,6 +78,31 @@
             });
         }
     }
+
+    /// Guards against a forecast that serves four-second turns worse than none, also when they come
+    /// in another order than before, and shows where instances stand in pools without work.
+    void unevenTurns()
+    {
+        TurnLoad changedOrder = unevenLoad();
+        changedOrder.order = {0, 1, 2, 3, 0, 2, 1, 3};
+        const std::pair<const char *, TurnLoad> loads[] = {{"uneven", unevenLoad()},
+                                                           {"uneven memory", unevenMemoryLoad()},
+                                                           {"changed order", changedOrder}};
+        for (const auto &[name, foreseen] : loads) {
+            section(name, [&, &title = name, &load = foreseen] {
+                constexpr std::uint64_t seed = 1;
+                TurnLoad reactive = load;
+                reactive.foresight = false;
+                const TurnLoadResult before = replayTurnLoad(reactive, seed);
+                const TurnLoadResult after = replayTurnLoad(load, seed);
+                std::cout << "\n  " << title << ", seed " << seed
+                          << ", without forecast: " << describe(before)
+                          << "\n  with it: " << describe(after);
+                CPPUNIT_ASSERT(after.onTime > before.onTime);
+                CPPUNIT_ASSERT(after.poolSeconds < alwaysOnSeconds(load));
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GrownLoadTest);
--- a/Tests/Scheduling/TurnLoad.cpp
+++ b/Tests/Scheduling/TurnLoad.cpp
@@ -1,9 +1,11 @@
 #include "Scheduling/TurnLoad.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <random>
+#include <sstream>
 
 namespace dandelionloom::test {
 
@@ -26,19 +28,23 @@
     services.emplace_back("spare");
     fleet.configure(queues, services, "spare");
     for (std::size_t pool = 0; pool < load.queues.size(); ++pool) {
-        for (int instance = 0; instance < load.instancesPerPool; ++instance) {
-            fleet.addWorker(services[pool]);
+        const int instances = load.queues[pool].instances > 0 ? load.queues[pool].instances
+                                                              : load.instancesPerPool;
+        for (int instance = 0; instance < instances; ++instance) {
+            fleet.addWorker(services[pool], load.instanceMilli);
         }
     }
     for (int instance = 0; instance < load.spareInstances; ++instance) {
-        fleet.addWorker("spare");
+        fleet.addWorker("spare", load.instanceMilli);
     }
     fleet.start();
     fleet.run(1000);
+    StepSpec lasting = longRunningStep(24, load.longRunningMaxUnavailable);
+    lasting.need = {load.longRunningMilli, load.longRunningMemoryMb, 0};
     for (std::size_t pool = 0; pool < load.queues.size(); ++pool) {
         for (int job = 0; job < load.longRunningJobs; ++job) {
             fleet.submit("lasting-job-" + std::to_string(pool) + std::to_string(job),
-                         "q" + std::to_string(pool), {longRunningStep(24, 3)});
+                         "q" + std::to_string(pool), {lasting});
         }
     }
     fleet.run(2000);
@@ -86,9 +92,50 @@
                           [](const auto &item) { return item.second.pool != "spare"; }));
 }
 
-std::vector<StepSpec> stepsOf(const QueueLoad &load, bool withSecondStep)
+/// Adds the time to what the instances in pools do now. `peakPool` has its peak, `nextPool` the
+/// next one; others have none.
+void addStanding(const FleetSimulation &fleet, const std::string &peakPool,
+                 const std::string &nextPool, double seconds, StandingSeconds &standing)
 {
-    StepSpec step = shortStep(load.tasks, load.taskMilli);
+    for (const auto &[id, instance] : fleet.instances) {
+        if (instance.pool == "spare") {
+            continue;
+        }
+        if (instance.state != InstanceState::InService) {
+            standing.moving += seconds;
+            continue;
+        }
+        const auto worker = fleet.workers.find(instance.worker);
+        std::int64_t usedMilli = 0;
+        bool longRunning = false;
+        if (worker != fleet.workers.end()) {
+            for (const auto &[task, run] : worker->second.running) {
+                const StepSpec &step = fleet.state.job(task.job)->spec.steps[task.step];
+                longRunning = longRunning || step.longRunning;
+                usedMilli += step.longRunning ? 0 : step.need.processorMilli;
+            }
+        }
+        if (usedMilli > 0) {
+            standing.working += seconds;
+            standing.used += seconds * static_cast<double>(usedMilli)
+                    / static_cast<double>(instance.capacity.processorMilli);
+        } else if (longRunning) {
+            standing.longRunningOnly += seconds;
+        } else if (instance.pool == peakPool) {
+            standing.emptyInTurn += seconds;
+        } else if (instance.pool == nextPool) {
+            standing.emptyBeforeTurn += seconds;
+        } else {
+            standing.emptyElsewhere += seconds;
+        }
+    }
+}
+
+std::vector<StepSpec> stepsOf(const QueueLoad &load, double width, bool withSecondStep)
+{
+    const auto tasks = static_cast<std::uint32_t>(std::lround(load.tasks * width));
+    StepSpec step = shortStep(std::max(tasks, 1U), load.taskMilli);
+    step.need.memoryMb = load.taskMemoryMb;
     step.estimateMs = load.taskMs;
     std::vector<StepSpec> steps{step};
     if (withSecondStep) {
@@ -113,6 +160,9 @@
     fleet.durationOf = [&fleet, &load](const TaskKey &task) {
         return durationOf(fleet, task, load.durationsVary);
     };
+    if (load.adjust) {
+        load.adjust(fleet);
+    }
     setUpFleet(fleet, load);
     fleet.schedulerSeconds = 0;
     fleet.moves = 0;
@@ -122,11 +172,27 @@
     TurnLoadResult result;
     result.jobsOfQueue.resize(pools);
     result.onTimeOfQueue.resize(pools);
-    std::vector<std::pair<std::string, std::size_t>> jobs;
+    constexpr int noSecond = -1;
+    struct SubmittedJob
+    {
+        std::string id;
+        std::size_t pool = 0;
+        /// Second of its queue's peak, or noSecond.
+        int second = noSecond;
+    };
+    std::vector<SubmittedJob> jobs;
     std::vector<double> jobsDue(pools);
+    const auto poolOfTurn = [&](std::size_t turn) {
+        return load.order.empty() ? turn % pools : load.order[turn % load.order.size()];
+    };
+    const auto countStanding = [&](const std::string &peakPool, const std::string &nextPool) {
+        result.poolSeconds += pooledInstances(fleet) * intervalMs / 1000;
+        addStanding(fleet, peakPool, nextPool, static_cast<double>(intervalMs) / 1000,
+                    result.standing);
+    };
     for (std::int64_t idle = 0; idle < load.idleMs; idle += intervalMs) {
         fleet.run(intervalMs);
-        result.poolSeconds += pooledInstances(fleet) * intervalMs / 1000;
+        countStanding({}, {});
     }
     std::vector<std::string> wave;
     for (const auto &[id, instance] : fleet.instances) {
@@ -141,9 +207,9 @@
     const SteadyTimeMs end = begin + load.turns * load.turnMs;
     while (fleet.now < end) {
         const bool inPeak = (fleet.now - begin) % load.turnMs < load.peakMs;
-        const std::size_t peakPool = inPeak
-                ? static_cast<std::size_t>((fleet.now - begin) / load.turnMs) % pools
-                : pools;
+        const auto turn = static_cast<std::size_t>((fleet.now - begin) / load.turnMs);
+        const std::size_t peakPool = inPeak ? poolOfTurn(turn) : pools;
+        const int second = static_cast<int>((fleet.now - begin) % load.turnMs / 1000);
         for (std::size_t pool = 0; pool < pools; ++pool) {
             const QueueLoad &queue = load.queues[pool];
             jobsDue[pool] += queue.peakPerSecond * (pool == peakPool ? 1 : load.offPeakShare)
@@ -151,24 +217,36 @@
             for (; jobsDue[pool] >= 1; jobsDue[pool] -= 1) {
                 // Job ids have the length of those chosen by clients, as the key of each task holds
                 // a copy.
-                jobs.emplace_back("000000000" + std::to_string(1000000 + result.jobs++), pool);
-                fleet.submit(jobs.back().first, "q" + std::to_string(pool),
-                             stepsOf(queue, draw(random) < queue.secondStepShare));
+                jobs.push_back({"000000000" + std::to_string(1000000 + result.jobs++), pool,
+                                pool == peakPool ? second : noSecond});
+                const bool withSecondStep = draw(random) < queue.secondStepShare;
+                const double width =
+                        load.widthSpread > 0 ? 1 + load.widthSpread * (2 * draw(random) - 1) : 1;
+                fleet.submit(jobs.back().id, "q" + std::to_string(pool),
+                             stepsOf(queue, width, withSecondStep));
             }
         }
         fleet.run(intervalMs);
-        result.poolSeconds += pooledInstances(fleet) * intervalMs / 1000;
+        countStanding(inPeak ? "pool" + std::to_string(peakPool) : "",
+                      "pool" + std::to_string(poolOfTurn(turn + 1)));
     }
     result.schedulerCores =
             fleet.schedulerSeconds / (static_cast<double>(fleet.now - begin) / 1000);
     result.moves = fleet.moves;
     fleet.run(drainMs);
-    for (const auto &[id, pool] : jobs) {
+    const auto seconds = static_cast<std::size_t>((load.peakMs + 999) / 1000);
+    result.jobsOfSecond.resize(seconds);
+    result.onTimeOfSecond.resize(seconds);
+    for (const auto &[id, pool, second] : jobs) {
         const double time = timeInObjectives(fleet, id, load.durationsVary);
         ++result.jobsOfQueue[pool];
         result.onTimeOfQueue[pool] += time <= 1 ? 1 : 0;
         result.onTime += time <= 1 ? 1 : 0;
         result.late += time > 1 && time <= 3 ? 1 : 0;
+        if (second != noSecond) {
+            ++result.jobsOfSecond[static_cast<std::size_t>(second)];
+            result.onTimeOfSecond[static_cast<std::size_t>(second)] += time <= 1 ? 1 : 0;
+        }
     }
     for (std::size_t pool = 0; pool < pools; ++pool) {
         result.worth += static_cast<double>(result.onTimeOfQueue[pool])
@@ -178,6 +256,24 @@
     return result;
 }
 
+std::string describe(const TurnLoadResult &result)
+{
+    const StandingSeconds &standing = result.standing;
+    std::ostringstream text;
+    text << "worth " << result.worth << ", in time " << result.onTime << " of " << result.jobs
+         << ", pool seconds " << result.poolSeconds << ", moves " << result.moves
+         << "\n    pool seconds: working " << standing.working << " (used " << standing.used
+         << "), long-running only " << standing.longRunningOnly << ", empty in turn "
+         << standing.emptyInTurn << ", before turn " << standing.emptyBeforeTurn << ", elsewhere "
+         << standing.emptyElsewhere << ", moving " << standing.moving
+         << "\n    late by second of the peak:";
+    for (std::size_t second = 0; second < result.jobsOfSecond.size(); ++second) {
+        text << " " << result.jobsOfSecond[second] - result.onTimeOfSecond[second] << "/"
+             << result.jobsOfSecond[second];
+    }
+    return text.str();
+}
+
 TurnLoad grownLoad()
 {
     TurnLoad load;
@@ -220,4 +316,38 @@
     return load;
 }
 
+TurnLoad unevenLoad()
+{
+    TurnLoad load;
+    load.queues = {{114, 0.6, 8, 800, 3100, 2200, 62},
+                   {29, 1, 8, 1300, 6700, 6000, 70},
+                   {142, 0.6, 8, 800, 3100, 2200, 77},
+                   {36, 1, 8, 1300, 6700, 6000, 85}};
+    load.instanceMilli = 32000;
+    load.spareInstances = 56;
+    load.longRunningJobs = 2;
+    load.longRunningMilli = 4600;
+    load.longRunningMemoryMb = 4200;
+    load.longRunningMaxUnavailable = 1;
+    load.turnMs = 4000;
+    load.peakMs = 4000;
+    load.turns = 8;
+    load.offPeakShare = 0.01;
+    load.widthSpread = 0.6;
+    load.instanceSecondPrice = 1.5e-5;
+    load.movePrice = 2.5e-5;
+    return load;
+}
+
+TurnLoad unevenMemoryLoad()
+{
+    TurnLoad load = unevenLoad();
+    load.queues = {{143, 0.6, 8, 540, 3100, 2200, 62},
+                   {18, 1, 8, 1800, 6700, 3500, 70},
+                   {178, 0.6, 8, 540, 3100, 2200, 77},
+                   {22, 1, 8, 1800, 6700, 3500, 85}};
+    load.longRunningMemoryMb = 7500;
+    return load;
+}
+
 } // namespace dandelionloom::test
--- a/Tests/Scheduling/TurnLoad.h
+++ b/Tests/Scheduling/TurnLoad.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,27 @@
     std::uint32_t tasks = 8;
     std::int64_t taskMs = 0;
     std::int64_t taskMilli = 0;
+    std::int64_t taskMemoryMb = 512;
+    /// Instances of the pool; 0 for TurnLoad::instancesPerPool.
+    int instances = 0;
+};
+
+/// Seconds of instances in pools by what the instances do.
+struct StandingSeconds
+{
+    /// Instances with tasks that end by themselves, and the part of their processors that such
+    /// tasks use.
+    double working = 0;
+    double used = 0;
+    /// Instances with long-running tasks only.
+    double longRunningOnly = 0;
+    /// Empty instances of the queue that has its peak, of the queue with the next peak, and of
+    /// others.
+    double emptyInTurn = 0;
+    double emptyBeforeTurn = 0;
+    double emptyElsewhere = 0;
+    /// Instances that move.
+    double moving = 0;
 };
 
 /// Queues whose demand peaks in turn, each with a pool of its own, and a pool of spare instances.
@@ -27,6 +49,15 @@
     int spareInstances = 0;
     /// Jobs of 24 long-running tasks per pool.
     int longRunningJobs = 0;
+    /// Size of their tasks, and how many of a job may be unavailable at once.
+    std::int64_t longRunningMilli = 1000;
+    std::int64_t longRunningMemoryMb = 512;
+    std::uint32_t longRunningMaxUnavailable = 3;
+    std::int64_t instanceMilli = 16000;
+    /// The number of tasks of a step varies evenly by this part of its mean.
+    double widthSpread = 0;
+    /// Order in which the queues have their peaks, repeated; empty for the order of the queues.
+    std::vector<std::size_t> order;
     /// Time from one turn to the next, and the part of it in which the queue has its peak.
     std::int64_t turnMs = 9000;
     std::int64_t peakMs = 6000;
@@ -50,6 +81,8 @@
     /// move, as in the largest deployment.
     double instanceSecondPrice = 0;
     double movePrice = 0;
+    /// Changes the options of the fleet before it starts.
+    std::function<void(FleetSimulation &)> adjust;
 };
 
 struct TurnLoadResult
@@ -67,8 +100,16 @@
     std::uint32_t moves = 0;
     /// Share of the jobs' worth that was earned, less prices. Queues are worth the same.
     double worth = 0;
+    StandingSeconds standing;
+    /// Jobs of the queue that has its peak, and those in time, by the second of the peak in which
+    /// they arrived.
+    std::vector<int> jobsOfSecond;
+    std::vector<int> onTimeOfSecond;
 };
 
+/// One line each on the result, on where instances stood and on which second of a peak is late.
+std::string describe(const TurnLoadResult &result);
+
 /// Plays the load with the scheduler and the balancer.
 TurnLoadResult replayTurnLoad(const TurnLoad &load, std::uint64_t seed);
 
@@ -84,4 +125,12 @@
 /// capacity of a pool.
 TurnLoad largeTwinLoad();
 
+/// 350 workers of 32 cores whose queues ask five times their mean for four seconds in turn, with
+/// tasks of 0.8 and 1.3 s, and long-running tasks of which each needs an instance of its own.
+TurnLoad unevenLoad();
+
+/// The same with tasks of 0.54 and 1.8 s and long-running tasks that need a quarter of the memory
+/// of a worker.
+TurnLoad unevenMemoryLoad();
+
 } // namespace dandelionloom::test
