Scheduling: Find a job's remaining paths once in the pools' demand

demands() computed two critical paths for each step of each active job in each step of the balancer. One pass over the steps now gives all of them.

PlannersTest, TurnForecastTest and DispatcherTest pass.

--- a/Source/Scheduling/DemandTracker.cpp
+++ b/Source/Scheduling/DemandTracker.cpp
@@ -6,6 +6,34 @@
 
 namespace dandelionloom {
 
+namespace {
+
+/// Length of the critical path from each step on, as by criticalPathMs(), in one pass. Steps depend
+/// on earlier ones only.
+std::vector<std::int64_t> remainingPathsMs(const JobSpec &spec,
+                                           const std::vector<std::int64_t> &stepMs)
+{
+    std::vector<std::int64_t> paths = stepMs;
+    std::vector<std::int64_t> after(stepMs.size());
+    std::int64_t longest = 0;
+    for (std::size_t step = paths.size(); step-- > 0;) {
+        paths[step] += after[step];
+        longest = std::max(longest, paths[step]);
+        for (const std::uint32_t needed : spec.steps[step].dependsOn) {
+            if (needed < step) {
+                after[needed] = std::max(after[needed], paths[step]);
+            }
+        }
+    }
+    if (!paths.empty()) {
+        // The path from the first step on is the one of the whole job.
+        paths.front() = longest;
+    }
+    return paths;
+}
+
+} // namespace
+
 DemandTracker::DemandTracker(const SchedulerState &state, const RunDurations &durations,
                              DemandOptions options)
     : m_state(state), m_durations(durations), m_options(options)
@@ -127,6 +155,11 @@
 {
     const std::string service = serviceOf(m_state, job);
     const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
+    const std::vector<std::int64_t> pathsMs = remainingPathsMs(job.spec, stepMs);
+    StepAttributes attributes;
+    attributes.jobPathMs = pathsMs.empty() ? 0 : pathsMs.front();
+    attributes.stretch = job.queue.stretch;
+    attributes.targetLatencyMs = job.queue.targetLatencyMs;
     for (const StepSpec &step : job.spec.steps) {
         const std::uint32_t perWorker = maxTasksPerWorker(step);
         if (step.longRunning && perWorker > 0) {
@@ -136,6 +169,9 @@
     }
     for (std::uint32_t number = 0; number < job.occurrences.size(); ++number) {
         const OccurrenceRecord &occurrence = job.occurrences[number];
+        attributes.dueAtMs = job.spec.repeatCount > 0
+                ? job.spec.startAtMs + number * job.spec.intervalMs
+                : job.acceptedAtMs;
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const StepSpec &spec = job.spec.steps[step];
             if (spec.longRunning || spec.bestEffort
@@ -143,8 +179,8 @@
                 continue;
             }
             // Capacity that comes for a job after its objective serves it too late.
-            if (rankStep(stepAttributes(job, stepMs, number, step), wallNow).group
-                != StepGroup::OnTime) {
+            attributes.remainingPathMs = pathsMs[step];
+            if (rankStep(attributes, wallNow).group != StepGroup::OnTime) {
                 break;
             }
             const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
