Scheduling: Hold teams to their quotas, and place excess last

Teams of the configuration had quotas that nothing observed. The dispatcher now counts what each team's tasks take: assigned runs in SchedulerState, proposed ones, and runs that may go on after their task is done. A task that its team's quota does not allow is skipped without hiding others, and gangs count as a whole. Assigned runs that were not sent are taken back when the quota is lowered. Jobs beyond their team's share are placed after late ones. Neither they nor held-back tasks ask for instances.

FleetSimulation checks each start against the quota by what the workers really run, refuses late starts of an earlier leader by their own term, and drops those for a worker that has crashed since.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -31,6 +31,8 @@
 constexpr std::int64_t planIntervalMs = 100;
 constexpr std::int64_t largeFleetPlanIntervalMs = 200;
 
+constexpr std::int64_t gaugeIntervalMs = 1000;
+
 /// Intervals between listings of the instances, while maintenance waits for an instance to return
 /// and otherwise.
 constexpr Milliseconds maintenanceListInterval{500};
@@ -319,11 +321,43 @@
         carryOut(m_maintenance.step(now, wallTimeNow()));
         carryOut(m_balancer.step(now));
     }
+    if (now >= m_nextGauges) {
+        m_nextGauges = now + gaugeIntervalMs;
+        exportQuotaGauges();
+    }
     proposeChanges(now);
     const SteadyTimeMs end = steadyTimeNow();
     m_nextStepAmongAnswers = end + std::max(end - now, minPauseAmongAnswersMs);
 }
 
+void JobService::exportQuotaGauges()
+{
+    const auto exportResources = [this](const std::string &name, const std::string &team,
+                                        const TaskResources &resources) {
+        const std::pair<const char *, std::int64_t> amounts[] = {
+                {"processor_milli", resources.processorMilli},
+                {"memory_mb", resources.memoryMb},
+                {"accelerators", resources.accelerators}};
+        for (const auto &[resource, amount] : amounts) {
+            m_metrics.gauge(name, "team=\"" + team + "\",resource=\"" + resource + "\"",
+                            static_cast<double>(amount));
+        }
+    };
+    for (const auto &[team, quota] : m_dispatcher.quotas()) {
+        exportResources("dandelionloom_team_quota", team, quota);
+        exportResources("dandelionloom_team_running", team, m_dispatcher.useOf(team));
+    }
+    const WaitCounts &waits = m_dispatcher.waitCounts();
+    const std::pair<const char *, std::uint32_t> counts[] = {{"quota", waits.quota},
+                                                             {"advice", waits.advice},
+                                                             {"capacity", waits.capacity},
+                                                             {"not-searched", waits.notSearched}};
+    for (const auto &[reason, count] : counts) {
+        m_metrics.gauge("dandelionloom_waiting_steps", std::string("reason=\"") + reason + "\"",
+                        count);
+    }
+}
+
 void JobService::scheduleIdleStep()
 {
     m_loop.startTimer(idleStepInterval, [alive = std::weak_ptr(m_alive)] {
@@ -392,7 +426,8 @@
 void JobService::logDecisions(const std::vector<DispatchDecision> &dispatchDecisions)
 {
     for (const DispatchDecision &note : dispatchDecisions) {
-        const bool isFrequent = note.decision == "place" || note.decision == "end";
+        const bool isFrequent =
+                note.decision == "place" || note.decision == "end" || note.decision == "wait";
         m_log.line(isFrequent ? LogSeverity::Debug : LogSeverity::Info, note.decision,
                    {{"task", note.task},
                     {"run", static_cast<std::int64_t>(note.run)},
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -106,6 +106,7 @@
     void sendAfterCommit(const std::string &instance, const std::string &worker,
                          std::function<void(bool)> send);
     void logDecisions(const std::vector<DispatchDecision> &dispatchDecisions);
+    void exportQuotaGauges();
 
     void submit(const JobCall &call, const JobReplyCallback &reply);
     void status(const JobCall &call, const JobReplyCallback &reply);
@@ -150,6 +151,7 @@
     SteadyTimeMs m_nextProposal = 0;
     bool m_stepScheduled = false;
     SteadyTimeMs m_nextMaintenance = 0;
+    SteadyTimeMs m_nextGauges = 0;
     bool m_listInFlight = false;
     std::multimap<std::string, PendingReply> m_pendingReplies;
     /// Callbacks, by instance, that send an order once its record is committed. The argument is
--- a/Source/Scheduling/DemandTracker.cpp
+++ b/Source/Scheduling/DemandTracker.cpp
@@ -16,6 +16,7 @@
     m_termStartedAt = now;
     m_arrivals.clear();
     m_turns = {};
+    m_quotaTakenUntil.clear();
     for (const auto &[id, worker] : m_state.workers()) {
         onWorkerJoined(worker);
     }
@@ -33,16 +34,19 @@
         return left->acceptedAtMs < right->acceptedAtMs;
     });
     m_turns = {};
+    m_quotaTakenUntil.clear();
     for (const JobRecord *job : jobs) {
-        recordArrival(m_turns, serviceOf(m_state, *job), expectedCoreMs(*job),
-                      now - (wallNow - job->acceptedAtMs));
+        const SteadyTimeMs acceptedAt = now - (wallNow - job->acceptedAtMs);
+        if (!isHeldBack(*job, acceptedAt)) {
+            recordArrival(m_turns, serviceOf(m_state, *job), expectedCoreMs(*job), acceptedAt);
+        }
     }
 }
 
 void DemandTracker::onJobAccepted(const JobRecord &job, SteadyTimeMs now)
 {
     const double coreMs = expectedCoreMs(job);
-    if (coreMs > 0) {
+    if (coreMs > 0 && !isHeldBack(job, now)) {
         const std::string service = serviceOf(m_state, job);
         m_arrivals[service].push_back({now, coreMs});
         recordArrival(m_turns, service, coreMs, now);
@@ -84,6 +88,44 @@
     return coreMs;
 }
 
+bool DemandTracker::isHeldBack(const JobRecord &job, SteadyTimeMs acceptedAt)
+{
+    if (job.spec.beyondShare) {
+        return true;
+    }
+    if (job.spec.team.empty()) {
+        return false;
+    }
+    const std::map<std::string, TaskResources> quotas = quotasOf(m_state.configuration());
+    const auto quota = quotas.find(job.spec.team);
+    if (quota == quotas.end()) {
+        return false;
+    }
+    // Time for which the job takes the whole quota, by the resource that takes longest.
+    const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
+    double processorMs = 0;
+    double memoryMs = 0;
+    double acceleratorMs = 0;
+    const auto timeOf = [](std::int64_t need, std::int64_t limit, double taskMs) {
+        return limit == 0 ? 0 : taskMs * static_cast<double>(need) / static_cast<double>(limit);
+    };
+    for (std::size_t step = 0; step < stepMs.size(); ++step) {
+        const StepSpec &spec = job.spec.steps[step];
+        if (spec.longRunning || spec.bestEffort) {
+            continue;
+        }
+        const double taskMs = static_cast<double>(spec.count) * static_cast<double>(stepMs[step]);
+        processorMs += timeOf(spec.need.processorMilli, quota->second.processorMilli, taskMs);
+        memoryMs += timeOf(spec.need.memoryMb, quota->second.memoryMb, taskMs);
+        acceleratorMs += timeOf(spec.need.accelerators, quota->second.accelerators, taskMs);
+    }
+    double &takenUntil = m_quotaTakenUntil[job.spec.team];
+    const auto at = static_cast<double>(acceptedAt);
+    const bool heldBack = takenUntil > at + static_cast<double>(m_options.arrivalWindowMs);
+    takenUntil = std::max(takenUntil, at) + std::max({processorMs, memoryMs, acceleratorMs});
+    return heldBack;
+}
+
 void DemandTracker::addArrivingDemand(std::map<std::string, ServiceDemand> &demands,
                                       SteadyTimeMs now)
 {
@@ -122,9 +164,14 @@
     }
 }
 
-void DemandTracker::addJobDemand(const JobRecord &job, ServiceDemand &demand,
-                                 WallTimeMs wallNow) const
+void DemandTracker::addJobDemand(const JobRecord &job, ServiceDemand &demand, WallTimeMs wallNow,
+                                 std::map<std::string, CountedUse> &counted) const
 {
+    if (job.spec.beyondShare) {
+        return;
+    }
+    const auto team =
+            job.spec.team.empty() || counted.empty() ? counted.end() : counted.find(job.spec.team);
     const std::string service = serviceOf(m_state, job);
     const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
     for (const StepSpec &step : job.spec.steps) {
@@ -147,8 +194,20 @@
                 != StepGroup::OnTime) {
                 break;
             }
-            const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
-                                                        - occurrence.steps[step].doneCount);
+            auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()
+                                                  - occurrence.steps[step].doneCount);
+            if (team != counted.end() && isReady(spec, occurrence)) {
+                const auto &tasks = occurrence.steps[step].tasks;
+                const auto assigned =
+                        std::count_if(tasks.begin(), tasks.end(), [](const TaskRecord &task) {
+                            return task.phase == TaskPhase::Assigned;
+                        });
+                const std::uint32_t startable = tasksWithinQuota(
+                        team->second.use, static_cast<std::uint32_t>(left - assigned), spec.need,
+                        team->second.quota);
+                team->second.use = team->second.use + startable * spec.need;
+                left = assigned + startable;
+            }
             const std::int64_t milli = left * dominantMilli(service, spec.need);
             demand.backlogCoreMs +=
                     static_cast<double>(milli) * static_cast<double>(stepMs[step]) / milliPerCore;
@@ -165,10 +224,14 @@
     std::map<std::string, ServiceDemand> demands;
     addArrivingDemand(demands, now);
     addForeseenDemand(demands, now);
+    std::map<std::string, CountedUse> counted;
+    for (const auto &[team, quota] : quotasOf(m_state.configuration())) {
+        counted[team] = {quota, m_state.useOf(team)};
+    }
     for (const JobId &id : activeJobs) {
         const JobRecord *job = m_state.job(id);
         if (job != nullptr && job->phase == JobPhase::Active) {
-            addJobDemand(*job, demands[serviceOf(m_state, *job)], wallNow);
+            addJobDemand(*job, demands[serviceOf(m_state, *job)], wallNow, counted);
         }
     }
     return demands;
--- a/Source/Scheduling/DemandTracker.h
+++ b/Source/Scheduling/DemandTracker.h
@@ -8,12 +8,14 @@
 
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/TeamQuota.h"
 #include "Scheduling/TurnForecast.h"
 
 namespace dandelionloom {
 
 /// Demand of the accepted jobs of one service that can still meet their objective, without
-/// long-running and best-effort tasks. A task whose share of a worker's memory exceeds its share of
+/// long-running and best-effort tasks, jobs beyond their team's share and runnable tasks that the
+/// team's quota holds back. A task whose share of a worker's memory exceeds its share of
 /// the processor counts with the former, in the same unit.
 struct ServiceDemand
 {
@@ -75,7 +77,18 @@
     double expectedCoreMs(const JobRecord &job) const;
     void addArrivingDemand(std::map<std::string, ServiceDemand> &demands, SteadyTimeMs now);
     void addForeseenDemand(std::map<std::string, ServiceDemand> &demands, SteadyTimeMs now) const;
-    void addJobDemand(const JobRecord &job, ServiceDemand &demand, WallTimeMs wallNow) const;
+    /// What teams with a quota use, with the pending tasks that are counted so far.
+    struct CountedUse
+    {
+        TaskResources quota;
+        TaskResources use;
+    };
+    void addJobDemand(const JobRecord &job, ServiceDemand &demand, WallTimeMs wallNow,
+                      std::map<std::string, CountedUse> &counted) const;
+    /// True if the job asks for no instances: it lies beyond its team's share, or the team's quota
+    /// is taken by earlier jobs for longer than the arrival window. Must be called in the order of
+    /// acceptance.
+    bool isHeldBack(const JobRecord &job, SteadyTimeMs acceptedAt);
 
     const SchedulerState &m_state;
     const RunDurations &m_durations;
@@ -86,6 +99,8 @@
     /// Capacity of a worker of each service.
     std::map<std::string, TaskResources> m_workerCapacity;
     TurnHistory m_turns;
+    /// Time until which the accepted jobs of a team take its quota, by team.
+    std::map<std::string, double> m_quotaTakenUntil;
 };
 
 } // namespace dandelionloom
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -29,6 +29,7 @@
     m_termStartedAt = now;
     m_placementDirty = true;
     m_turnsUnknown = true;
+    m_quotas = quotasOf(m_state.configuration());
     m_demand.beginTerm(now);
     for (const auto &[id, worker] : m_state.workers()) {
         syncRuns(id);
@@ -51,6 +52,12 @@
     m_workersOfService.clear();
     m_sequences.clear();
     m_proposed.clear();
+    m_proposedUse.clear();
+    m_unassignedRuns.clear();
+    m_unassignedUse.clear();
+    m_quotas.clear();
+    m_waitCounts = {};
+    m_waitingForQuota.clear();
     m_pendingEnds.clear();
     m_endSources.clear();
     m_proposedEnds.clear();
@@ -230,6 +237,7 @@
     const bool pause = !list.ended.empty() && m_workers.size() > m_options.largeFleetWorkers;
     view.nextRenewAt = pause ? now + m_options.renewalPauseMs : now;
     view.longRunningStarting = false;
+    forgetUnlistedRuns(worker, list, view.renewSentAt);
     const bool allEndsListed = list.ended.size() < m_options.maxListedEnds;
     std::set<TaskKey> listed;
     for (const RunningRun &row : list.running) {
@@ -264,6 +272,7 @@
     const auto found = view.runs.find(row.task);
     if (found == view.runs.end() || found->second.run != row.run) {
         m_orphanStops.push_back({worker, {}, row.task, row.run});
+        countUnassignedRun(worker, row.task, row.run, now);
         return;
     }
     RunView &run = found->second;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +14,7 @@
 #include "Scheduling/DispatchTypes.h"
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/TeamQuota.h"
 #include "Scheduling/WaitingSteps.h"
 #include "Scheduling/WorkerView.h"
 
@@ -29,6 +31,17 @@
     std::int64_t clockMs = -1;
 };
 
+/// Numbers of waiting steps by what they wait for.
+struct WaitCounts
+{
+    std::uint32_t quota = 0;
+    std::uint32_t advice = 0;
+    /// No worker with enough free capacity.
+    std::uint32_t capacity = 0;
+    /// Left for a later pass.
+    std::uint32_t notSearched = 0;
+};
+
 /// Places tasks on workers and maintains the workers' leases, for the leader. A state machine
 /// without I/O, clock or threads: it takes events and the current time, and returns orders with the
 /// reasons for them. In a new term everything beyond SchedulerState is rebuilt from the answers of
@@ -101,6 +114,13 @@
         return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
     }
     const WorkerView *view(const std::string &worker) const;
+    /// Resources that the team's tasks take: from the proposal of a run to the record of its end,
+    /// and until it has certainly ended.
+    TaskResources useOf(const std::string &team) const;
+    /// Quotas of the configuration in force, by team; without teams that have none.
+    const std::map<std::string, TaskResources> &quotas() const { return m_quotas; }
+    /// What the waiting steps waited for in the last placement pass.
+    const WaitCounts &waitCounts() const { return m_waitCounts; }
 
 private:
     struct Tickets
@@ -126,6 +146,8 @@
         TaskResources need;
         std::string requiredLabel;
     };
+    /// Needs of tasks that their team's quota does not allow, by team.
+    using HeldNeeds = std::map<std::string, std::vector<TaskResources>>;
     /// State of a placement pass over the steps of one service.
     struct PlacementPass
     {
@@ -134,6 +156,8 @@
         SteadyTimeMs now = 0;
         WallTimeMs wallNow = 0;
         DispatchOrders &orders;
+        /// Shared by the services: the use of a team only grows within a pass.
+        HeldNeeds &heldNeeds;
         /// Steps with such requirements are skipped: free capacity only shrinks within a pass.
         std::vector<UnmetNeed> unmetNeeds;
         /// Steps that wait for advice or for which no worker was found.
@@ -191,6 +215,8 @@
     void emitRenewals(SteadyTimeMs now, DispatchOrders &orders);
     void emitStarts(SteadyTimeMs now, DispatchOrders &orders);
     void emitStops(SteadyTimeMs now, DispatchOrders &orders);
+    /// True if the team of an assigned task uses more than its quota, and not for this task alone.
+    bool exceedsQuota(const JobRecord &job, const TaskKey &task) const;
     /// Returns true while a run remains to be sent.
     bool emitStartsOn(const std::string &id, WorkerView &view, SteadyTimeMs now,
                       DispatchOrders &orders);
@@ -217,10 +243,14 @@
     void placeSteps(const std::string &service, const WaitingSteps::Order &steps,
                     PlacementPass &pass);
     void placeStep(const WaitingStep &waiting, PlacementPass &pass);
-    /// True if a task that requires no more has found no worker in this pass.
+    /// True if the quota of the job's team allows `count` more tasks of the step at once.
+    bool isAllowedByQuota(const JobRecord &job, const StepSpec &step, std::uint32_t count,
+                          PlacementPass &pass) const;
+    void recordQuotaWait(const TaskKey &task, PlacementPass &pass);
     /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
     /// long-running task that fits on no worker.
     void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
+    /// True if a task that requires no more has found no worker in this pass.
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
@@ -239,6 +269,30 @@
     bool hasLatencyTarget(const WorkerView &view) const;
     void recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
 
+    struct TeamNeed
+    {
+        std::string team;
+        TaskResources need;
+    };
+    using RunKey = std::pair<TaskKey, std::uint32_t>;
+    struct UnassignedRun
+    {
+        TeamNeed use;
+        SteadyTimeMs countedAt = 0;
+    };
+
+    // Runs that may go on although they are not assigned any more.
+    void countUnassignedRun(const std::string &worker, const TaskKey &task, std::uint32_t run,
+                            SteadyTimeMs now);
+    void forgetUnassignedRuns(
+            const std::string &worker,
+            const std::function<bool(const RunKey &, const UnassignedRun &)> &hasEnded);
+    void forgetUnlistedRuns(const std::string &worker, const RenewAnswer &list,
+                            SteadyTimeMs renewSentAt);
+    void forgetExpiredRuns(SteadyTimeMs now);
+    /// Upper bound of the time for which a lease is valid after the last renewal.
+    std::int64_t longestLeaseMs() const;
+
     const SchedulerState &m_state;
     const DispatchOptions m_options;
     bool m_leads = false;
@@ -251,9 +305,16 @@
     /// The recorded workers by service; rebuilt when empty. Most placement passes change none.
     std::map<std::string, Candidates> m_workersOfService;
     std::map<std::string, std::uint64_t> m_sequences;
-    /// Worker of each assignment that is proposed and not yet applied.
-    std::map<TaskKey, std::string> m_proposed;
-    using RunKey = std::pair<TaskKey, std::uint32_t>;
+    /// Assignments that are proposed and not yet applied.
+    std::map<TaskKey, TeamNeed> m_proposed;
+    TeamUse m_proposedUse;
+    /// Runs that a worker may have although they are not assigned to it, by worker.
+    std::map<std::string, std::map<RunKey, UnassignedRun>> m_unassignedRuns;
+    TeamUse m_unassignedUse;
+    std::map<std::string, TaskResources> m_quotas;
+    WaitCounts m_waitCounts;
+    /// Jobs with a step that waits for the quota, which is logged once.
+    std::set<JobId> m_waitingForQuota;
     /// Numbers of the ends that are proposed and not yet applied, by worker.
     std::map<std::string, std::set<std::uint64_t>> m_pendingEnds;
     /// Worker and number of each proposed end, by run.
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -142,6 +142,11 @@
             onStartRefused(id, task, run);
             continue;
         }
+        if (run.sends == 0 && exceedsQuota(*job, task)) {
+            // The quota was lowered after the task was assigned.
+            onStartRefused(id, task, run);
+            continue;
+        }
         StartOrder order{id,
                          record->address,
                          task,
@@ -163,6 +168,15 @@
     return pending;
 }
 
+bool Dispatcher::exceedsQuota(const JobRecord &job, const TaskKey &task) const
+{
+    const StepSpec &step = job.spec.steps[task.step];
+    const auto quota = job.spec.team.empty() ? m_quotas.end() : m_quotas.find(job.spec.team);
+    // Members of a gang were counted together, and may exceed the quota by one.
+    return quota != m_quotas.end() && !step.gang
+            && !isWithinQuota(useOf(job.spec.team) - step.need, step.need, quota->second);
+}
+
 void Dispatcher::emitStops(SteadyTimeMs now, DispatchOrders &orders)
 {
     std::erase_if(m_workersWithStops, [&](const std::string &id) {
@@ -281,16 +295,22 @@
     }
 }
 
+std::int64_t Dispatcher::longestLeaseMs() const
+{
+    return static_cast<std::int64_t>(
+            static_cast<double>(m_options.maxLeaseMs + m_options.leaseExpiryMarginMs)
+            / (1 - m_options.clockDrift));
+}
+
 void Dispatcher::endRunsWithExpiredLeases(SteadyTimeMs now)
 {
     if (now < m_nextLeaseCheck) {
         return;
     }
     m_nextLeaseCheck = now + leaseCheckMs;
+    forgetExpiredRuns(now);
     // The leases of an earlier leader are bounded by the longest lease that a worker grants.
-    const auto earlierLeaseMs = static_cast<std::int64_t>(
-            static_cast<double>(m_options.maxLeaseMs + m_options.leaseExpiryMarginMs)
-            / (1 - m_options.clockDrift));
+    const std::int64_t earlierLeaseMs = longestLeaseMs();
     for (auto &[id, view] : m_workers) {
         // A worker that answers lists the ended runs itself.
         if (view.renewFailures == 0 || view.leasesExpired || view.runs.empty()
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -129,12 +129,15 @@
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
     updateWaitingSteps(wallNow);
+    m_waitCounts = {};
+    HeldNeeds heldNeeds;
     for (const auto &[service, steps] : m_waiting.byService()) {
         Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
+            m_waitCounts.capacity += static_cast<std::uint32_t>(steps.size());
             continue;
         }
-        PlacementPass pass{std::move(candidates), now, wallNow, orders, {}, 0};
+        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, 0};
         placeSteps(service, steps, pass);
     }
 }
@@ -143,8 +146,10 @@
                             PlacementPass &pass)
 {
     auto next = steps.begin();
+    std::size_t searched = 0;
     const auto placeUntilFailed = [&](std::uint32_t limit) {
         for (; next != steps.end() && pass.failedSearches < limit; ++next) {
+            ++searched;
             placeStep(m_waiting.at(next->key), pass);
         }
     };
@@ -157,6 +162,7 @@
         next = resumed == steps.end() ? next : resumed;
     }
     placeUntilFailed(2 * maxFailedSearches);
+    m_waitCounts.notSearched += static_cast<std::uint32_t>(steps.size() - searched);
     if (next == steps.end()) {
         m_lastSearched.erase(service);
     } else {
@@ -178,8 +184,13 @@
     const StepKey &key = waiting.key;
     const JobRecord &job = *m_state.job(key.job);
     const StepSpec &step = job.spec.steps[key.step];
+    if (!isAllowedByQuota(job, step, step.gang ? step.count : 1, pass)) {
+        recordQuotaWait({key.job, key.occurrence, key.step, waiting.indices.front()}, pass);
+        return;
+    }
     const TaskResources need = needOf({key.job, key.occurrence, key.step, 0});
     if (isKnownUnmet(pass, step, need)) {
+        ++m_waitCounts.capacity;
         return;
     }
     const Tickets *tickets = nullptr;
@@ -187,18 +198,29 @@
         tickets = ticketsFor(waiting, pass);
         if (tickets == nullptr) {
             ++pass.failedSearches;
+            ++m_waitCounts.advice;
             return;
         }
     }
     if (step.gang) {
-        pass.failedSearches += placeGang(job, waiting, tickets, pass) ? 0 : 1;
+        const bool placed = placeGang(job, waiting, tickets, pass);
+        pass.failedSearches += placed ? 0 : 1;
+        m_waitCounts.capacity += placed ? 0 : 1;
+        if (placed && !m_waitingForQuota.empty()) {
+            m_waitingForQuota.erase(key.job);
+        }
         return;
     }
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
+        if (!isAllowedByQuota(job, step, 1, pass)) {
+            recordQuotaWait(task, pass);
+            return;
+        }
         const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
             ++pass.failedSearches;
+            ++m_waitCounts.capacity;
             if (step.longRunning) {
                 holdWorkerFor(task, pass);
             }
@@ -212,6 +234,42 @@
         }
         assign(task, m_state.task(task)->run + 1, *worker, pass.now, pass.orders);
     }
+    if (!m_waitingForQuota.empty()) {
+        m_waitingForQuota.erase(key.job);
+    }
+}
+
+bool Dispatcher::isAllowedByQuota(const JobRecord &job, const StepSpec &step, std::uint32_t count,
+                                  PlacementPass &pass) const
+{
+    const std::string &team = job.spec.team;
+    if (team.empty() || m_quotas.empty()) {
+        return true;
+    }
+    const auto quota = m_quotas.find(team);
+    if (quota == m_quotas.end()) {
+        return true;
+    }
+    // Steps of a team at its quota are skipped at the cost of this search.
+    std::vector<TaskResources> &held = pass.heldNeeds[team];
+    if (std::any_of(held.begin(), held.end(),
+                    [&step](const TaskResources &need) { return fits(need, step.need); })) {
+        return false;
+    }
+    const TaskResources use = useOf(team);
+    if (!isWithinQuota(use, step.need, quota->second)) {
+        held.push_back(step.need);
+        return false;
+    }
+    return count == 1 || isGangWithinQuota(use, count, step.need, quota->second);
+}
+
+void Dispatcher::recordQuotaWait(const TaskKey &task, PlacementPass &pass)
+{
+    ++m_waitCounts.quota;
+    if (m_waitingForQuota.insert(task.job).second) {
+        pass.orders.dispatchDecisions.push_back({"wait", taskName(task), 0, {}, "quota", -1});
+    }
 }
 
 void Dispatcher::holdWorkerFor(const TaskKey &task, PlacementPass &pass)
@@ -374,7 +432,9 @@
 {
     const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
     reserve(m_workers.at(worker), task);
-    m_proposed[task] = worker;
+    const std::string &team = m_state.job(task.job)->spec.team;
+    m_proposed[task] = {team, step.need};
+    m_proposedUse.add(team, step.need);
     m_changedJobs.insert(task.job);
     orders.changes.emplace_back(RunAssigned{task, run, worker});
     orders.dispatchDecisions.push_back({"place", taskName(task), run, worker,
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -136,7 +136,9 @@
 
 void Dispatcher::onAssigned(const RunAssigned &assigned)
 {
-    m_proposed.erase(assigned.task);
+    if (const auto proposed = m_proposed.extract(assigned.task)) {
+        m_proposedUse.remove(proposed.mapped().team, proposed.mapped().need);
+    }
     const TaskRecord *task = m_state.task(assigned.task);
     if (task != nullptr && task->phase == TaskPhase::Assigned && task->run == assigned.run
         && task->worker == assigned.worker) {
@@ -172,6 +174,11 @@
     const bool isAssigned = task != nullptr && task->phase == TaskPhase::Assigned && run != nullptr
             && task->run == run->run;
     if (!isAssigned) {
+        if (run != nullptr && run->run != ended.run) {
+            // An earlier run has completed after it was recorded as lost. The later one goes on
+            // until it is stopped.
+            countUnassignedRun(entry->second, ended.task, run->run, now);
+        }
         removeRun(ended.task);
     }
     const JobRecord *job = m_state.job(ended.task.job);
@@ -180,6 +187,12 @@
         for (std::uint32_t index = 0; index < job->spec.steps[ended.task.step].count; ++index) {
             const TaskKey member{ended.task.job, ended.task.occurrence, ended.task.step, index};
             if (m_state.task(member)->phase == TaskPhase::Done) {
+                const auto other = m_workerOfTask.find(member);
+                const RunView *memberRun =
+                        other == m_workerOfTask.end() ? nullptr : findRun(other->second, member);
+                if (memberRun != nullptr) {
+                    countUnassignedRun(other->second, member, memberRun->run, now);
+                }
                 removeRun(member);
             }
         }
@@ -188,6 +201,7 @@
     if (job == nullptr || job->phase != JobPhase::Active) {
         m_activeJobs.erase(ended.task.job);
         m_startedJobs.erase(ended.task.job);
+        m_waitingForQuota.erase(ended.task.job);
     }
     queueStopsOfEndedJob(ended.task.job);
 }
@@ -209,6 +223,7 @@
     } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
         m_changedJobs.insert(cancelled->job);
         m_activeJobs.erase(cancelled->job);
+        m_waitingForQuota.erase(cancelled->job);
         m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
@@ -225,6 +240,7 @@
     } else if (std::holds_alternative<ConfigurationAccepted>(change)) {
         // Queues may be served by other services from now on.
         m_changedJobs = m_activeJobs;
+        m_quotas = quotasOf(m_state.configuration());
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
@@ -246,6 +262,90 @@
         m_workers.erase(found);
     }
     m_pendingEnds.erase(worker);
+    forgetUnassignedRuns(worker, [](const RunKey &, const UnassignedRun &) { return true; });
+}
+
+// A run counts against its team's quota until its end is recorded. It certainly does not run after
+// that, except for the runs that are counted below:
+// - Ends that the worker lists: the run has ended there.
+// - Refused: no start was sent, or the worker refused the only one, or it has confirmed the stop
+//   and refuses the run from then on.
+// - WorkerLost: the lease has expired, the worker refuses the start because the run has ended, or
+//   the worker has left, which it does without runs or by the end of its process.
+// - Starts of an earlier leader are refused once the worker has answered this one. Until then its
+//   runs count as assigned.
+
+void Dispatcher::countUnassignedRun(const std::string &worker, const TaskKey &task,
+                                    std::uint32_t run, SteadyTimeMs now)
+{
+    const JobRecord *job = m_state.job(task.job);
+    if (job == nullptr || job->spec.team.empty() || m_proposedEnds.contains({task, run})) {
+        return;
+    }
+    const auto [slot, added] = m_unassignedRuns[worker].try_emplace({task, run});
+    slot->second.countedAt = now;
+    if (added) {
+        slot->second.use = {job->spec.team, job->spec.steps[task.step].need};
+        m_unassignedUse.add(slot->second.use.team, slot->second.use.need);
+    }
+}
+
+void Dispatcher::forgetUnassignedRuns(
+        const std::string &worker,
+        const std::function<bool(const RunKey &, const UnassignedRun &)> &hasEnded)
+{
+    const auto runs = m_unassignedRuns.find(worker);
+    if (runs == m_unassignedRuns.end()) {
+        return;
+    }
+    std::erase_if(runs->second, [&](const auto &item) {
+        const auto &[key, run] = item;
+        if (!hasEnded(key, run)) {
+            return false;
+        }
+        m_unassignedUse.remove(run.use.team, run.use.need);
+        m_placementDirty = true;
+        return true;
+    });
+    if (runs->second.empty()) {
+        m_unassignedRuns.erase(runs);
+    }
+}
+
+void Dispatcher::forgetUnlistedRuns(const std::string &worker, const RenewAnswer &list,
+                                    SteadyTimeMs renewSentAt)
+{
+    const auto listedIn = [](const auto &rows, const RunKey &key) {
+        return std::any_of(rows.begin(), rows.end(), [&key](const auto &row) {
+            return row.task == key.first && row.run == key.second;
+        });
+    };
+    forgetUnassignedRuns(worker, [&](const RunKey &key, const UnassignedRun &run) {
+        return listedIn(list.ended, key)
+                || (renewSentAt >= run.countedAt && !listedIn(list.running, key));
+    });
+}
+
+void Dispatcher::forgetExpiredRuns(SteadyTimeMs now)
+{
+    std::vector<std::string> workers;
+    for (const auto &[worker, runs] : m_unassignedRuns) {
+        workers.push_back(worker);
+    }
+    for (const std::string &worker : workers) {
+        const WorkerView *known = view(worker);
+        const bool mayHoldLease = known != nullptr && known->clockMs
+                && known->clockLowerBound(now, m_options.clockDrift)
+                        <= known->leaseUntilMs + m_options.leaseExpiryMarginMs;
+        forgetUnassignedRuns(worker, [&](const RunKey &, const UnassignedRun &run) {
+            return !mayHoldLease && now - run.countedAt > longestLeaseMs();
+        });
+    }
+}
+
+TaskResources Dispatcher::useOf(const std::string &team) const
+{
+    return m_state.useOf(team) + m_proposedUse.of(team) + m_unassignedUse.of(team);
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -145,6 +145,7 @@
     task->worker = change.worker;
     ++job.assignedCount;
     m_tasksOfWorker[change.worker].insert(change.task);
+    m_teamUse.add(job.spec.team, job.spec.steps[change.task.step].need);
 }
 
 void SchedulerState::on(const RunEnded &change)
@@ -180,6 +181,7 @@
         }
     }
     --job.assignedCount;
+    m_teamUse.remove(job.spec.team, step.need);
     task.phase = TaskPhase::Pending;
     task.worker.clear();
     if (!change.checkpoint.empty()) {
@@ -217,6 +219,7 @@
     if (task.phase == TaskPhase::Assigned) {
         m_tasksOfWorker[task.worker].erase(key);
         --job.assignedCount;
+        m_teamUse.remove(job.spec.team, job.spec.steps[key.step].need);
     }
     task.phase = TaskPhase::Done;
     task.worker.clear();
@@ -322,6 +325,7 @@
                     const TaskRecord &task = steps[step].tasks[index];
                     if (task.phase == TaskPhase::Assigned) {
                         state.m_tasksOfWorker[task.worker].insert({id, occurrence, step, index});
+                        state.m_teamUse.add(job.spec.team, job.spec.steps[step].need);
                     }
                 }
             }
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Scheduling/JobChanges.h"
+#include "Scheduling/TeamQuota.h"
 
 namespace dandelionloom {
 
@@ -84,6 +85,8 @@
     const std::map<std::uint64_t, MaintenanceWave> &waves() const { return m_waves; }
     /// Tasks assigned to a worker.
     const std::set<TaskKey> &tasksOf(const std::string &worker) const;
+    /// Resources that the team's assigned tasks take.
+    const TaskResources &useOf(const std::string &team) const { return m_teamUse.of(team); }
 
     const QueueConfig *queue(const std::string &name) const;
     const ServiceConfig *service(const std::string &name) const;
@@ -123,6 +126,8 @@
     std::map<std::uint64_t, MaintenanceWave> m_waves;
     /// Index of the assigned tasks by worker; derived from m_jobs and not stored.
     std::map<std::string, std::set<TaskKey>> m_tasksOfWorker;
+    /// Use of the assigned tasks by team; derived from m_jobs and not stored.
+    TeamUse m_teamUse;
     std::vector<JobId> m_jobsWithLostRuns;
 };
 
--- a/Source/Scheduling/StepFacts.cpp
+++ b/Source/Scheduling/StepFacts.cpp
@@ -45,6 +45,7 @@
     attributes.priority = job.queue.priority;
     attributes.longRunning = spec.longRunning;
     attributes.bestEffort = spec.bestEffort;
+    attributes.beyondShare = job.spec.beyondShare;
     attributes.dueAtMs = job.spec.repeatCount > 0
             ? job.spec.startAtMs + occurrence * job.spec.intervalMs
             : job.acceptedAtMs;
--- a/Source/Scheduling/StepRanking.cpp
+++ b/Source/Scheduling/StepRanking.cpp
@@ -30,9 +30,10 @@
                 static_cast<double>(attributes.dueAtMs)};
     }
     const WallTimeMs endsAt = nowMs + attributes.remainingPathMs;
-    const StepGroup group = endsAt <= objectiveDeadline(attributes) ? StepGroup::OnTime
-            : endsAt <= usefulDeadline(attributes)                  ? StepGroup::Late
-                                                                    : StepGroup::Overdue;
+    const StepGroup group = endsAt > usefulDeadline(attributes) ? StepGroup::Overdue
+            : attributes.beyondShare                            ? StepGroup::BeyondShare
+            : endsAt <= objectiveDeadline(attributes)           ? StepGroup::OnTime
+                                                                : StepGroup::Late;
     return {group, attributes.priority, attributes.remainingWork};
 }
 
@@ -42,6 +43,7 @@
     case StepGroup::OnTime:
         return objectiveDeadline(attributes) - attributes.remainingPathMs + 1;
     case StepGroup::Late:
+    case StepGroup::BeyondShare:
         return usefulDeadline(attributes) - attributes.remainingPathMs + 1;
     case StepGroup::LongRunning:
     case StepGroup::BestEffort:
--- a/Source/Scheduling/StepRanking.h
+++ b/Source/Scheduling/StepRanking.h
@@ -16,6 +16,8 @@
     std::int64_t priority = 0;
     bool longRunning = false;
     bool bestEffort = false;
+    /// The team had submitted more than its share when the job was accepted.
+    bool beyondShare = false;
     WallTimeMs dueAtMs = 0;
     /// Length of the job's critical path, and of its part from this step on.
     std::int64_t jobPathMs = 0;
@@ -36,12 +38,14 @@
     OnTime,
     /// Too late for the objective, but not for its caller.
     Late,
+    /// Beyond the share of the job's team, and not overdue.
+    BeyondShare,
     BestEffort,
     /// Too late to be of use. The job was accepted and is finished with the capacity that is left.
     Overdue
 };
-inline constexpr EnumNames<StepGroup, 5> stepGroupNames{
-        {"long-running", "on-time", "late", "best-effort", "overdue"}};
+inline constexpr EnumNames<StepGroup, 6> stepGroupNames{
+        {"long-running", "on-time", "late", "beyond-share", "best-effort", "overdue"}};
 
 /// Smaller ranks are placed first.
 struct StepRank
@@ -60,8 +64,9 @@
 /// Ranks a step that waits for capacity. In peaks whose demand is several times the capacity of a
 /// pool, long-running tasks come first, as they are few and earn for as long as they run. Then come
 /// jobs that can still meet their objective, so that a backlog does not make every job late; then
-/// late jobs and best-effort tasks; and last jobs whose result comes too late to be of use, which
-/// would otherwise take the capacity of those that are still late.
+/// late jobs, jobs beyond the share of their team, and best-effort tasks; and last jobs whose
+/// result comes too late to be of use, which would otherwise take the capacity of those that are
+/// still late.
 StepRank rankStep(const StepAttributes &attributes, WallTimeMs nowMs);
 
 /// First time after `nowMs` at which rankStep() returns another rank; none if it never does.
--- a/Source/Scheduling/TeamQuota.h
+++ b/Source/Scheduling/TeamQuota.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -7,13 +8,28 @@
 
 namespace dandelionloom {
 
+/// Resources of several equal tasks.
+TaskResources operator*(std::int64_t count, const TaskResources &need);
+
 /// True if the team may start a task beside what it has running. A task that is larger than the
 /// quota starts alone, as it could never start otherwise.
 bool isWithinQuota(const TaskResources &running, const TaskResources &need,
                    const TaskResources &maxRunning);
 
+/// The same for tasks that only start together. Alone, they may exceed the quota by one task, like
+/// a single task does; a larger gang never starts.
+bool isGangWithinQuota(const TaskResources &running, std::uint32_t count, const TaskResources &need,
+                       const TaskResources &maxRunning);
+
+/// Number of equal tasks, at most `count`, that the team may start beside what it has running.
+std::uint32_t tasksWithinQuota(const TaskResources &running, std::uint32_t count,
+                               const TaskResources &need, const TaskResources &maxRunning);
+
+/// Quotas of the teams that have one, by team.
+std::map<std::string, TaskResources> quotasOf(const FleetConfiguration &configuration);
+
 /// Resources that tasks take of their teams' quotas, from the assignment of a run to the record of
-/// its end.
+/// its end. Tasks without a team are not counted.
 class TeamUse
 {
 public:
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -159,13 +159,83 @@
     start();
 }
 
+void FleetSimulation::setTeams(const std::vector<TeamConfig> &teams)
+{
+    m_replacedQuotas.emplace_back(now, quotasOf(state.configuration()));
+    FleetConfiguration configuration = state.configuration();
+    ++configuration.version;
+    configuration.teams = teams;
+    state.apply(ConfigurationAccepted{configuration});
+    if (dispatcher) {
+        dispatcher->applied(ConfigurationAccepted{configuration}, now);
+    }
+}
+
+TaskResources FleetSimulation::runningOf(const std::string &team) const
+{
+    TaskResources running;
+    for (const auto &[id, worker] : workers) {
+        for (const auto &[task, run] : worker.running) {
+            const JobSpec &spec = state.job(task.job)->spec;
+            if (worker.up && spec.team == team) {
+                running = running + spec.steps[task.step].need;
+            }
+        }
+    }
+    return running;
+}
+
+void FleetSimulation::checkQuota(const StartOrder &order) const
+{
+    const JobSpec &spec = state.job(order.task.job)->spec;
+    const StepSpec &step = spec.steps[order.task.step];
+    const TaskResources running = runningOf(spec.team);
+    const auto isAllowed = [&](const std::map<std::string, TaskResources> &quotas) {
+        const auto quota = quotas.find(spec.team);
+        // Alone, a gang may exceed the quota by one task.
+        return quota == quotas.end() || isWithinQuota(running, step.need, quota->second)
+                || (step.gang && isWithinQuota(running - step.need, step.need, quota->second)
+                    && runningCount(spec.id) * step.need == running);
+    };
+    if (isAllowed(quotasOf(state.configuration()))) {
+        return;
+    }
+    for (const auto &[replacedAt, quotas] : m_replacedQuotas) {
+        if (now - replacedAt <= quotaSettleMs && isAllowed(quotas)) {
+            return;
+        }
+    }
+    reportViolation("team " + spec.team + " starts " + taskName(order.task) + " beside "
+                    + std::to_string(running.processorMilli) + " mcores and "
+                    + std::to_string(running.memoryMb) + " MB, beyond its quota");
+}
+
+void FleetSimulation::recordDecisions(const std::vector<DispatchDecision> &decisions)
+{
+    const auto add = [this](const std::string &text) {
+        for (const char byte : text) {
+            placementDigest = (placementDigest ^ static_cast<unsigned char>(byte)) * 0x100000001b3;
+        }
+    };
+    for (const DispatchDecision &decision : decisions) {
+        if (decision.decision == "place") {
+            add(decision.task + "#" + std::to_string(decision.run) + "@" + decision.worker + "/"
+                + std::to_string(now) + ";");
+        } else if (decision.decision == "wait") {
+            waits.push_back(decision);
+        }
+    }
+}
+
 void FleetSimulation::submit(const std::string &id, const std::string &queue,
-                             std::vector<StepSpec> steps)
+                             std::vector<StepSpec> steps, const std::string &team, bool beyondShare)
 {
     JobSpec spec;
     spec.id = id;
     spec.queue = queue;
     spec.steps = std::move(steps);
+    spec.team = team;
+    spec.beyondShare = beyondShare;
     propose(JobAccepted{spec, *state.queue(queue), now});
 }
 
@@ -419,19 +489,22 @@
     if (step.maxPerWorker > 0 && here > step.maxPerWorker) {
         reportViolation("more tasks of a step on a worker than allowed: " + taskName(order.task));
     }
+    if (!job->spec.team.empty()) {
+        checkQuota(order);
+    }
 }
 
-std::optional<CallFault> FleetSimulation::startRun(const StartOrder &order)
+std::optional<CallFault> FleetSimulation::startRun(const StartOrder &order, std::uint64_t orderTerm)
 {
     const auto found = workers.find(order.worker);
     if (found == workers.end() || !found->second.up || found->second.partitioned) {
         return CallFault::NoAnswer;
     }
     FakeWorker &worker = found->second;
-    if (term < worker.fence) {
+    if (orderTerm < worker.fence) {
         return CallFault::Fenced;
     }
-    worker.fence = term;
+    worker.fence = orderTerm;
     if (worker.refusesStarts) {
         return CallFault::Unhealthy;
     }
@@ -476,7 +549,7 @@
     if (found == workers.end() || found->second.lateStartMs == 0) {
         return false;
     }
-    m_lateStarts.push_back({now + std::exchange(found->second.lateStartMs, 0), order});
+    m_lateStarts.push_back({now + std::exchange(found->second.lateStartMs, 0), order, term});
     m_unansweredStarts.push_back(
             {now + dispatchOptions.calls.orderTimeoutMs, order.worker, order.task, order.run});
     return true;
@@ -488,7 +561,7 @@
         if (late.at > now) {
             return false;
         }
-        startRun(late.order);
+        startRun(late.order, late.term);
         return true;
     });
 }
@@ -521,11 +594,12 @@
 
 void FleetSimulation::execute(const DispatchOrders &orders)
 {
+    recordDecisions(orders.dispatchDecisions);
     for (const StartOrder &order : orders.starts) {
         if (delayStart(order)) {
             continue;
         }
-        const std::optional<CallFault> fault = startRun(order);
+        const std::optional<CallFault> fault = startRun(order, term);
         if (isAnswerLost()) {
             m_unansweredStarts.push_back({now + dispatchOptions.calls.orderTimeoutMs, order.worker,
                                           order.task, order.run});
@@ -696,6 +770,8 @@
     fake.up = false;
     fake.running.clear();
     fake.ended.clear();
+    std::erase_if(m_lateStarts,
+                  [&worker](const LateStart &late) { return late.order.worker == worker; });
 }
 
 void FleetSimulation::restart(const std::string &worker)
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -99,7 +99,10 @@
     void start();
     /// Another instance becomes leader, with the changes committed so far.
     void changeLeader();
-    void submit(const std::string &id, const std::string &queue, std::vector<StepSpec> steps);
+    /// Replaces the teams of the configuration. Each start is checked against their quotas.
+    void setTeams(const std::vector<TeamConfig> &teams);
+    void submit(const std::string &id, const std::string &queue, std::vector<StepSpec> steps,
+                const std::string &team = {}, bool beyondShare = false);
     void cancel(const std::string &id);
     void startWave(const std::vector<std::string> &instances, std::uint32_t maxAtOnce);
     void run(std::int64_t milliseconds);
@@ -108,6 +111,8 @@
 
     JobPhase phaseOf(const std::string &id) const { return state.job(id)->phase; }
     std::size_t runningCount(const std::string &job) const;
+    /// Resources of the tasks that workers run for the team, whether recorded or not.
+    TaskResources runningOf(const std::string &team) const;
     void crash(const std::string &worker);
     /// Starts another worker on the instance. Returns its id.
     std::string replaceWorker(const std::string &instance);
@@ -133,6 +138,12 @@
     std::map<std::string, SteadyTimeMs> acceptedAt;
     std::map<std::string, SteadyTimeMs> completedAt;
     std::uint64_t term = 0;
+    /// Decisions to let a job wait.
+    std::vector<DispatchDecision> waits;
+    /// Digest of all placements with their times, in order.
+    std::uint64_t placementDigest = 0xcbf29ce484222325;
+    /// Time for which starts may still follow a replaced quota: changes and orders on their way.
+    std::int64_t quotaSettleMs = 500;
     /// Processor time used by the dispatcher and the planners.
     double schedulerSeconds = 0;
 
@@ -149,13 +160,15 @@
     void propose(JobChange change);
     void commitDueChanges();
     void execute(const DispatchOrders &orders);
-    std::optional<CallFault> startRun(const StartOrder &order);
+    std::optional<CallFault> startRun(const StartOrder &order, std::uint64_t orderTerm);
     /// True if the worker leaves the start unanswered and carries it out later.
     bool delayStart(const StartOrder &order);
     void carryOutLateStarts();
     void advise(const AdviceOrder &order);
     std::optional<CallFault> stopRun(const StopOrder &order);
     void checkStart(const StartOrder &order) const;
+    void checkQuota(const StartOrder &order) const;
+    void recordDecisions(const std::vector<DispatchDecision> &decisions);
     void advanceWorker(FakeWorker &worker);
     void endRun(FakeWorker &worker, const TaskKey &task, RunOutcome runOutcome);
     void answerRenewals();
@@ -186,7 +199,10 @@
     {
         SteadyTimeMs at = 0;
         StartOrder order;
+        std::uint64_t term = 0;
     };
+    /// Replaced quotas by team, with the time of their replacement.
+    std::vector<std::pair<SteadyTimeMs, std::map<std::string, TaskResources>>> m_replacedQuotas;
     std::vector<LateStart> m_lateStarts;
     struct DelayedOrder
     {
--- a/Tests/Scheduling/StepRankingTest.cpp
+++ b/Tests/Scheduling/StepRankingTest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST_SUITE(StepRankingTest);
     CPPUNIT_TEST(groups);
     CPPUNIT_TEST(rankChanges);
+    CPPUNIT_TEST(beyondShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +84,37 @@
             CPPUNIT_ASSERT(!nextRankChange(lasting, 1000));
         });
     }
+
+    /// Guards against jobs beyond a team's share that take the capacity of jobs within one, and
+    /// against those that never come before overdue ones.
+    void beyondShare()
+    {
+        StepAttributes beyond = shortJob();
+        beyond.beyondShare = true;
+        beyond.remainingWork = 1;
+        beyond.priority = -1;
+        const auto groupAt = [&](WallTimeMs now) { return rankStep(beyond, now).group; };
+        section("it follows late jobs, however small or urgent, and precedes best effort", [&] {
+            CPPUNIT_ASSERT(rankStep(shortJob(), 4000).group == StepGroup::Late);
+            CPPUNIT_ASSERT(rankStep(shortJob(), 4000) < rankStep(beyond, 4000));
+            StepAttributes filler = shortJob();
+            filler.bestEffort = true;
+            CPPUNIT_ASSERT(rankStep(beyond, 4000) < rankStep(filler, 4000));
+        });
+        section("it has one rank until it is overdue like any other", [&] {
+            CPPUNIT_ASSERT(groupAt(1000) == StepGroup::BeyondShare);
+            CPPUNIT_ASSERT(groupAt(4700) == StepGroup::BeyondShare);
+            CPPUNIT_ASSERT(groupAt(4701) == StepGroup::Overdue);
+            CPPUNIT_ASSERT_EQUAL(WallTimeMs(4701), nextRankChange(beyond, 1000).value_or(0));
+            CPPUNIT_ASSERT(!nextRankChange(beyond, 4701));
+        });
+        section("long-running and best-effort steps keep their groups", [&] {
+            beyond.longRunning = true;
+            CPPUNIT_ASSERT(groupAt(1000) == StepGroup::LongRunning);
+            beyond.bestEffort = true;
+            CPPUNIT_ASSERT(groupAt(1000) == StepGroup::BestEffort);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StepRankingTest);
--- a/Tests/Scheduling/TurnLoad.cpp
+++ b/Tests/Scheduling/TurnLoad.cpp
@@ -163,6 +163,7 @@
             fleet.schedulerSeconds / (static_cast<double>(fleet.now - begin) / 1000);
     result.moves = fleet.moves;
     fleet.run(drainMs);
+    result.placementDigest = fleet.placementDigest;
     for (const auto &[id, pool] : jobs) {
         const double time = timeInObjectives(fleet, id, load.durationsVary);
         ++result.jobsOfQueue[pool];
--- a/Tests/Scheduling/TurnLoad.h
+++ b/Tests/Scheduling/TurnLoad.h
@@ -67,6 +67,8 @@
     std::uint32_t moves = 0;
     /// Share of the jobs' worth that was earned, less prices. Queues are worth the same.
     double worth = 0;
+    /// As in FleetSimulation.
+    std::uint64_t placementDigest = 0;
 };
 
 /// Plays the load with the scheduler and the balancer.
