--- a/Tests/Scheduling/TeamQuotaTest.cpp
+++ b/Tests/Scheduling/TeamQuotaTest.cpp
@@ -519,8 +519,8 @@
             return fleet.schedulerSeconds / 3;
         };
         const double few = coresWith(20);
-        const double many = coresWith(500);
-        std::cout << " cores with 20 jobs waiting " << few << ", with 500 " << many;
+        const double many = coresWith(2000);
+        std::cout << " cores with 20 jobs waiting " << few << ", with 2000 " << many;
         CPPUNIT_ASSERT(many < few + maxWaitingCores);
     }
 
@@ -672,7 +672,8 @@
     }
 
 private:
-    /// Processor time that a backlog of 500 jobs may add, of the third of a core that a leader has.
+    /// Processor time that a backlog of 2,000 jobs may add, of the third of a core that a leader
+    /// has.
     static constexpr double maxWaitingCores = 0.08;
 
     /// Placements of smallLoad() as configured in withoutTeams().
