--- a/Tests/Soak/Deployment.cpp
+++ b/Tests/Soak/Deployment.cpp
@@ -76,7 +76,8 @@
     out << "[fault_tolerance]\nmachines = " << (m_options.controls > 4 ? 2 : 1)
         << "\n[bounds]\ngrace_s = " << graceMs / 1000
         << "\nmax_hold_ms = 6000\nstop_grace_ms = 400\nstatus_s = 120\nlease_ms = 3000\n"
-        << "[cloud]\naddress = \"" << m_options.listAddress << "\"\n";
+        << "[cloud]\naddress = \"" << m_options.listAddress << "\"\n"
+        << m_options.additionalSettings;
 }
 
 void Deployment::startProcess(SystemProcess &process, bool bootstrap)
@@ -233,6 +234,15 @@
     return addresses;
 }
 
+std::vector<std::string> Deployment::readinessAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (std::size_t index = m_options.controls; index < m_processes.size(); ++index) {
+        addresses.push_back(addressOf(m_processes[index], readyPortOffset));
+    }
+    return addresses;
+}
+
 SteadyTimeMs Deployment::plannedStopSince(const std::string &gatewayAddress) const
 {
     const std::lock_guard lock(m_mutex);
--- a/Tests/Soak/Deployment.h
+++ b/Tests/Soak/Deployment.h
@@ -27,6 +27,8 @@
     /// Address of the platform's list of instances.
     std::string listAddress;
     std::uint16_t firstPort = 0;
+    /// Appended to the settings of each process: whole lines of further sections.
+    std::string additionalSettings;
 };
 
 /// One process of the system under test. Signals may overlap: a stopped process can be told to
@@ -77,6 +79,7 @@
 
     std::vector<std::string> controlAddresses() const;
     std::vector<std::string> gatewayAddresses() const;
+    std::vector<std::string> readinessAddresses() const;
     /// Time of the SIGTERM of a gateway, if nothing but planned stops happened since 3 s before it;
     /// otherwise 0. Thread-safe.
     SteadyTimeMs plannedStopSince(const std::string &gatewayAddress) const;
