Http: Bound what clients can make a listener hold

EventedHttpServer read on while a request was handled and appended responses that the client did not take, so a client that sent ahead and read nothing could use all memory of the process.

Nothing is read from a connection while its request is handled or a response is unsent; a read beyond the request is the most it holds. Responses not taken in time close the connection. At the limit of connections, buffered bytes or descriptors, chooseConnectionToClose names the connection to close. Limits follow from limits.memory_mb and limits.max_open_files. Offsets replace the quadratic removal from the front of the buffers.

Chunked bodies that arrive in several reads are no longer refused, and Expect: 100-continue gets the interim response. Rejections linger, so that a reset does not delete them.

--- a/Source/Adapters/Http/EventedHttpServer.cpp
+++ b/Source/Adapters/Http/EventedHttpServer.cpp
@@ -9,6 +9,8 @@
 #include <cerrno>
 #include <cstring>
 #include <optional>
+#include <string_view>
+#include <variant>
 
 #include "Adapters/Http/ByteReader.h"
 #include "Adapters/Peers/PeerSockets.h"
@@ -18,6 +20,20 @@
 namespace {
 
 constexpr std::size_t readBytes = 16 * 1024;
+/// Buffers above this size are freed between requests, as most connections are idle.
+constexpr std::size_t maxIdleBufferBytes = 4096;
+/// Other connections of the event loop wait while connections are accepted.
+constexpr int maxAcceptsPerEvent = 64;
+constexpr Milliseconds acceptPause{100};
+/// Sizes and extensions of chunks beyond the size of the body itself.
+constexpr std::size_t maxChunkOverheadBytes = 64 * 1024;
+
+/// Limits of the lingering close: closing a connection with unread input resets it, and the client
+/// could lose the response.
+constexpr Milliseconds lingerTimeout{500};
+constexpr std::size_t maxLingerBytes = 256 * 1024;
+
+constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 const char *reasonPhrase(int status)
 {
@@ -36,8 +52,12 @@
         return "Conflict";
     case 410:
         return "Gone";
+    case 413:
+        return "Content Too Large";
     case 429:
         return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
     case 503:
         return "Service Unavailable";
     case 504:
@@ -69,22 +89,33 @@
     std::size_t consumed = 0;
 };
 
-/// Empty while the request is incomplete.
-std::optional<Result<ParsedRequest, HttpRequestError>> parseRequest(const std::string &input,
-                                                                    const HttpLimits &limits)
+struct IncompleteRequest
+{
+    /// Size of the input from which on parsing can succeed.
+    std::size_t bytesNeeded = 0;
+    bool headComplete = false;
+    bool expectsContinue = false;
+};
+
+using ParseResult = std::variant<ParsedRequest, IncompleteRequest, HttpRequestError>;
+
+ParseResult parseRequest(std::string_view input, const HttpLimits &limits)
 {
-    const std::size_t headEnd = input.find("\r\n\r\n");
-    if (headEnd == std::string::npos) {
+    constexpr std::string_view headEndMark = "\r\n\r\n";
+    const std::size_t headEnd = input.find(headEndMark);
+    if (headEnd == std::string_view::npos) {
         if (input.size() > limits.maxHeaderBytes + limits.maxRequestLineBytes) {
             return HttpRequestError{431, "the head is longer than the limit"};
         }
-        return std::nullopt;
+        return IncompleteRequest{input.size() + 1, false, false};
     }
     std::size_t copied = 0;
-    ByteReader reader([&input, &copied](char *buffer, int size) {
+    bool inputEnded = false;
+    ByteReader reader([&](char *buffer, int size) {
         const std::size_t count = std::min(static_cast<std::size_t>(size), input.size() - copied);
         std::memcpy(buffer, input.data() + copied, count);
         copied += count;
+        inputEnded = inputEnded || count == 0;
         return static_cast<int>(count);
     });
     auto head = readHead(reader, limits);
@@ -92,20 +123,20 @@
         return errorOf(head);
     }
     const HttpHead &requestHead = valueOf(head);
-    if (requestHead.contentLength && *requestHead.contentLength > limits.maxBodyBytes) {
-        return HttpRequestError{413, "the body is longer than the limit"};
-    }
-    if (requestHead.contentLength && input.size() - headEnd - 4 < *requestHead.contentLength) {
-        return std::nullopt;
+    const std::size_t bodyBegin = headEnd + headEndMark.size();
+    if (requestHead.contentLength && input.size() - bodyBegin < *requestHead.contentLength) {
+        return IncompleteRequest{bodyBegin + *requestHead.contentLength, true,
+                                 requestHead.expectsContinue};
     }
     auto body = readBody(reader, requestHead, limits);
     if (!isOk(body)) {
-        const bool incomplete = !requestHead.contentLength && errorOf(body).status == 0
-                && input.size() < limits.maxBodyBytes * 2;
-        if (incomplete) {
-            return std::nullopt;
+        if (!inputEnded) {
+            return errorOf(body);
+        }
+        if (input.size() - bodyBegin > limits.maxBodyBytes * 2 + maxChunkOverheadBytes) {
+            return HttpRequestError{413, "the chunks are longer than the limit"};
         }
-        return errorOf(body);
+        return IncompleteRequest{input.size() + 1, true, requestHead.expectsContinue};
     }
     ParsedRequest parsed;
     parsed.request.method = requestHead.method;
@@ -121,6 +152,22 @@
     return parsed;
 }
 
+void clearBuffer(std::string &buffer)
+{
+    buffer.clear();
+    if (buffer.capacity() > maxIdleBufferBytes) {
+        buffer.shrink_to_fit();
+    }
+}
+
+void setBufferSize(int descriptor, int option, std::size_t bytes)
+{
+    const int value = static_cast<int>(bytes);
+    if (bytes != 0) {
+        ::setsockopt(descriptor, SOL_SOCKET, option, &value, sizeof value);
+    }
+}
+
 } // namespace
 
 EventedHttpServer::EventedHttpServer(EventLoop &loop, HttpLimits limits, Handler handler)
@@ -131,10 +178,14 @@
 EventedHttpServer::~EventedHttpServer()
 {
     m_self.reset();
+    m_loop.cancelTimer(m_acceptTimer);
     if (m_listener >= 0) {
+        m_loop.unwatch(m_listenerWatch);
         ::close(m_listener);
     }
     for (const auto &[id, connection] : m_connections) {
+        m_loop.cancelTimer(connection->timer);
+        m_loop.unwatch(connection->watch);
         ::close(connection->descriptor);
     }
 }
@@ -151,6 +202,9 @@
         return HttpListenError{errorOf(listener).message};
     }
     m_listener = valueOf(listener);
+    // Accepted sockets inherit the sizes from their listener.
+    setBufferSize(m_listener, SO_RCVBUF, m_limits.receiveBufferBytes);
+    setBufferSize(m_listener, SO_SNDBUF, m_limits.sendBufferBytes);
     m_port = portOf(localAddress(m_listener));
     m_listenerWatch =
             m_loop.watch(m_listener, EPOLLIN, [this](std::uint32_t) { acceptConnections(); });
@@ -161,14 +215,14 @@
 {
     m_draining = true;
     if (m_listener >= 0) {
+        m_loop.cancelTimer(m_acceptTimer);
         m_loop.unwatch(m_listenerWatch);
         ::close(m_listener);
         m_listener = -1;
     }
     std::vector<std::uint64_t> idle;
     for (const auto &[id, connection] : m_connections) {
-        if (connection->activeRequest == 0 && connection->input.empty()
-            && connection->output.empty()) {
+        if (connection->phase == Phase::Idle && connection->input.empty()) {
             idle.push_back(id);
         }
     }
@@ -179,33 +233,62 @@
 
 void EventedHttpServer::acceptConnections()
 {
-    for (;;) {
+    for (int count = 0; count < maxAcceptsPerEvent; ++count) {
         const int descriptor =
                 ::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (descriptor < 0) {
+        if (descriptor >= 0) {
+            addConnection(descriptor);
+            continue;
+        }
+        if (errno != EMFILE && errno != ENFILE) {
             return;
         }
-        if (m_connections.size() >= m_limits.maxConnections) {
-            ::close(descriptor);
-            continue;
+        if (!closeOne(ConnectionCloseReason::DescriptorLimit)) {
+            pauseAccepting();
+            return;
         }
-        setNoDelay(descriptor);
-        const std::uint64_t id = m_nextId++;
-        auto connection = std::make_unique<Connection>();
-        connection->descriptor = descriptor;
-        connection->watch = m_loop.watch(descriptor, EPOLLIN,
-                                         [this, id](std::uint32_t events) { onEvent(id, events); });
-        m_connections.emplace(id, std::move(connection));
-        armTimer(id, m_limits.keepAliveTimeout);
     }
 }
 
+void EventedHttpServer::addConnection(int descriptor)
+{
+    if (m_connections.size() >= m_limits.maxConnections
+        && !closeOne(ConnectionCloseReason::ConnectionLimit)) {
+        ::close(descriptor);
+        reportClose(ConnectionCloseReason::ConnectionLimit);
+        return;
+    }
+    setNoDelay(descriptor);
+    const std::uint64_t id = m_nextId++;
+    auto connection = std::make_unique<Connection>();
+    connection->descriptor = descriptor;
+    connection->progressAt = steadyTimeNow();
+    connection->watch = m_loop.watch(descriptor, EPOLLIN,
+                                     [this, id](std::uint32_t events) { onEvent(id, events); });
+    m_connections.emplace(id, std::move(connection));
+    armTimer(id, m_limits.keepAliveTimeout, std::nullopt);
+}
+
+void EventedHttpServer::pauseAccepting()
+{
+    m_loop.changeEvents(m_listenerWatch, 0);
+    m_loop.cancelTimer(m_acceptTimer);
+    m_acceptTimer = m_loop.startTimer(acceptPause,
+                                      [this] { m_loop.changeEvents(m_listenerWatch, EPOLLIN); });
+}
+
 void EventedHttpServer::onEvent(std::uint64_t id, std::uint32_t events)
 {
+    // Also reported while nothing is read: the client has reset the connection, or both sides have
+    // ended it.
+    if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
+        close(id);
+        return;
+    }
     if ((events & EPOLLOUT) != 0) {
-        flush(id);
+        sendOutput(id);
     }
-    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && m_connections.contains(id)) {
+    if ((events & EPOLLIN) != 0 && m_connections.contains(id)) {
         readInput(id);
     }
 }
@@ -213,57 +296,117 @@
 void EventedHttpServer::readInput(std::uint64_t id)
 {
     Connection &connection = *m_connections.at(id);
+    if (connection.phase == Phase::Handling || connection.phase == Phase::Sending) {
+        // The client sends ahead or has closed its sending side. A client that does neither costs
+        // no change of the events.
+        m_loop.changeEvents(connection.watch,
+                            connection.phase == Phase::Sending ? std::uint32_t{EPOLLOUT} : 0U);
+        return;
+    }
+    if (connection.phase == Phase::Lingering) {
+        discardInput(id);
+        return;
+    }
+    if (connection.phase == Phase::Idle && !connection.input.empty() && !parseInput(id)) {
+        return;
+    }
+    connection.input.erase(0, connection.inputOffset);
+    connection.inputOffset = 0;
     std::array<char, readBytes> buffer;
     for (;;) {
         const ssize_t count = ::recv(connection.descriptor, buffer.data(), buffer.size(), 0);
-        if (count > 0) {
-            connection.input.append(buffer.data(), static_cast<std::size_t>(count));
-            if (static_cast<std::size_t>(count) < buffer.size()) {
-                break;
-            }
-            continue;
-        }
         if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-            break;
+            return;
         }
-        if (count < 0 || connection.activeRequest == 0) {
+        if (count <= 0) {
             close(id);
             return;
         }
-        // The client has closed its sending side but may still read the response.
-        connection.inputEnded = true;
-        m_loop.changeEvents(connection.watch, 0);
-        return;
+        connection.input.append(buffer.data(), static_cast<std::size_t>(count));
+        countBytes(connection);
+        enforceBufferLimit();
+        if (!m_connections.contains(id)) {
+            return;
+        }
+        if (connection.input.size() >= connection.bytesNeeded && !parseInput(id)) {
+            return;
+        }
+        if (static_cast<std::size_t>(count) < buffer.size()) {
+            return;
+        }
     }
-    parseInput(id);
 }
 
-void EventedHttpServer::parseInput(std::uint64_t id)
+void EventedHttpServer::discardInput(std::uint64_t id)
 {
     Connection &connection = *m_connections.at(id);
-    if (connection.activeRequest != 0 || connection.input.empty()) {
+    std::array<char, readBytes> buffer;
+    const ssize_t count = ::recv(connection.descriptor, buffer.data(), buffer.size(), 0);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    auto parsed = parseRequest(connection.input, m_limits);
-    if (!parsed) {
-        armTimer(id, m_limits.headTimeout);
-        return;
+    connection.lingeredBytes += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+    if (count <= 0 || connection.lingeredBytes > maxLingerBytes) {
+        close(id);
     }
-    if (!isOk(*parsed)) {
-        reject(id, errorOf(*parsed));
-        return;
+}
+
+bool EventedHttpServer::parseInput(std::uint64_t id)
+{
+    Connection &connection = *m_connections.at(id);
+    ParseResult result = parseRequest(
+            std::string_view(connection.input).substr(connection.inputOffset), m_limits);
+    if (const auto *error = std::get_if<HttpRequestError>(&result)) {
+        reject(id, *error);
+        return false;
+    }
+    if (auto *parsed = std::get_if<ParsedRequest>(&result)) {
+        connection.inputOffset += parsed->consumed;
+        if (connection.inputOffset == connection.input.size()) {
+            clearBuffer(connection.input);
+            connection.inputOffset = 0;
+        }
+        connection.requestBytes = parsed->consumed;
+        connection.keepAlive = parsed->keepAlive;
+        handleRequest(id, std::move(parsed->request));
+        return false;
+    }
+    const auto &incomplete = std::get<IncompleteRequest>(result);
+    connection.bytesNeeded = incomplete.bytesNeeded;
+    const Phase phase = incomplete.headComplete ? Phase::ReadingBody : Phase::ReadingHead;
+    if (connection.phase != phase) {
+        connection.phase = phase;
+        armTimer(id, incomplete.headComplete ? m_limits.bodyTimeout : m_limits.headTimeout,
+                 ConnectionCloseReason::RequestTimeout);
     }
-    ParsedRequest parsedRequest = takeValue(std::move(*parsed));
-    connection.input.erase(0, parsedRequest.consumed);
-    connection.keepAlive = parsedRequest.keepAlive;
-    connection.activeRequest = ++connection.requestCount;
+    if (incomplete.expectsContinue && !connection.continueSent) {
+        connection.continueSent = true;
+        const ssize_t count = ::send(connection.descriptor, continueResponse.data(),
+                                     continueResponse.size(), MSG_NOSIGNAL);
+        if (count != static_cast<ssize_t>(continueResponse.size())) {
+            // The client has not read its earlier responses.
+            close(id);
+            return false;
+        }
+    }
+    return true;
+}
+
+void EventedHttpServer::handleRequest(std::uint64_t id, HttpRequest request)
+{
+    Connection &connection = *m_connections.at(id);
+    connection.phase = Phase::Handling;
+    connection.bytesNeeded = 0;
+    connection.continueSent = false;
+    connection.progressAt = steadyTimeNow();
+    countBytes(connection);
     ++m_pendingRequests;
     m_loop.cancelTimer(connection.timer);
     const std::weak_ptr<EventedHttpServer *> self = m_self;
-    const std::uint64_t request = connection.activeRequest;
-    m_handler(std::move(parsedRequest.request), [self, id, request](HttpResponse response) {
+    const std::uint64_t number = ++connection.requestCount;
+    m_handler(std::move(request), [self, id, number](HttpResponse response) {
         if (const auto server = self.lock()) {
-            (*server)->sendResponse(id, request, response);
+            (*server)->sendResponse(id, number, response);
         }
     });
 }
@@ -272,16 +415,18 @@
                                      const HttpResponse &response)
 {
     const auto found = m_connections.find(id);
-    if (found == m_connections.end() || found->second->activeRequest != request) {
+    if (found == m_connections.end() || found->second->phase != Phase::Handling
+        || found->second->requestCount != request) {
         return;
     }
     Connection &connection = *found->second;
-    connection.activeRequest = 0;
     --m_pendingRequests;
-    connection.keepAlive = connection.keepAlive && !m_draining && !connection.inputEnded;
-    connection.output += renderResponse(response, connection.keepAlive);
-    armTimer(id, connection.keepAlive ? m_limits.keepAliveTimeout : m_limits.responseSendTimeout);
-    flush(id);
+    connection.requestBytes = 0;
+    connection.keepAlive = connection.keepAlive && !m_draining;
+    connection.output = renderResponse(response, connection.keepAlive);
+    connection.progressAt = steadyTimeNow();
+    connection.phase = Phase::Sending;
+    sendOutput(id);
 }
 
 void EventedHttpServer::reject(std::uint64_t id, const HttpRequestError &error)
@@ -292,52 +437,158 @@
     }
     Connection &connection = *m_connections.at(id);
     connection.keepAlive = false;
-    connection.input.clear();
-    connection.output += renderResponse({error.status, {}, error.reason}, false);
-    flush(id);
+    connection.rejected = true;
+    clearBuffer(connection.input);
+    connection.inputOffset = 0;
+    connection.output = renderResponse({error.status, {}, error.reason}, false);
+    connection.phase = Phase::Sending;
+    sendOutput(id);
 }
 
-void EventedHttpServer::flush(std::uint64_t id)
+EventedHttpServer::SendOutcome EventedHttpServer::flush(Connection &connection)
 {
-    const auto found = m_connections.find(id);
-    if (found == m_connections.end()) {
-        return;
-    }
-    Connection &connection = *found->second;
-    while (!connection.output.empty()) {
-        const ssize_t count = ::send(connection.descriptor, connection.output.data(),
-                                     connection.output.size(), MSG_NOSIGNAL);
+    while (connection.outputOffset < connection.output.size()) {
+        const ssize_t count =
+                ::send(connection.descriptor, connection.output.data() + connection.outputOffset,
+                       connection.output.size() - connection.outputOffset, MSG_NOSIGNAL);
         if (count > 0) {
-            connection.output.erase(0, static_cast<std::size_t>(count));
-            continue;
-        }
-        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-            m_loop.changeEvents(connection.watch, EPOLLIN | EPOLLOUT);
-            return;
+            connection.outputOffset += static_cast<std::size_t>(count);
+        } else if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return SendOutcome::Blocked;
+        } else {
+            return SendOutcome::Failed;
         }
+    }
+    return SendOutcome::Sent;
+}
+
+void EventedHttpServer::sendOutput(std::uint64_t id)
+{
+    Connection &connection = *m_connections.at(id);
+    switch (flush(connection)) {
+    case SendOutcome::Sent:
+        finishResponse(id);
+        return;
+    case SendOutcome::Failed:
         close(id);
         return;
+    case SendOutcome::Blocked:
+        break;
     }
-    if (!connection.keepAlive && connection.activeRequest == 0) {
-        close(id);
+    if (!connection.sendBlocked) {
+        connection.sendBlocked = true;
+        armTimer(id, m_limits.responseSendTimeout, ConnectionCloseReason::ResponseTimeout);
+        m_loop.changeEvents(connection.watch, EPOLLOUT);
+        countBytes(connection);
+        enforceBufferLimit();
+    }
+}
+
+void EventedHttpServer::finishResponse(std::uint64_t id)
+{
+    Connection &connection = *m_connections.at(id);
+    clearBuffer(connection.output);
+    connection.outputOffset = 0;
+    connection.sendBlocked = false;
+    countBytes(connection);
+    if (!connection.keepAlive) {
+        finishConnection(id);
         return;
     }
-    m_loop.changeEvents(connection.watch, connection.inputEnded ? 0U : std::uint32_t{EPOLLIN});
-    if (connection.activeRequest == 0 && !connection.input.empty()) {
+    connection.phase = Phase::Idle;
+    connection.progressAt = steadyTimeNow();
+    armTimer(id, m_limits.keepAliveTimeout, std::nullopt);
+    m_loop.changeEvents(connection.watch, EPOLLIN);
+    if (!connection.input.empty()) {
         m_loop.post([self = std::weak_ptr(m_self), id] {
             const auto server = self.lock();
-            if (server && (*server)->m_connections.contains(id)) {
+            if (!server) {
+                return;
+            }
+            const auto found = (*server)->m_connections.find(id);
+            if (found != (*server)->m_connections.end() && found->second->phase == Phase::Idle
+                && !found->second->input.empty()) {
                 (*server)->parseInput(id);
             }
         });
     }
 }
 
-void EventedHttpServer::armTimer(std::uint64_t id, Milliseconds timeout)
+void EventedHttpServer::finishConnection(std::uint64_t id)
+{
+    Connection &connection = *m_connections.at(id);
+    char next = 0;
+    const bool hasUnreadInput =
+            ::recv(connection.descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+    if (!connection.rejected && !hasUnreadInput) {
+        close(id);
+        return;
+    }
+    clearBuffer(connection.input);
+    connection.inputOffset = 0;
+    countBytes(connection);
+    ::shutdown(connection.descriptor, SHUT_WR);
+    connection.phase = Phase::Lingering;
+    armTimer(id, lingerTimeout, std::nullopt);
+    m_loop.changeEvents(connection.watch, EPOLLIN);
+}
+
+void EventedHttpServer::countBytes(Connection &connection)
+{
+    const std::size_t bytes =
+            connection.input.size() + connection.output.size() + connection.requestBytes;
+    m_bufferedBytes += bytes - connection.bufferedBytes;
+    connection.bufferedBytes = bytes;
+}
+
+void EventedHttpServer::enforceBufferLimit()
+{
+    while (m_limits.maxBufferedBytes != 0 && m_bufferedBytes > m_limits.maxBufferedBytes
+           && closeOne(ConnectionCloseReason::BufferLimit)) { }
+}
+
+bool EventedHttpServer::closeOne(ConnectionCloseReason reason)
+{
+    std::vector<ConnectionFacts> facts;
+    facts.reserve(m_connections.size());
+    for (const auto &[id, connection] : m_connections) {
+        // Closing a connection without buffered bytes frees none.
+        if (reason != ConnectionCloseReason::BufferLimit || connection->bufferedBytes > 0) {
+            facts.push_back({id, activityOf(*connection), connection->bufferedBytes,
+                             connection->progressAt});
+        }
+    }
+    const std::optional<std::uint64_t> id = chooseConnectionToClose(facts);
+    if (id) {
+        closeFor(*id, reason);
+    }
+    return id.has_value();
+}
+
+ConnectionActivity EventedHttpServer::activityOf(const Connection &connection)
+{
+    switch (connection.phase) {
+    case Phase::Idle:
+        return ConnectionActivity::Idle;
+    case Phase::ReadingHead:
+    case Phase::ReadingBody:
+        return ConnectionActivity::RequestIncomplete;
+    case Phase::Handling:
+        return ConnectionActivity::RequestActive;
+    case Phase::Sending:
+    case Phase::Lingering:
+        break;
+    }
+    return ConnectionActivity::ResponseUnread;
+}
+
+void EventedHttpServer::armTimer(std::uint64_t id, Milliseconds timeout,
+                                 std::optional<ConnectionCloseReason> reason)
 {
     Connection &connection = *m_connections.at(id);
     m_loop.cancelTimer(connection.timer);
-    connection.timer = m_loop.startTimer(timeout, [this, id] { close(id); });
+    connection.timer = m_loop.startTimer(
+            timeout, [this, id, reason] { reason ? closeFor(id, *reason) : close(id); });
 }
 
 void EventedHttpServer::close(std::uint64_t id)
@@ -346,13 +597,28 @@
     if (found == m_connections.end()) {
         return;
     }
-    if (found->second->activeRequest != 0) {
+    Connection &connection = *found->second;
+    if (connection.phase == Phase::Handling) {
         --m_pendingRequests;
     }
-    m_loop.cancelTimer(found->second->timer);
-    m_loop.unwatch(found->second->watch);
-    ::close(found->second->descriptor);
+    m_bufferedBytes -= connection.bufferedBytes;
+    m_loop.cancelTimer(connection.timer);
+    m_loop.unwatch(connection.watch);
+    ::close(connection.descriptor);
     m_connections.erase(found);
 }
 
+void EventedHttpServer::closeFor(std::uint64_t id, ConnectionCloseReason reason)
+{
+    close(id);
+    reportClose(reason);
+}
+
+void EventedHttpServer::reportClose(ConnectionCloseReason reason) const
+{
+    if (m_closeObserver) {
+        m_closeObserver(reason);
+    }
+}
+
 } // namespace dandelionloom
--- a/Source/Adapters/Http/HttpLimits.h
+++ b/Source/Adapters/Http/HttpLimits.h
@@ -31,6 +31,10 @@
     /// Bytes of requests and responses that all connections of an EventedHttpServer together may
     /// hold; 0 for no limit.
     std::size_t maxBufferedBytes = 0;
+    /// Buffer sizes that the kernel is asked for on accepted connections of an EventedHttpServer; 0
+    /// for the system's default. A platform that refuses them keeps its own.
+    std::size_t receiveBufferBytes = 0;
+    std::size_t sendBufferBytes = 0;
     /// How long stop() waits for requests in progress.
     Milliseconds stopTimeout{5000};
 };
--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -22,12 +22,19 @@
     return limits;
 }
 
+// Shares of the machine. The descriptors that remain are for the journal, the other instances and
+// the workers, the memory that remains for the program and the scheduler's state. The receive
+// buffers of the control listener are left to the system, as workers report up to 4 MiB and get no
+// acknowledgement after a second.
+constexpr ListenerShare controlShare{42, 22, 0, 256 * 1024};
+constexpr ListenerShare metricsShare{8, 3, 3, 64 * 1024};
+
 } // namespace
 
 ControlInstance::ControlInstance(ControlSettings settings, JobProtocol &protocol, JsonLineLog &log,
                                  std::function<void(const std::string &)> onFatal)
     : m_settings(std::move(settings)), m_protocol(protocol), m_log(log),
-      m_onFatal(std::move(onFatal))
+      m_onFatal(std::move(onFatal)), m_closedConnections(m_metrics, m_log)
 {
     m_loop.setErrorHandler(errorLogger(m_log));
 }
@@ -131,12 +138,15 @@
         return StartError{errorOf(started).message};
     }
     m_controlServer = std::make_unique<EventedHttpServer>(
-            m_loop, controlLimits(),
+            m_loop, limitToMachine(controlLimits(), m_settings.machine, controlShare),
             [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
                 handleRequest(request, respond);
             });
-    m_metricsServer =
-            std::make_unique<EventedHttpServer>(m_loop, controlLimits(), metricsHandler(m_metrics));
+    m_metricsServer = std::make_unique<EventedHttpServer>(
+            m_loop, limitToMachine(controlLimits(), m_settings.machine, metricsShare),
+            metricsHandler(m_metrics));
+    m_controlServer->setCloseObserver(m_closedConnections.observer("control"));
+    m_metricsServer->setCloseObserver(m_closedConnections.observer("metrics"));
     for (const auto &[server, address] :
          {std::pair{m_controlServer.get(), m_settings.controlAddress},
           std::pair{m_metricsServer.get(), m_settings.metricsAddress}}) {
@@ -215,7 +225,8 @@
 {
     auto decoded = m_protocol.decode(request);
     if (const auto *answer = std::get_if<HttpResponse>(&decoded)) {
-        m_log.line(LogSeverity::Info, "refused",
+        // Debug, as a flood of such requests would displace the other lines.
+        m_log.line(LogSeverity::Debug, "refused",
                    {{"path", request.path}, {"status", answer->status}, {"reason", answer->body}});
         respond(*answer);
         return;
@@ -240,6 +251,7 @@
 
 void ControlInstance::tick()
 {
+    m_closedConnections.report(steadyTimeNow());
     m_log.flush();
     m_loop.startTimer(tickInterval, [this] { tick(); });
 }
--- a/Source/Program/ControlInstance.h
+++ b/Source/Program/ControlInstance.h
@@ -19,6 +19,7 @@
     /// Listen address of the API for workers and operators.
     std::string controlAddress;
     std::string metricsAddress;
+    MachineLimits machine;
     std::string dataFolder;
     /// True only on the first start of the whole system; allows the instance to form a new group.
     bool bootstrap = false;
@@ -65,6 +66,7 @@
     JsonLineLog &m_log;
     const std::function<void(const std::string &)> m_onFatal;
     PrometheusMetrics m_metrics;
+    ClosedConnections m_closedConnections;
     EventLoop m_loop;
     std::unique_ptr<Http2PeerTransport> m_transport;
     std::unique_ptr<DiskLogStorage> m_storage;
--- a/Source/Program/GatewayInstance.cpp
+++ b/Source/Program/GatewayInstance.cpp
@@ -27,6 +27,14 @@
     return limits;
 }
 
+// Shares of the machine. The descriptors that remain are for the connections between instances, the
+// memory that remains for the program and the calls in progress. Nearly all connections are those
+// of callers; the others read the readiness or the metrics once a second.
+constexpr std::size_t sendBufferBytes = 64 * 1024;
+constexpr ListenerShare callerShare{60, 20, 30, sendBufferBytes};
+constexpr ListenerShare readinessShare{8, 3, 3, sendBufferBytes};
+constexpr ListenerShare metricsShare{7, 2, 3, sendBufferBytes};
+
 } // namespace
 
 PeerTransportOptions peerTransportOptions()
@@ -67,7 +75,8 @@
 }
 
 GatewayInstance::GatewayInstance(GatewaySettings settings, JobProtocol &protocol, JsonLineLog &log)
-    : m_settings(std::move(settings)), m_protocol(protocol), m_log(log)
+    : m_settings(std::move(settings)), m_protocol(protocol), m_log(log),
+      m_closedConnections(m_metrics, m_log)
 {
     m_loop.setErrorHandler(errorLogger(m_log));
 }
@@ -95,18 +104,22 @@
                 m_transport->addPeer(controlAddress(m_settings.peers, name));
             });
     m_clientServer = std::make_unique<EventedHttpServer>(
-            m_loop, clientLimits(),
+            m_loop, limitToMachine(clientLimits(), m_settings.machine, callerShare),
             [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
                 handleRequest(request, respond);
             });
     m_readinessServer = std::make_unique<EventedHttpServer>(
-            m_loop, clientLimits(),
+            m_loop, limitToMachine(clientLimits(), m_settings.machine, readinessShare),
             [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
                 const bool ready = !m_stopping && m_leaderClient->isReady(steadyTimeNow());
                 respond({request.path != m_settings.readyPath ? 404 : ready ? 200 : 503, {}, {}});
             });
-    m_metricsServer =
-            std::make_unique<EventedHttpServer>(m_loop, clientLimits(), metricsHandler(m_metrics));
+    m_metricsServer = std::make_unique<EventedHttpServer>(
+            m_loop, limitToMachine(clientLimits(), m_settings.machine, metricsShare),
+            metricsHandler(m_metrics));
+    m_clientServer->setCloseObserver(m_closedConnections.observer("clients"));
+    m_readinessServer->setCloseObserver(m_closedConnections.observer("readiness"));
+    m_metricsServer->setCloseObserver(m_closedConnections.observer("metrics"));
     const std::vector<std::pair<EventedHttpServer *, std::string>> listeners = {
             {m_clientServer.get(), m_settings.clientAddress},
             {m_readinessServer.get(), m_settings.readyAddress},
@@ -141,6 +154,7 @@
 
 void GatewayInstance::tick()
 {
+    m_closedConnections.report(steadyTimeNow());
     m_log.flush();
     m_loop.startTimer(tickInterval, [this] { tick(); });
 }
@@ -150,7 +164,8 @@
 {
     auto decoded = m_protocol.decode(request);
     if (const auto *answer = std::get_if<HttpResponse>(&decoded)) {
-        m_log.line(LogSeverity::Info, "refused",
+        // Debug, as a flood of such requests would displace the other lines.
+        m_log.line(LogSeverity::Debug, "refused",
                    {{"path", request.path}, {"status", answer->status}, {"reason", answer->body}});
         respond(*answer);
         return;
--- a/Source/Program/GatewayInstance.h
+++ b/Source/Program/GatewayInstance.h
@@ -9,6 +9,7 @@
 #include "Adapters/Metrics/PrometheusMetrics.h"
 #include "Adapters/Peers/Http2PeerTransport.h"
 #include "Program/JobProtocol.h"
+#include "Program/ListenerLimits.h"
 #include "Runtime/LeaderClient.h"
 
 namespace dandelionloom {
@@ -34,6 +35,7 @@
     std::string readyAddress;
     std::string readyPath;
     std::string metricsAddress;
+    MachineLimits machine;
     /// How long stop() waits for clients to move to other gateways and for pending requests.
     std::int64_t shutdownTimeoutMs = 0;
 };
@@ -66,6 +68,7 @@
     JobProtocol &m_protocol;
     JsonLineLog &m_log;
     PrometheusMetrics m_metrics;
+    ClosedConnections m_closedConnections;
     std::unique_ptr<Http2PeerTransport> m_transport;
     EventLoop m_loop;
     std::unique_ptr<LeaderClient> m_leaderClient;
--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
 #include <memory>
+#include <thread>
 
 #include "Adapters/Http/EventedHttpClient.h"
 #include "Adapters/Http/EventedHttpServer.h"
@@ -24,6 +26,9 @@
         : server(std::make_unique<EventedHttpServer>(loop, limits, std::move(handler))),
           client(std::make_unique<EventedHttpClient>(loop, HttpClientLimits{2, 1 << 20}))
     {
+        server->setCloseObserver([this](ConnectionCloseReason reason) {
+            callbackSignal.change([&] { closeReasons.push_back(reason); });
+        });
         CPPUNIT_ASSERT(isOk(server->listen("127.0.0.1:0")));
         address = "127.0.0.1:" + std::to_string(server->port());
         loop.start();
@@ -54,8 +59,8 @@
         });
     }
 
-    /// Sends raw bytes and returns everything that the server sends until it closes the connection.
-    std::string sendRaw(const std::string &bytes)
+    /// Opens a connection. It blocks, with a time limit for what the server has to send.
+    int connect() const
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         const SocketAddress target = *parseSocketAddress(address);
@@ -63,20 +68,68 @@
                              ::connect(descriptor,
                                        reinterpret_cast<const sockaddr *>(&target.storage),
                                        target.length));
+        const timeval limit{10, 0};
+        ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        return descriptor;
+    }
+
+    static void send(int descriptor, const std::string &bytes)
+    {
         CPPUNIT_ASSERT(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0);
+    }
+
+    /// Returns what the server sends until it contains `end`, or until the server closes the
+    /// connection.
+    static std::string receive(int descriptor, const std::string &end)
+    {
         std::string response;
         char buffer[1024];
-        for (;;) {
+        while (end.empty() || response.find(end) == std::string::npos) {
             const ssize_t count = ::recv(descriptor, buffer, sizeof buffer, 0);
             if (count <= 0) {
                 break;
             }
             response.append(buffer, static_cast<std::size_t>(count));
         }
+        return response;
+    }
+
+    /// Sends raw bytes and returns everything that the server sends until it closes the connection.
+    std::string sendRaw(const std::string &bytes)
+    {
+        const int descriptor = connect();
+        send(descriptor, bytes);
+        const std::string response = receive(descriptor, {});
         ::close(descriptor);
         return response;
     }
 
+    /// Waits for a state of the server.
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        const SteadyTimeMs end = steadyTimeNow() + 10000;
+        for (;;) {
+            bool holds = false;
+            loop.runAndWait([&] { holds = condition(); });
+            if (holds || steadyTimeNow() >= end) {
+                return holds;
+            }
+            std::this_thread::yield();
+        }
+    }
+
+    bool waitForBytes(std::size_t count)
+    {
+        return waitUntil([&] { return server->bufferedBytes() >= count; });
+    }
+
+    std::size_t bufferedBytes()
+    {
+        std::size_t bytes = 0;
+        loop.runAndWait([&] { bytes = server->bufferedBytes(); });
+        return bytes;
+    }
+
     EventLoop loop;
     std::unique_ptr<EventedHttpServer> server;
     std::unique_ptr<EventedHttpClient> client;
@@ -84,6 +137,7 @@
     Signal callbackSignal;
     std::vector<std::string> responseBodies;
     std::vector<HttpCallErrorKind> errorKinds;
+    std::vector<ConnectionCloseReason> closeReasons;
 };
 
 void echoHandler(const HttpRequest &request, const EventedHttpServer::Respond &respond)
@@ -100,6 +154,15 @@
     CPPUNIT_TEST(errorKinds);
     CPPUNIT_TEST(malformedRequestsAreRejected);
     CPPUNIT_TEST(drainAnswersPendingRequests);
+    CPPUNIT_TEST(chunksInSeveralReads);
+    CPPUNIT_TEST(expectContinue);
+    CPPUNIT_TEST(requestsSentAhead);
+    CPPUNIT_TEST(responseNotTaken);
+    CPPUNIT_TEST(connectionLimit);
+    CPPUNIT_TEST(bufferLimit);
+    CPPUNIT_TEST(halfClosedClient);
+    CPPUNIT_TEST(lostClient);
+    CPPUNIT_TEST(rejectionIsReceived);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +268,200 @@
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), http.responseBodies[0]);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.server->pendingRequests());
     }
+
+    /// Guards against refusing a chunked body whose end has not arrived yet.
+    void chunksInSeveralReads()
+    {
+        ClientAndServer http(echoHandler);
+        const int client = http.connect();
+        const std::string begin =
+                "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab";
+        ClientAndServer::send(client, begin);
+        CPPUNIT_ASSERT(http.waitForBytes(begin.size()));
+        ClientAndServer::send(client, "c\r\n2\r\nde\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT(ClientAndServer::receive(client, "abcde").ends_with("/x=abcde"));
+        ::close(client);
+    }
+
+    /// Guards against a client that waits for the permission to send its body.
+    void expectContinue()
+    {
+        ClientAndServer http(echoHandler);
+        const int client = http.connect();
+        ClientAndServer::send(client,
+                              "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                              "Content-Length: 3\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                             ClientAndServer::receive(client, "\r\n\r\n"));
+        ClientAndServer::send(client, "abc");
+        const std::string response = ClientAndServer::receive(client, "/x=abc");
+        CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200"));
+        ::close(client);
+    }
+
+    /// Guards against a server that reads on while it handles a request.
+    void requestsSentAhead()
+    {
+        EventedHttpServer::Respond savedRespond;
+        Signal handlerSignal;
+        std::size_t requests = 0;
+        ClientAndServer http([&](const HttpRequest &, const EventedHttpServer::Respond &respond) {
+            handlerSignal.change([&] {
+                savedRespond = respond;
+                ++requests;
+            });
+        });
+        const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+        const int client = http.connect();
+        const std::size_t count = 2000;
+        std::string ahead;
+        for (std::size_t index = 0; index < count; ++index) {
+            ahead += request;
+        }
+        ClientAndServer::send(client, ahead);
+        // A request and one read beyond it.
+        const std::size_t maxBytes = request.size() + 2 * 16384;
+        for (std::size_t index = 1; index <= count; ++index) {
+            CPPUNIT_ASSERT(handlerSignal.waitFor([&] { return requests == index; }));
+            CPPUNIT_ASSERT(http.bufferedBytes() <= maxBytes);
+            http.loop.runAndWait([&] { savedRespond({200, {}, {}}); });
+        }
+        ::close(client);
+    }
+
+    /// Guards against a connection that holds a response for a client that never reads it.
+    void responseNotTaken()
+    {
+        HttpLimits limits;
+        limits.responseSendTimeout = Milliseconds(50);
+        ClientAndServer http(
+                [](const HttpRequest &, const EventedHttpServer::Respond &respond) {
+                    respond({200, {}, std::string(64 << 20, 'x')});
+                },
+                limits);
+        const int client = http.connect();
+        ClientAndServer::send(client, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] { return http.closeReasons.size() == 1; }));
+        CPPUNIT_ASSERT(http.closeReasons[0] == ConnectionCloseReason::ResponseTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.bufferedBytes());
+        ::close(client);
+    }
+
+    /// Guards against idle connections that keep a new caller out, and against closing one whose
+    /// request is handled.
+    void connectionLimit()
+    {
+        EventedHttpServer::Respond savedRespond;
+        Signal handlerSignal;
+        bool requestReceived = false;
+        HttpLimits limits;
+        limits.maxConnections = 2;
+        ClientAndServer http(
+                [&](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                    if (request.path != "/held") {
+                        echoHandler(request, respond);
+                        return;
+                    }
+                    handlerSignal.change([&] {
+                        savedRespond = respond;
+                        requestReceived = true;
+                    });
+                },
+                limits);
+        const int held = http.connect();
+        ClientAndServer::send(held, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(handlerSignal.waitFor([&] { return requestReceived; }));
+        const int idle = http.connect();
+        section("a new caller is served in place of the idle connection", [&] {
+            CPPUNIT_ASSERT(http.sendRaw("GET /new HTTP/1.1\r\nHost: a\r\nConnection: "
+                                        "close\r\n\r\n")
+                                   .ends_with("/new="));
+            CPPUNIT_ASSERT_EQUAL(std::string(), ClientAndServer::receive(idle, {}));
+            CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] {
+                return http.closeReasons == std::vector{ConnectionCloseReason::ConnectionLimit};
+            }));
+        });
+        section("the request that was handled is answered", [&] {
+            http.loop.runAndWait([&] { savedRespond({200, {}, "whole"}); });
+            CPPUNIT_ASSERT(ClientAndServer::receive(held, "whole").ends_with("whole"));
+        });
+        ::close(held);
+        ::close(idle);
+    }
+
+    /// Guards against incomplete requests that take the memory of the process.
+    void bufferLimit()
+    {
+        HttpLimits limits;
+        limits.maxBufferedBytes = 100 * 1024;
+        ClientAndServer http(echoHandler, limits);
+        const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n";
+        const int first = http.connect();
+        ClientAndServer::send(first, head + std::string(60000, 'x'));
+        CPPUNIT_ASSERT(http.waitForBytes(60000));
+        const int second = http.connect();
+        ClientAndServer::send(second, head + std::string(60000, 'x'));
+        CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] { return http.closeReasons.size() == 1; }));
+        CPPUNIT_ASSERT(http.closeReasons[0] == ConnectionCloseReason::BufferLimit);
+        CPPUNIT_ASSERT(http.bufferedBytes() <= limits.maxBufferedBytes);
+        ::close(first);
+        ::close(second);
+    }
+
+    /// Guards against dropping the response to a client that has ended its sending side.
+    void halfClosedClient()
+    {
+        EventedHttpServer::Respond savedRespond;
+        Signal handlerSignal;
+        bool requestReceived = false;
+        ClientAndServer http([&](const HttpRequest &, const EventedHttpServer::Respond &respond) {
+            handlerSignal.change([&] {
+                savedRespond = respond;
+                requestReceived = true;
+            });
+        });
+        const int client = http.connect();
+        ClientAndServer::send(client, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        ::shutdown(client, SHUT_WR);
+        CPPUNIT_ASSERT(handlerSignal.waitFor([&] { return requestReceived; }));
+        http.loop.runAndWait([&] { savedRespond({200, {}, "whole"}); });
+        CPPUNIT_ASSERT(ClientAndServer::receive(client, {}).ends_with("whole"));
+        ::close(client);
+    }
+
+    /// Guards against keeping the connection of a client that has gone while nothing is read.
+    void lostClient()
+    {
+        Signal handlerSignal;
+        bool requestReceived = false;
+        ClientAndServer http([&](const HttpRequest &, const EventedHttpServer::Respond &) {
+            handlerSignal.change([&] { requestReceived = true; });
+        });
+        const int client = http.connect();
+        // With the rest unread by the server, its events are off.
+        ClientAndServer::send(client, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(handlerSignal.waitFor([&] { return requestReceived; }));
+        ClientAndServer::send(client, "GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+        const linger reset{1, 0};
+        ::setsockopt(client, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        ::close(client);
+        CPPUNIT_ASSERT(http.waitUntil([&] { return http.server->connectionCount() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.server->pendingRequests());
+    }
+
+    /// Guards against a reset that deletes the rejection before the client has read it.
+    void rejectionIsReceived()
+    {
+        HttpLimits limits;
+        limits.maxBodyBytes = 100;
+        ClientAndServer http(echoHandler, limits);
+        const int client = http.connect();
+        ClientAndServer::send(client,
+                              "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n"
+                                      + std::string(70000, 'x'));
+        CPPUNIT_ASSERT(ClientAndServer::receive(client, {}).starts_with("HTTP/1.1 413"));
+        ::close(client);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventedHttpTest);
--- a/Tests/Platform/PlatformProtocolsTest.cpp
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -294,6 +294,18 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(500), valueOf(read).retentionMs);
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.12"), hostsOf(valueOf(read).seeds)[0]);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t(8623), platform::portOf(valueOf(read).controlAddress));
+        const std::vector<std::pair<std::string, std::string>> limitFaults = {
+                {"memory_mb = 3", "limits.memory_mb: expected a number of at least 32, found 3"},
+                {"max_open_files = \"many\"",
+                 "limits.max_open_files: expected a number of at least 256, found another type"}};
+        for (const auto &[line, message] : limitFaults) {
+            std::ofstream(path)
+                    << "ip = \"10.1.0.9\"\ninternal_port_range = [7060, 7075]\n[limits]\n"
+                    << line << "\n";
+            const auto faulty = readPlatformSettings(path);
+            CPPUNIT_ASSERT(!isOk(faulty));
+            CPPUNIT_ASSERT_EQUAL(path + ": " + message, errorOf(faulty).message);
+        }
         std::ofstream(path) << "ip = ";
         CPPUNIT_ASSERT(!isOk(readPlatformSettings(path)));
     }
