Scheduling: Revert the overtaking of work ahead that turns late

The trial counted work ahead of a job only until it turns late, for a job that is on time for longer.

--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -237,7 +237,6 @@
     facts.jobCoreMs = submitted.coreMs;
     facts.jobPathMs = submitted.pathMs;
     facts.usefulUntil = submitted.usefulUntil;
-    facts.onTimeUntil = submitted.onTimeUntil;
     facts.withinShare = !spec.beyondShare;
     facts.msUntilWithinShare =
             owner == nullptr ? 0 : m_shares.msUntilWithinShare(owner->name, owner->weight, now);
--- a/Source/Scheduling/ServiceLoads.cpp
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -6,32 +6,12 @@
 
 namespace dandelionloom {
 
-std::size_t WaitingWork::countBefore(const StepRank &rank) const
+double WaitingWork::coreMsBefore(const StepRank &rank) const
 {
     const auto next = std::upper_bound(
             coreMsUpTo.begin(), coreMsUpTo.end(), rank,
             [](const StepRank &limit, const auto &entry) { return limit < entry.first; });
-    return static_cast<std::size_t>(next - coreMsUpTo.begin());
-}
-
-double WaitingWork::coreMsBefore(const StepRank &rank) const
-{
-    const std::size_t count = countBefore(rank);
-    return count == 0 ? 0 : coreMsUpTo[count - 1].second;
-}
-
-WallTimeMs WaitingWork::onTimeUntilBefore(const StepRank &rank) const
-{
-    const std::size_t count = countBefore(rank);
-    return count == 0 ? 0 : onTimeUntil[count - 1];
-}
-
-void WaitingWork::add(const StepRank &rank, double coreMs, WallTimeMs jobOnTimeUntil)
-{
-    coreMsUpTo.emplace_back(rank, totalCoreMs() + coreMs);
-    const WallTimeMs before = onTimeUntil.empty() ? 0 : onTimeUntil.back();
-    onTimeUntil.push_back(rank.group == StepGroup::OnTime ? std::max(before, jobOnTimeUntil)
-                                                          : before);
+    return next == coreMsUpTo.begin() ? 0 : std::prev(next)->second;
 }
 
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
@@ -53,8 +33,8 @@
         if (isCounted || job == nullptr || job->spec.beyondShare) {
             continue;
         }
-        const StepAttributes &attributes = waiting.at(key).attributes;
-        work.add(position.rank, attributes.remainingWork / milliPerCore, onTimeUntil(attributes));
+        const double coreMs = waiting.at(key).attributes.remainingWork / milliPerCore;
+        work.coreMsUpTo.emplace_back(position.rank, work.totalCoreMs() + coreMs);
     }
     return work;
 }
@@ -70,7 +50,7 @@
                 * static_cast<double>(spec.need.processorMilli) * static_cast<double>(stepMs[step]);
     }
     return {attributes.remainingWork / milliPerCore, attributes.jobPathMs,
-            usefulDeadline(attributes), onTimeUntil(attributes), rankStep(attributes, now)};
+            usefulDeadline(attributes), rankStep(attributes, now)};
 }
 
 ServiceLoads::ServiceLoads(const SchedulerState &state, const Dispatcher &dispatcher,
@@ -103,7 +83,6 @@
     if (const auto work = m_waiting.find(service); work != m_waiting.end()) {
         load.aheadCoreMs =
                 withinShare ? work->second.coreMsBefore(rank) : work->second.totalCoreMs();
-        load.aheadOnTimeUntil = work->second.onTimeUntilBefore(rank);
     }
     if (const auto capacity = m_capacityMilli.find(service); capacity != m_capacityMilli.end()) {
         load.capacityMilli = capacity->second;
--- a/Source/Scheduling/ServiceLoads.h
+++ b/Source/Scheduling/ServiceLoads.h
@@ -27,20 +27,11 @@
     /// Rank of each waiting job within its team's share that is of use, and the core-milliseconds
     /// of all jobs up to it.
     std::vector<std::pair<StepRank, double>> coreMsUpTo;
-    /// Time from which all jobs up to the one at the same position are late.
-    std::vector<WallTimeMs> onTimeUntil;
 
     /// Core-milliseconds of the jobs that are placed before a new job of the rank. Jobs of the same
     /// rank count: many jobs of a queue require the same work.
     double coreMsBefore(const StepRank &rank) const;
-    /// Time from which all these jobs are late; 0 without any that is on time.
-    WallTimeMs onTimeUntilBefore(const StepRank &rank) const;
-    void add(const StepRank &rank, double coreMs, WallTimeMs jobOnTimeUntil);
     double totalCoreMs() const { return coreMsUpTo.empty() ? 0 : coreMsUpTo.back().second; }
-
-private:
-    /// Number of jobs that are placed before a new job of the rank.
-    std::size_t countBefore(const StepRank &rank) const;
 };
 
 /// Sums up the waiting steps of a service. Work beyond its team's share and work that is too late
@@ -54,7 +45,6 @@
     double coreMs = 0;
     std::int64_t pathMs = 0;
     WallTimeMs usefulUntil = 0;
-    WallTimeMs onTimeUntil = 0;
     StepRank rank;
 };
 
--- a/Source/Scheduling/StepFacts.cpp
+++ b/Source/Scheduling/StepFacts.cpp
@@ -68,9 +68,4 @@
     return attributes;
 }
 
-WallTimeMs onTimeUntil(const StepAttributes &attributes)
-{
-    return objectiveDeadline(attributes) - attributes.remainingPathMs;
-}
-
 } // namespace dandelionloom
--- a/Source/Scheduling/StepFacts.h
+++ b/Source/Scheduling/StepFacts.h
@@ -35,7 +35,4 @@
 StepAttributes stepAttributes(const JobRecord &job, const std::vector<std::int64_t> &stepMs,
                               std::uint32_t occurrence, std::uint32_t step);
 
-/// Time up to which the rest of the job from the step on can start and meet its objective.
-WallTimeMs onTimeUntil(const StepAttributes &attributes);
-
 } // namespace dandelionloom
--- a/Source/Scheduling/SubmissionForecast.cpp
+++ b/Source/Scheduling/SubmissionForecast.cpp
@@ -33,11 +33,7 @@
         // Nothing is known of the fleet yet, for example before the first worker has joined.
         return decision;
     }
-    double waitMs = workTimeMs(facts.load.aheadCoreMs, milli);
-    if (facts.withinShare && facts.load.aheadOnTimeUntil < facts.onTimeUntil) {
-        const auto overtakenAfter = static_cast<double>(facts.load.aheadOnTimeUntil - facts.now);
-        waitMs = std::min(waitMs, std::max(0.0, overtakenAfter));
-    }
+    const double waitMs = workTimeMs(facts.load.aheadCoreMs, milli);
     decision.predictedWaitMs = static_cast<std::int64_t>(waitMs);
     if (!facts.withinShare && waitMs > static_cast<double>(facts.targetLatencyMs)) {
         decision.verdict = SubmissionVerdict::BeyondShare;
--- a/Source/Scheduling/SubmissionForecast.h
+++ b/Source/Scheduling/SubmissionForecast.h
@@ -12,9 +12,6 @@
 {
     /// Core-milliseconds of unfinished work of the waiting jobs that are placed before the job.
     double aheadCoreMs = 0;
-    /// Time from which all this work is late, and jobs that are on time overtake it; 0 if it is
-    /// late already.
-    WallTimeMs aheadOnTimeUntil = 0;
     /// Thousandths of a core for tasks that end by themselves: on the workers of the pool, and on
     /// the instances that can still move into it.
     std::int64_t capacityMilli = 0;
@@ -28,8 +25,6 @@
     /// Core-milliseconds of the job, and the length of its critical path.
     double jobCoreMs = 0;
     std::int64_t jobPathMs = 0;
-    /// Time by which it must start to be on time, see onTimeUntil().
-    WallTimeMs onTimeUntil = 0;
     /// Time by which its completion is still of use, see usefulDeadline().
     WallTimeMs usefulUntil = 0;
     bool withinShare = true;
--- a/Tests/Scheduling/SubmissionForecastTest.cpp
+++ b/Tests/Scheduling/SubmissionForecastTest.cpp
@@ -10,7 +10,6 @@
 
 #include "Scheduling/ServiceLoads.h"
 #include "Scheduling/ShareMeter.h"
-#include "Scheduling/StepFacts.h"
 #include "Scheduling/StepRanking.h"
 #include "Scheduling/SubmissionForecast.h"
 #include "Support/Section.h"
@@ -116,12 +115,11 @@
         facts.jobCoreMs = job.coreMs;
         facts.jobPathMs = job.pathMs;
         facts.usefulUntil = usefulDeadline(job.attributes());
-        facts.onTimeUntil = onTimeUntil(job.attributes());
         facts.withinShare = !job.beyondShare;
         facts.msUntilWithinShare = m_shares.msUntilWithinShare(job.team, m_weight, now);
         facts.targetLatencyMs = job.attributes().targetLatencyMs;
         facts.callerSpread = static_cast<double>(m_submitted++ % 16) / 16;
-        facts.load = loadOf(job, now);
+        facts.load = {aheadCoreMs(job, now), fleetMilli, 0};
         const SubmissionDecision decision = decideSubmission(facts, {});
         if (m_refuses) {
             job.verdict = decision.verdict;
@@ -135,21 +133,17 @@
         }
     }
 
-    ServiceLoad loadOf(const ReplayedJob &job, WallTimeMs now) const
+    double aheadCoreMs(const ReplayedJob &job, WallTimeMs now) const
     {
         WaitingWork work;
         for (const ReplayedJob *each : inOrder(now)) {
             const StepRank rank = rankStep(each->attributes(), now);
             if (!each->beyondShare && rank.group != StepGroup::Overdue) {
-                work.add(rank, each->remainingCoreMs, onTimeUntil(each->attributes()));
+                work.coreMsUpTo.emplace_back(rank, work.totalCoreMs() + each->remainingCoreMs);
             }
         }
-        const StepRank rank = rankStep(job.attributes(), now);
-        ServiceLoad load;
-        load.aheadCoreMs = job.beyondShare ? work.totalCoreMs() : work.coreMsBefore(rank);
-        load.aheadOnTimeUntil = work.onTimeUntilBefore(rank);
-        load.capacityMilli = fleetMilli;
-        return load;
+        return job.beyondShare ? work.totalCoreMs()
+                               : work.coreMsBefore(rankStep(job.attributes(), now));
     }
 
     std::vector<ReplayedJob *> inOrder(WallTimeMs now) const
@@ -244,9 +238,7 @@
     facts.jobPathMs = 500;
     facts.usefulUntil = 1000 + 4200;
     facts.targetLatencyMs = 600;
-    facts.load.aheadCoreMs = aheadCoreMs;
-    facts.load.capacityMilli = 60000;
-    facts.load.reachableMilli = 40000;
+    facts.load = {aheadCoreMs, 60000, 40000};
     return facts;
 }
 
@@ -291,16 +283,6 @@
             facts.usefulUntil = facts.now + 499;
             CPPUNIT_ASSERT_EQUAL(std::string_view("accepted"), verdictOf(facts));
         });
-        section("work that turns late before the job does is no reason to refuse it", [&] {
-            SubmissionFacts facts = waitingFor(556000);
-            facts.onTimeUntil = facts.now + 900;
-            facts.load.aheadOnTimeUntil = facts.now + 899;
-            const SubmissionDecision decision = decideSubmission(facts, {});
-            CPPUNIT_ASSERT(decision.verdict == SubmissionVerdict::Accepted);
-            CPPUNIT_ASSERT_EQUAL(std::int64_t(899), decision.predictedWaitMs);
-            facts.load.aheadOnTimeUntil = facts.onTimeUntil;
-            CPPUNIT_ASSERT_EQUAL(std::string_view("too-late"), verdictOf(facts));
-        });
         section("nothing is refused while no capacity is known", [&] {
             SubmissionFacts facts = waitingFor(5000000);
             facts.load.capacityMilli = 0;
