Tests: Decide jobs that are too late without a share

TeamCallsTest::jobsThatWouldBeTooLate passed on a busy machine and failed three times of three on an idle one: the loads are summed up every 100 ms, and a fast machine submits the whole share of the team before that, so that the refusal is beyond-share. The team has no weight in this test now; its checks are the same.

--- a/Tests/Scheduling/TeamCallsTest.cpp
+++ b/Tests/Scheduling/TeamCallsTest.cpp
@@ -387,6 +387,8 @@
     {
         JobServiceFixture control;
         FleetConfiguration configuration = configurationWithTeams();
+        // Without a share, which a fast machine uses up before the loads are summed up again.
+        configuration.teams[0].weight = 0;
         control.configure(configuration);
         control.addWorker(false);
         const std::string refused = submitUntilRefused(control, "j", "l1-secret", 500);
