Scheduling: Leave overtaken work out of the predicted wait

Cause: decideSubmission counted work ahead that turns late before it can start for its whole length, also for a job that is still on time then and is placed before it.

Change: WaitingWork::onTimeWaitMs walks over the work ahead and leaves out what turns late first. A job that can start on time so is not refused. The walk is linear in the waiting jobs of the service.

--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -228,7 +228,7 @@
             submittedJob(job, m_dispatcher.durations().expectedStepMs(spec), job.acceptedAtMs);
     const SteadyTimeMs now = steadyTimeNow();
     const std::optional<ServiceLoad> load =
-            m_loads.loadOf(queue.service, submitted.rank, !spec.beyondShare, now);
+            m_loads.loadOf(queue.service, submitted, !spec.beyondShare, now);
     if (!load) {
         return {};
     }
--- a/Source/Scheduling/ServiceLoads.cpp
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -6,12 +6,48 @@
 
 namespace dandelionloom {
 
+namespace {
+
+/// Number of entries that are placed before a new job of the rank. Jobs of the same rank count.
+std::size_t countBefore(const std::vector<WaitingWork::Entry> &entries, const StepRank &rank)
+{
+    const auto next = std::upper_bound(entries.begin(), entries.end(), rank,
+                                       [](const StepRank &limit, const WaitingWork::Entry &entry) {
+                                           return limit < entry.rank;
+                                       });
+    return static_cast<std::size_t>(next - entries.begin());
+}
+
+} // namespace
+
+void WaitingWork::add(const StepRank &rank, double coreMs, WallTimeMs onTimeUntil)
+{
+    entries.push_back({rank, coreMs, totalCoreMs() + coreMs, onTimeUntil});
+}
+
 double WaitingWork::coreMsBefore(const StepRank &rank) const
 {
-    const auto next = std::upper_bound(
-            coreMsUpTo.begin(), coreMsUpTo.end(), rank,
-            [](const StepRank &limit, const auto &entry) { return limit < entry.first; });
-    return next == coreMsUpTo.begin() ? 0 : std::prev(next)->second;
+    const std::size_t count = countBefore(entries, rank);
+    return count == 0 ? 0 : entries[count - 1].coreMsUpTo;
+}
+
+std::optional<double> WaitingWork::onTimeWaitMs(const StepRank &rank, WallTimeMs onTimeUntil,
+                                                std::int64_t capacityMilli, WallTimeMs now) const
+{
+    if (rank.group != StepGroup::OnTime || capacityMilli <= 0) {
+        return std::nullopt;
+    }
+    const double msPerCoreMs = milliPerCore / static_cast<double>(capacityMilli);
+    const auto untilLate = static_cast<double>(onTimeUntil - now);
+    const std::size_t count = countBefore(entries, rank);
+    double waitMs = 0;
+    for (std::size_t index = 0; index < count && waitMs <= untilLate; ++index) {
+        const Entry &ahead = entries[index];
+        if (waitMs <= static_cast<double>(ahead.onTimeUntil - now)) {
+            waitMs += ahead.coreMs * msPerCoreMs;
+        }
+    }
+    return waitMs <= untilLate ? std::optional(waitMs) : std::nullopt;
 }
 
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
@@ -33,8 +69,9 @@
         if (isCounted || job == nullptr || job->spec.beyondShare) {
             continue;
         }
-        const double coreMs = waiting.at(key).attributes.remainingWork / milliPerCore;
-        work.coreMsUpTo.emplace_back(position.rank, work.totalCoreMs() + coreMs);
+        const StepAttributes &attributes = waiting.at(key).attributes;
+        work.add(position.rank, attributes.remainingWork / milliPerCore,
+                 latestOnTimeStart(attributes));
     }
     return work;
 }
@@ -49,8 +86,12 @@
         attributes.remainingWork += static_cast<double>(spec.count)
                 * static_cast<double>(spec.need.processorMilli) * static_cast<double>(stepMs[step]);
     }
-    return {attributes.remainingWork / milliPerCore, attributes.jobPathMs,
-            usefulDeadline(attributes), rankStep(attributes, now)};
+    return {attributes.remainingWork / milliPerCore,
+            attributes.jobPathMs,
+            now,
+            latestOnTimeStart(attributes),
+            usefulDeadline(attributes),
+            rankStep(attributes, now)};
 }
 
 ServiceLoads::ServiceLoads(const SchedulerState &state, const Dispatcher &dispatcher,
@@ -69,7 +110,7 @@
     m_instances = std::move(instances);
 }
 
-std::optional<ServiceLoad> ServiceLoads::loadOf(const std::string &service, const StepRank &rank,
+std::optional<ServiceLoad> ServiceLoads::loadOf(const std::string &service, const SubmittedJob &job,
                                                 bool withinShare, SteadyTimeMs now)
 {
     if (!m_instances) {
@@ -80,15 +121,23 @@
         m_sumsAt = now;
     }
     ServiceLoad load;
-    if (const auto work = m_waiting.find(service); work != m_waiting.end()) {
-        load.aheadCoreMs =
-                withinShare ? work->second.coreMsBefore(rank) : work->second.totalCoreMs();
-    }
     if (const auto capacity = m_capacityMilli.find(service); capacity != m_capacityMilli.end()) {
         load.capacityMilli = capacity->second;
     }
     const auto own = m_unusedMilli.find(service);
     load.reachableMilli = m_totalUnusedMilli - (own == m_unusedMilli.end() ? 0 : own->second);
+    const auto work = m_waiting.find(service);
+    if (work == m_waiting.end()) {
+        return load;
+    }
+    if (withinShare) {
+        load.aheadCoreMs = work->second.coreMsBefore(job.rank);
+        load.onTimeWaitMs = work->second.onTimeWaitMs(job.rank, job.onTimeUntil,
+                                                      load.capacityMilli + load.reachableMilli,
+                                                      job.submittedAt);
+    } else {
+        load.aheadCoreMs = work->second.totalCoreMs();
+    }
     return load;
 }
 
--- a/Source/Scheduling/ServiceLoads.h
+++ b/Source/Scheduling/ServiceLoads.h
@@ -24,14 +24,29 @@
 /// Unfinished work of the waiting jobs of a service, in placement order.
 struct WaitingWork
 {
-    /// Rank of each waiting job within its team's share that is of use, and the core-milliseconds
-    /// of all jobs up to it.
-    std::vector<std::pair<StepRank, double>> coreMsUpTo;
+    /// A waiting job within its team's share that is of use.
+    struct Entry
+    {
+        StepRank rank;
+        /// Core-milliseconds of the job, and of all jobs up to it.
+        double coreMs = 0;
+        double coreMsUpTo = 0;
+        /// Last time at which the job can start and still meet its objective.
+        WallTimeMs onTimeUntil = 0;
+    };
+    std::vector<Entry> entries;
 
+    /// Adds a job behind the others.
+    void add(const StepRank &rank, double coreMs, WallTimeMs onTimeUntil);
     /// Core-milliseconds of the jobs that are placed before a new job of the rank. Jobs of the same
     /// rank count: many jobs of a queue require the same work.
     double coreMsBefore(const StepRank &rank) const;
-    double totalCoreMs() const { return coreMsUpTo.empty() ? 0 : coreMsUpTo.back().second; }
+    double totalCoreMs() const { return entries.empty() ? 0 : entries.back().coreMsUpTo; }
+    /// Wait until a new job of the rank starts, with a capacity in thousandths of a core. Jobs
+    /// ahead that turn late before they can start are overtaken. None if the new job itself can't
+    /// start by `onTimeUntil`.
+    std::optional<double> onTimeWaitMs(const StepRank &rank, WallTimeMs onTimeUntil,
+                                       std::int64_t capacityMilli, WallTimeMs now) const;
 };
 
 /// Sums up the waiting steps of a service. Work beyond its team's share and work that is too late
@@ -44,6 +59,9 @@
 {
     double coreMs = 0;
     std::int64_t pathMs = 0;
+    WallTimeMs submittedAt = 0;
+    /// Last time at which it can start and still meet its objective.
+    WallTimeMs onTimeUntil = 0;
     WallTimeMs usefulUntil = 0;
     StepRank rank;
 };
@@ -62,10 +80,10 @@
     void beginTerm();
     /// Takes over a list of the provider. Instances without a worker are known from it only.
     void listed(std::vector<ListedInstance> instances);
-    /// Load of the service for a job of the rank, or for a job beyond its team's share. None until
+    /// Load of the service for a job, which lies within its team's share or beyond it. None until
     /// the instances were listed in this term: instances that could move into the pool would be
     /// missing.
-    std::optional<ServiceLoad> loadOf(const std::string &service, const StepRank &rank,
+    std::optional<ServiceLoad> loadOf(const std::string &service, const SubmittedJob &job,
                                       bool withinShare, SteadyTimeMs now);
     std::int64_t ageMs(SteadyTimeMs now) const { return now - m_sumsAt; }
 
--- a/Source/Scheduling/StepRanking.cpp
+++ b/Source/Scheduling/StepRanking.cpp
@@ -12,6 +12,11 @@
             + attributes.targetLatencyMs;
 }
 
+WallTimeMs latestOnTimeStart(const StepAttributes &attributes)
+{
+    return objectiveDeadline(attributes) - attributes.remainingPathMs;
+}
+
 WallTimeMs usefulDeadline(const StepAttributes &attributes)
 {
     const auto objectiveMs =
@@ -41,7 +46,7 @@
 {
     switch (rankStep(attributes, nowMs).group) {
     case StepGroup::OnTime:
-        return objectiveDeadline(attributes) - attributes.remainingPathMs + 1;
+        return latestOnTimeStart(attributes) + 1;
     case StepGroup::Late:
     case StepGroup::BeyondShare:
         return usefulDeadline(attributes) - attributes.remainingPathMs + 1;
--- a/Source/Scheduling/StepRanking.h
+++ b/Source/Scheduling/StepRanking.h
@@ -75,6 +75,9 @@
 /// Time by which the job should complete.
 WallTimeMs objectiveDeadline(const StepAttributes &attributes);
 
+/// Last time at which the rest of the job can begin and still meet the objective.
+WallTimeMs latestOnTimeStart(const StepAttributes &attributes);
+
 /// Time by which its completion is still of use.
 WallTimeMs usefulDeadline(const StepAttributes &attributes);
 
--- a/Source/Scheduling/SubmissionForecast.cpp
+++ b/Source/Scheduling/SubmissionForecast.cpp
@@ -33,7 +33,8 @@
         // Nothing is known of the fleet yet, for example before the first worker has joined.
         return decision;
     }
-    const double waitMs = workTimeMs(facts.load.aheadCoreMs, milli);
+    const double fullWaitMs = workTimeMs(facts.load.aheadCoreMs, milli);
+    const double waitMs = std::min(fullWaitMs, facts.load.onTimeWaitMs.value_or(fullWaitMs));
     decision.predictedWaitMs = static_cast<std::int64_t>(waitMs);
     if (!facts.withinShare && waitMs > static_cast<double>(facts.targetLatencyMs)) {
         decision.verdict = SubmissionVerdict::BeyondShare;
@@ -46,7 +47,7 @@
     const double usefulMs = static_cast<double>(facts.usefulUntil - facts.now);
     const double excessMs = waitMs / options.errorMargin + runMs - usefulMs;
     // A job that would be too late without any wait would be so at each later time too.
-    if (runMs <= usefulMs && excessMs > 0) {
+    if (runMs <= usefulMs && excessMs > 0 && !facts.load.onTimeWaitMs) {
         decision.verdict = SubmissionVerdict::TooLate;
         decision.retryAfterMs =
                 retryAfterMs(excessMs * options.errorMargin, facts.callerSpread, options);
--- a/Source/Scheduling/SubmissionForecast.h
+++ b/Source/Scheduling/SubmissionForecast.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "Model/EnumNames.h"
 #include "Model/Time.h"
@@ -16,6 +17,9 @@
     /// the instances that can still move into it.
     std::int64_t capacityMilli = 0;
     std::int64_t reachableMilli = 0;
+    /// Wait after which the job starts while it can still meet its objective, as it overtakes the
+    /// work ahead that turns late before it can start; none if the job turns late itself.
+    std::optional<double> onTimeWaitMs;
 };
 
 /// Inputs of the decision on a job that ends by itself and starts at once.
--- a/Tests/Scheduling/SubmissionForecastTest.cpp
+++ b/Tests/Scheduling/SubmissionForecastTest.cpp
@@ -119,7 +119,7 @@
         facts.msUntilWithinShare = m_shares.msUntilWithinShare(job.team, m_weight, now);
         facts.targetLatencyMs = job.attributes().targetLatencyMs;
         facts.callerSpread = static_cast<double>(m_submitted++ % 16) / 16;
-        facts.load = {aheadCoreMs(job, now), fleetMilli, 0};
+        facts.load = loadOf(job, now);
         const SubmissionDecision decision = decideSubmission(facts, {});
         if (m_refuses) {
             job.verdict = decision.verdict;
@@ -133,17 +133,24 @@
         }
     }
 
-    double aheadCoreMs(const ReplayedJob &job, WallTimeMs now) const
+    ServiceLoad loadOf(const ReplayedJob &job, WallTimeMs now) const
     {
         WaitingWork work;
         for (const ReplayedJob *each : inOrder(now)) {
             const StepRank rank = rankStep(each->attributes(), now);
             if (!each->beyondShare && rank.group != StepGroup::Overdue) {
-                work.coreMsUpTo.emplace_back(rank, work.totalCoreMs() + each->remainingCoreMs);
+                work.add(rank, each->remainingCoreMs, latestOnTimeStart(each->attributes()));
             }
         }
-        return job.beyondShare ? work.totalCoreMs()
-                               : work.coreMsBefore(rankStep(job.attributes(), now));
+        ServiceLoad load{work.totalCoreMs(), fleetMilli, 0, std::nullopt};
+        if (!job.beyondShare) {
+            const StepAttributes attributes = job.attributes();
+            const StepRank rank = rankStep(attributes, now);
+            load.aheadCoreMs = work.coreMsBefore(rank);
+            load.onTimeWaitMs =
+                    work.onTimeWaitMs(rank, latestOnTimeStart(attributes), fleetMilli, now);
+        }
+        return load;
     }
 
     std::vector<ReplayedJob *> inOrder(WallTimeMs now) const
@@ -238,7 +245,7 @@
     facts.jobPathMs = 500;
     facts.usefulUntil = 1000 + 4200;
     facts.targetLatencyMs = 600;
-    facts.load = {aheadCoreMs, 60000, 40000};
+    facts.load = {aheadCoreMs, 60000, 40000, std::nullopt};
     return facts;
 }
 
@@ -250,6 +257,7 @@
     CPPUNIT_TEST(verdicts);
     CPPUNIT_TEST(retryAfter);
     CPPUNIT_TEST(waitingWork);
+    CPPUNIT_TEST(overtakenWork);
     CPPUNIT_TEST(hotTeam);
     CPPUNIT_TEST(bursts);
     CPPUNIT_TEST_SUITE_END();
@@ -362,6 +370,42 @@
         CPPUNIT_ASSERT_EQUAL(550.0, work.totalCoreMs());
     }
 
+    /// Guards against the refusal of a job for work ahead that turns late before it can start.
+    void overtakenWork()
+    {
+        const StepRank urgent{StepGroup::OnTime, 0, 2000};
+        const StepRank usual{StepGroup::OnTime, 1, 2000};
+        WaitingWork work;
+        for (int job = 0; job < 300; ++job) {
+            work.add(urgent, 2000, 1900);
+        }
+        // On 100 cores each job takes 20 ms, so that 46 of them start in the 900 ms that are left.
+        section("a job that turns late after them starts when they have turned late", [&] {
+            const auto waitMs = work.onTimeWaitMs(usual, 2150, 100000, 1000);
+            CPPUNIT_ASSERT(waitMs.has_value());
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(920, *waitMs, 0.01);
+            SubmissionFacts facts = waitingFor(work.coreMsBefore(usual));
+            CPPUNIT_ASSERT(decideSubmission(facts, {}).verdict == SubmissionVerdict::TooLate);
+            facts.load.onTimeWaitMs = waitMs;
+            const SubmissionDecision decision = decideSubmission(facts, {});
+            CPPUNIT_ASSERT(decision.verdict == SubmissionVerdict::Accepted);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(920), decision.predictedWaitMs);
+        });
+        section("one that turns late with them has to wait for all of them", [&] {
+            CPPUNIT_ASSERT(!work.onTimeWaitMs(usual, 1900, 100000, 1000));
+            CPPUNIT_ASSERT(!work.onTimeWaitMs(urgent, 1900, 100000, 1000));
+        });
+        section("one that is late already overtakes none of them", [&] {
+            CPPUNIT_ASSERT(!work.onTimeWaitMs({StepGroup::Late, 0, 1}, 2150, 100000, 1000));
+        });
+        section("one that is more urgent waits for none of them", [&] {
+            const auto waitMs = work.onTimeWaitMs({StepGroup::OnTime, -1, 1}, 1900, 100000, 1000);
+            CPPUNIT_ASSERT_EQUAL(0.0, waitMs.value_or(-1));
+        });
+        section("nothing is predicted without any capacity",
+                [&] { CPPUNIT_ASSERT(!work.onTimeWaitMs(usual, 2150, 0, 1000)); });
+    }
+
     /// Guards against a team that sends seven times its usual and makes other teams' jobs late or
     /// refused.
     void hotTeam()
