Scheduling: Divide the disruption budgets from the dispatcher

The dispatcher evaluated the disruption budgets of long-running steps beside its runs and leases, and kept the results for the planners of waves. The results, the check of a worker and the choice of the task to evict move to DisruptionBudgets, which reads SchedulerState and the worker views. The dispatcher stops the chosen task. No behaviour is changed.

The files were checked by the compiler; nothing was linked or run.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -19,7 +19,9 @@
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
-    : m_state(state), m_options(options), m_demand(state, m_durations, options.demand)
+    : m_state(state), m_options(options),
+      m_disruptionBudgets(state, m_workers, options.maxAnswerAgeMs),
+      m_demand(state, m_durations, options.demand)
 { }
 
 void Dispatcher::beginTerm(SteadyTimeMs now)
@@ -67,7 +69,7 @@
     m_deregistered.clear();
     m_workersToReview.clear();
     m_maintenanceDue.clear();
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     m_changes.clear();
     m_orphanStops.clear();
     m_lastSearched.clear();
@@ -148,7 +150,7 @@
             }
             changes.emplace_back(WorkerLeft{id, other.startTimeMs});
         }
-        forgetAvailability();
+        m_disruptionBudgets.forgetAvailability();
         removeWorker(worker.id);
     }
     changes.emplace_back(WorkerJoined{worker});
@@ -163,7 +165,7 @@
     if (known == nullptr || !known->draining || found == m_workers.end()) {
         return false;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     found->second.deregistered = true;
     m_deregistered.insert(worker);
     for (auto &[task, run] : found->second.runs) {
@@ -181,7 +183,7 @@
     if (!m_leads || found == m_workers.end() || record == nullptr) {
         return;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     WorkerView &view = found->second;
     view.renewalInFlight = false;
     if (!isOk(answer)) {
@@ -369,7 +371,7 @@
     if (slot == view.runs.end() || slot->second.run != run) {
         return;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     RunView &started = slot->second;
     if (fault != CallFault::NoAnswer) {
         view.unansweredOrders = 0;
@@ -503,7 +505,7 @@
     const auto found = m_workers.find(worker);
     if (found != m_workers.end()) {
         found->second.leaving = leaving;
-        forgetAvailability();
+        m_disruptionBudgets.forgetAvailability();
     }
 }
 
@@ -515,8 +517,7 @@
 bool Dispatcher::hasRecentAnswer(const std::string &worker, SteadyTimeMs now) const
 {
     const auto found = m_workers.find(worker);
-    return found != m_workers.end() && found->second.renewedAt != 0
-            && now - found->second.renewedAt < m_options.maxAnswerAgeMs;
+    return found != m_workers.end() && found->second.hasRecentAnswer(now, m_options.maxAnswerAgeMs);
 }
 
 std::size_t Dispatcher::shortRunsOn(const std::string &worker) const
@@ -525,94 +526,16 @@
     return known == nullptr ? 0 : known->reserved.size() - known->longRunningCount;
 }
 
-const Dispatcher::StepAvailability &Dispatcher::availabilityOf(const StepKey &step,
-                                                               SteadyTimeMs now) const
-{
-    if (now != m_availabilityAt) {
-        m_availability.clear();
-        m_availabilityAt = now;
-    }
-    const auto [slot, added] = m_availability.try_emplace(step);
-    StepAvailability &availability = slot->second;
-    if (!added) {
-        return availability;
-    }
-    const auto &tasks = m_state.job(step.job)->occurrences[step.occurrence].steps[step.step].tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const std::string &entry = tasks[index].worker;
-        const WorkerView *other = view(entry);
-        const RunView *run = findRun(entry, {step.job, step.occurrence, step.step, index});
-        const WorkerRecord *record = m_state.worker(entry);
-        const bool stopping = run != nullptr && run->stopping;
-        const bool available = run != nullptr && record != nullptr && !record->draining
-                && !other->leaving && hasRecentAnswer(entry, now) && run->state == RunState::Running
-                && !stopping && run->percent >= 100;
-        availability.unavailable += available ? 0 : 1;
-        if (!stopping) {
-            StepAvailability::OnWorker &here = availability.onWorker[entry];
-            ++here.tasks;
-            here.unavailable += available ? 0 : 1;
-        }
-    }
-    return availability;
-}
-
-std::pair<std::uint32_t, std::uint32_t> Dispatcher::disruptionBudgetUsage(const TaskKey &task,
-                                                                          const std::string &worker,
-                                                                          SteadyTimeMs now) const
-{
-    const StepAvailability &step = availabilityOf({task.job, task.occurrence, task.step}, now);
-    const auto found = step.onWorker.find(worker);
-    if (found == step.onWorker.end()) {
-        return {step.unavailable, 0};
-    }
-    // A task on this worker counts even if its last reading, up to a second old, was below 100%: it
-    // may have become available since.
-    return {step.unavailable - found->second.unavailable, found->second.tasks};
-}
-
 bool Dispatcher::evictOneTask(const std::string &worker, SteadyTimeMs now)
 {
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end()) {
+    const auto task = m_disruptionBudgets.taskToEvict(worker, now);
+    if (!task) {
         return false;
     }
-    for (auto &[task, run] : found->second.runs) {
-        const JobRecord *job = m_state.job(task.job);
-        if (job == nullptr || job->phase != JobPhase::Active || run.state != RunState::Running
-            || run.stopping) {
-            continue;
-        }
-        const StepSpec &step = job->spec.steps[task.step];
-        const auto [unavailable, onWorker] = disruptionBudgetUsage(task, worker, now);
-        if (step.longRunning && onWorker > step.maxUnavailable
-            && unavailable < step.maxUnavailable) {
-            run.stopping = true;
-            m_workersWithStops.insert(worker);
-            forgetAvailability();
-            return true;
-        }
-    }
-    return false;
-}
-
-std::string Dispatcher::disruptionBudgetViolation(const std::string &worker, SteadyTimeMs now) const
-{
-    for (const TaskKey &task : m_state.tasksOf(worker)) {
-        const JobRecord &job = *m_state.job(task.job);
-        const StepSpec &step = job.spec.steps[task.step];
-        if (!step.longRunning || step.maxUnavailable == 0 || job.phase != JobPhase::Active) {
-            continue;
-        }
-        const auto [unavailable, onWorker] = disruptionBudgetUsage(task, worker, now);
-        if (onWorker > 0 && unavailable + onWorker > step.maxUnavailable) {
-            return taskName(task) + ": " + std::to_string(unavailable)
-                    + " unavailable elsewhere and " + std::to_string(onWorker)
-                    + " on this worker, at most " + std::to_string(step.maxUnavailable)
-                    + " allowed by the disruption budget";
-        }
-    }
-    return {};
+    m_workers.at(worker).runs.at(*task).stopping = true;
+    m_workersWithStops.insert(worker);
+    m_disruptionBudgets.forgetAvailability();
+    return true;
 }
 
 const WorkerView *Dispatcher::view(const std::string &worker) const
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,6 +12,7 @@
 #include "Model/Result.h"
 #include "Scheduling/DemandTracker.h"
 #include "Scheduling/DispatchTypes.h"
+#include "Scheduling/DisruptionBudgets.h"
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/TeamQuota.h"
@@ -92,7 +93,10 @@
     std::size_t shortRunsOn(const std::string &worker) const;
     /// Names a task whose step would exceed its disruption budget (maxUnavailable) if the worker
     /// were taken out of service, with the numbers; empty if no budget would be exceeded.
-    std::string disruptionBudgetViolation(const std::string &worker, SteadyTimeMs now) const;
+    std::string disruptionBudgetViolation(const std::string &worker, SteadyTimeMs now) const
+    {
+        return m_disruptionBudgets.violation(worker, now);
+    }
     /// Stops one long-running task on the worker that the disruption budget allows to be
     /// unavailable, so that it starts on another worker. For workers that hold more tasks of a step
     /// than its budget permits. False if no task can be evicted now.
@@ -167,28 +171,6 @@
         std::uint32_t failedSearches = 0;
     };
 
-    /// Availability of the tasks of a long-running step.
-    struct StepAvailability
-    {
-        struct OnWorker
-        {
-            std::uint32_t tasks = 0;
-            std::uint32_t unavailable = 0;
-        };
-        /// Tasks that are unavailable anywhere.
-        std::uint32_t unavailable = 0;
-        /// Tasks by worker, without those that are being stopped.
-        std::map<std::string, OnWorker> onWorker;
-    };
-    /// A wave asks for the steps of some hundred workers in one pass, so that results are kept
-    /// until something changes.
-    const StepAvailability &availabilityOf(const StepKey &step, SteadyTimeMs now) const;
-    void forgetAvailability() { m_availability.clear(); }
-    /// Numbers of tasks of the task's step that are unavailable elsewhere, and that are on this
-    /// worker.
-    std::pair<std::uint32_t, std::uint32_t>
-    disruptionBudgetUsage(const TaskKey &task, const std::string &worker, SteadyTimeMs now) const;
-
     // Runs and leases. The cost of a change must depend only on what it affects: a deployment of
     // 350 workers has about 2,000 changes a second.
     /// Rebuilds the runs of a worker from SchedulerState, for a new incarnation or a new term.
@@ -334,9 +316,7 @@
     /// targets.
     std::set<std::string> m_workersToReview;
     std::set<std::string> m_maintenanceDue;
-    /// Results of availabilityOf() at m_availabilityAt.
-    mutable std::map<StepKey, StepAvailability> m_availability;
-    mutable SteadyTimeMs m_availabilityAt = 0;
+    DisruptionBudgets m_disruptionBudgets;
     std::vector<JobChange> m_changes;
     /// Stops of runs that a worker lists although they are not assigned to it.
     std::vector<StopOrder> m_orphanStops;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -33,7 +33,7 @@
         m_demand.rebuildTurns(now, wallNow);
     }
     m_wallOffsetMs = wallNow - now;
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     endRunsWithExpiredLeases(now);
     if (m_placementDirty || now >= m_nextPlacement) {
         placePendingSteps(now, wallNow, orders);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -211,7 +211,7 @@
     if (!m_leads) {
         return;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     m_placementDirty = true;
     m_changedJobs.insert(m_state.jobsWithLostRuns().begin(), m_state.jobsWithLostRuns().end());
     if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -98,6 +98,11 @@
         return *clockMs
                 + static_cast<std::int64_t>(static_cast<double>(now - clockAt) * (1 - drift));
     }
+    /// True if the worker has answered in this term, less than `maxAgeMs` ago.
+    bool hasRecentAnswer(SteadyTimeMs now, std::int64_t maxAgeMs) const
+    {
+        return renewedAt != 0 && now - renewedAt < maxAgeMs;
+    }
 };
 
 } // namespace dandelionloom
