Scheduling: Divide the count of unassigned runs from the dispatcher

Runs that may go on after they ceased to be assigned count against the quotas of their teams until they have certainly ended. The dispatcher held them beside its own runs. The check for a lease that may be valid, which the search for lost workers repeated, becomes WorkerView::mayHoldLease(), and the longest lease a function over DispatchOptions. No behaviour is changed.

The files were checked by the compiler; nothing was linked or run.

--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -81,6 +81,14 @@
     std::int64_t paceRestoreMs = 3000;
 };
 
+/// Upper bound of the time for which a lease is valid after the last renewal.
+inline std::int64_t longestLeaseMs(const DispatchOptions &options)
+{
+    return static_cast<std::int64_t>(
+            static_cast<double>(options.maxLeaseMs + options.leaseExpiryMarginMs)
+            / (1 - options.clockDrift));
+}
+
 /// Entry of a worker's list of running tasks.
 struct RunningRun
 {
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
-    : m_state(state), m_options(options),
+    : m_state(state), m_options(options), m_unassignedRuns(state, m_workers, m_options),
       m_disruptionBudgets(state, m_workers, options.maxAnswerAgeMs),
       m_demand(state, m_durations, options.demand)
 { }
@@ -56,7 +56,6 @@
     m_proposed.clear();
     m_proposedUse.clear();
     m_unassignedRuns.clear();
-    m_unassignedUse.clear();
     m_quotas.clear();
     m_waitCounts = {};
     m_waitingForQuota.clear();
@@ -239,7 +238,8 @@
     const bool pause = !list.ended.empty() && m_workers.size() > m_options.largeFleetWorkers;
     view.nextRenewAt = pause ? now + m_options.renewalPauseMs : now;
     view.longRunningStarting = false;
-    forgetUnlistedRuns(worker, list, view.renewSentAt);
+    m_placementDirty =
+            m_unassignedRuns.forgetUnlisted(worker, list, view.renewSentAt) || m_placementDirty;
     const bool allEndsListed = list.ended.size() < m_options.maxListedEnds;
     std::set<TaskKey> listed;
     for (const RunningRun &row : list.running) {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +15,7 @@
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/TeamQuota.h"
+#include "Scheduling/UnassignedRuns.h"
 #include "Scheduling/WaitingSteps.h"
 #include "Scheduling/WorkerView.h"
 
@@ -259,24 +259,10 @@
         std::string team;
         TaskResources need;
     };
-    using RunKey = std::pair<TaskKey, std::uint32_t>;
-    struct UnassignedRun
-    {
-        TeamNeed use;
-        SteadyTimeMs countedAt = 0;
-    };
 
-    // Runs that may go on although they are not assigned any more.
+    /// Counts a run that may go on although it is not assigned any more.
     void countUnassignedRun(const std::string &worker, const TaskKey &task, std::uint32_t run,
                             SteadyTimeMs now);
-    void forgetUnassignedRuns(
-            const std::string &worker,
-            const std::function<bool(const RunKey &, const UnassignedRun &)> &hasEnded);
-    void forgetUnlistedRuns(const std::string &worker, const RenewAnswer &list,
-                            SteadyTimeMs renewSentAt);
-    void forgetExpiredRuns(SteadyTimeMs now);
-    /// Upper bound of the time for which a lease is valid after the last renewal.
-    std::int64_t longestLeaseMs() const;
 
     const SchedulerState &m_state;
     const DispatchOptions m_options;
@@ -293,9 +279,7 @@
     /// Assignments that are proposed and not yet applied.
     std::map<TaskKey, TeamNeed> m_proposed;
     TeamUse m_proposedUse;
-    /// Runs that a worker may have although they are not assigned to it, by worker.
-    std::map<std::string, std::map<RunKey, UnassignedRun>> m_unassignedRuns;
-    TeamUse m_unassignedUse;
+    UnassignedRuns m_unassignedRuns;
     std::map<std::string, TaskResources> m_quotas;
     WaitCounts m_waitCounts;
     /// Jobs with a step that waits for the quota, which is logged once.
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -295,31 +295,22 @@
     }
 }
 
-std::int64_t Dispatcher::longestLeaseMs() const
-{
-    return static_cast<std::int64_t>(
-            static_cast<double>(m_options.maxLeaseMs + m_options.leaseExpiryMarginMs)
-            / (1 - m_options.clockDrift));
-}
-
 void Dispatcher::endRunsWithExpiredLeases(SteadyTimeMs now)
 {
     if (now < m_nextLeaseCheck) {
         return;
     }
     m_nextLeaseCheck = now + leaseCheckMs;
-    forgetExpiredRuns(now);
+    m_placementDirty = m_unassignedRuns.forgetExpired(now) || m_placementDirty;
     // The leases of an earlier leader are bounded by the longest lease that a worker grants.
-    const std::int64_t earlierLeaseMs = longestLeaseMs();
+    const std::int64_t earlierLeaseMs = longestLeaseMs(m_options);
     for (auto &[id, view] : m_workers) {
         // A worker that answers lists the ended runs itself.
         if (view.renewFailures == 0 || view.leasesExpired || view.runs.empty()
             || now - m_termStartedAt < earlierLeaseMs) {
             continue;
         }
-        if (view.clockMs
-            && view.clockLowerBound(now, m_options.clockDrift)
-                    <= view.leaseUntilMs + m_options.leaseExpiryMarginMs) {
+        if (view.mayHoldLease(now, m_options)) {
             continue;
         }
         if (m_state.worker(id) == nullptr) {
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "Scheduling/Dispatcher.h"
 #include "Scheduling/StepFacts.h"
 
@@ -262,90 +260,20 @@
         m_workers.erase(found);
     }
     m_pendingEnds.erase(worker);
-    forgetUnassignedRuns(worker, [](const RunKey &, const UnassignedRun &) { return true; });
+    m_placementDirty = m_unassignedRuns.forgetWorker(worker) || m_placementDirty;
 }
 
-// A run counts against its team's quota until its end is recorded. It certainly does not run after
-// that, except for the runs that are counted below:
-// - Ends that the worker lists: the run has ended there.
-// - Refused: no start was sent, or the worker refused the only one, or it has confirmed the stop
-//   and refuses the run from then on.
-// - WorkerLost: the lease has expired, the worker refuses the start because the run has ended, or
-//   the worker has left, which it does without runs or by the end of its process.
-// - Starts of an earlier leader are refused once the worker has answered this one. Until then its
-//   runs count as assigned.
-
 void Dispatcher::countUnassignedRun(const std::string &worker, const TaskKey &task,
                                     std::uint32_t run, SteadyTimeMs now)
 {
-    const JobRecord *job = m_state.job(task.job);
-    if (job == nullptr || job->spec.team.empty() || m_proposedEnds.contains({task, run})) {
-        return;
-    }
-    const auto [slot, added] = m_unassignedRuns[worker].try_emplace({task, run});
-    slot->second.countedAt = now;
-    if (added) {
-        slot->second.use = {job->spec.team, job->spec.steps[task.step].need};
-        m_unassignedUse.add(slot->second.use.team, slot->second.use.need);
-    }
-}
-
-void Dispatcher::forgetUnassignedRuns(
-        const std::string &worker,
-        const std::function<bool(const RunKey &, const UnassignedRun &)> &hasEnded)
-{
-    const auto runs = m_unassignedRuns.find(worker);
-    if (runs == m_unassignedRuns.end()) {
-        return;
-    }
-    std::erase_if(runs->second, [&](const auto &item) {
-        const auto &[key, run] = item;
-        if (!hasEnded(key, run)) {
-            return false;
-        }
-        m_unassignedUse.remove(run.use.team, run.use.need);
-        m_placementDirty = true;
-        return true;
-    });
-    if (runs->second.empty()) {
-        m_unassignedRuns.erase(runs);
-    }
-}
-
-void Dispatcher::forgetUnlistedRuns(const std::string &worker, const RenewAnswer &list,
-                                    SteadyTimeMs renewSentAt)
-{
-    const auto listedIn = [](const auto &rows, const RunKey &key) {
-        return std::any_of(rows.begin(), rows.end(), [&key](const auto &row) {
-            return row.task == key.first && row.run == key.second;
-        });
-    };
-    forgetUnassignedRuns(worker, [&](const RunKey &key, const UnassignedRun &run) {
-        return listedIn(list.ended, key)
-                || (renewSentAt >= run.countedAt && !listedIn(list.running, key));
-    });
-}
-
-void Dispatcher::forgetExpiredRuns(SteadyTimeMs now)
-{
-    std::vector<std::string> workers;
-    for (const auto &[worker, runs] : m_unassignedRuns) {
-        workers.push_back(worker);
-    }
-    for (const std::string &worker : workers) {
-        const WorkerView *known = view(worker);
-        const bool mayHoldLease = known != nullptr && known->clockMs
-                && known->clockLowerBound(now, m_options.clockDrift)
-                        <= known->leaseUntilMs + m_options.leaseExpiryMarginMs;
-        forgetUnassignedRuns(worker, [&](const RunKey &, const UnassignedRun &run) {
-            return !mayHoldLease && now - run.countedAt > longestLeaseMs();
-        });
+    if (!m_proposedEnds.contains({task, run})) {
+        m_unassignedRuns.count(worker, {task, run}, now);
     }
 }
 
 TaskResources Dispatcher::useOf(const std::string &team) const
 {
-    return m_state.useOf(team) + m_proposedUse.of(team) + m_unassignedUse.of(team);
+    return m_state.useOf(team) + m_proposedUse.of(team) + m_unassignedRuns.useOf(team);
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -98,6 +98,13 @@
         return *clockMs
                 + static_cast<std::int64_t>(static_cast<double>(now - clockAt) * (1 - drift));
     }
+    /// True if a lease that this leader has requested may not have expired yet.
+    bool mayHoldLease(SteadyTimeMs now, const DispatchOptions &options) const
+    {
+        return clockMs
+                && clockLowerBound(now, options.clockDrift)
+                <= leaseUntilMs + options.leaseExpiryMarginMs;
+    }
     /// True if the worker has answered in this term, less than `maxAgeMs` ago.
     bool hasRecentAnswer(SteadyTimeMs now, std::int64_t maxAgeMs) const
     {
