Scheduling: Handle announcements beside the changes of workers

The handling of announcements and deregistrations and the record of a run's end move, unchanged, to DispatcherRuns.cpp, beside the functions that add and remove workers and runs.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 
-// Leadership terms and the answers of workers. Applied changes are handled in DispatcherRuns.cpp,
-// placement in DispatcherPlacement.cpp and orders to workers in DispatcherOrders.cpp.
+// Leadership terms and the answers of workers. Announcements and applied changes are handled in
+// DispatcherRuns.cpp, placement in DispatcherPlacement.cpp and orders to workers in
+// DispatcherOrders.cpp.
 
 namespace dandelionloom {
 
@@ -84,96 +85,6 @@
     m_pendingCountedAt = 0;
 }
 
-void Dispatcher::recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
-{
-    WorkerView &view = m_workers[worker];
-    const JobRecord *job = m_state.job(ended.task.job);
-    const auto started = m_startedAt.find(ended.task);
-    m_decisions.push_back({"end", taskName(ended.task), ended.run, worker,
-                           std::string(runOutcomeNames.name(ended.runOutcome)),
-                           started == m_startedAt.end() ? -1 : now - started->second});
-    if (ended.runOutcome == RunOutcome::Done) {
-        view.failuresInRow = 0;
-        view.failedJobs.clear();
-        if (job != nullptr && started != m_startedAt.end()) {
-            m_durations.record(job->spec.queue, now - started->second);
-        }
-    } else if (ended.runOutcome == RunOutcome::Failed) {
-        m_failedOn[ended.task] = worker;
-        view.failedJobs.insert(ended.task.job);
-        ++view.failuresInRow;
-        if (view.failuresInRow >= m_options.quarantineFailures && view.failedJobs.size() > 1) {
-            view.avoidUntil = now + m_options.quarantineMs;
-            m_decisions.push_back({"quarantine", {}, 0, worker, "fails-everything", -1});
-        }
-    }
-    if (started != m_startedAt.end()) {
-        m_startedAt.erase(started);
-    }
-}
-
-std::vector<JobChange> Dispatcher::announced(const WorkerAnnouncement &announcement,
-                                             SteadyTimeMs now)
-{
-    const WorkerRecord &worker = announcement.worker;
-    const WorkerRecord *known = m_state.worker(worker.id);
-    if (m_state.hasLeft(worker.id, worker.startTimeMs)
-        || (known != nullptr && known->startTimeMs > worker.startTimeMs)) {
-        return {};
-    }
-    const bool newIncarnation = known == nullptr || known->startTimeMs != worker.startTimeMs;
-    std::uint64_t &sequence = m_sequences[worker.id];
-    if (!newIncarnation && announcement.sequence < sequence) {
-        return {};
-    }
-    sequence = announcement.sequence;
-    if (!newIncarnation && announcement.clockMs >= 0) {
-        WorkerView &view = m_workers[worker.id];
-        if (!view.clockMs) {
-            view.clockMs = announcement.clockMs;
-            view.clockAt = now;
-        }
-    }
-    if (!newIncarnation && (*known == worker || (known->draining && !worker.draining))) {
-        return {};
-    }
-    std::vector<JobChange> changes;
-    if (newIncarnation) {
-        for (const auto &[id, other] : m_state.workers()) {
-            if (id == worker.id || other.address != worker.address) {
-                continue;
-            }
-            if (other.startTimeMs > worker.startTimeMs) {
-                // Delayed announcement of an incarnation whose address a newer one has taken over.
-                return {};
-            }
-            changes.emplace_back(WorkerLeft{id, other.startTimeMs});
-        }
-        m_disruptionBudgets.forgetAvailability();
-        removeWorker(worker.id);
-    }
-    changes.emplace_back(WorkerJoined{worker});
-    return changes;
-}
-
-bool Dispatcher::deregistered(const std::string &worker)
-{
-    const WorkerRecord *known = m_state.worker(worker);
-    const auto found = m_workers.find(worker);
-    // A worker deregisters only after its draining was acknowledged, and thus recorded.
-    if (known == nullptr || !known->draining || found == m_workers.end()) {
-        return false;
-    }
-    m_disruptionBudgets.forgetAvailability();
-    found->second.deregistered = true;
-    m_deregistered.insert(worker);
-    for (auto &[task, run] : found->second.runs) {
-        run.stopping = true;
-    }
-    queueStartsAndStops(worker);
-    return true;
-}
-
 void Dispatcher::renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
                          SteadyTimeMs now)
 {
