--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 
-// Leadership terms and the answers of workers. Applied changes are handled in DispatcherRuns.cpp,
-// placement in DispatcherPlacement.cpp and orders to workers in DispatcherOrders.cpp.
+// Leadership terms and the answers of workers. Announcements and applied changes are handled in
+// DispatcherRuns.cpp, placement in DispatcherPlacement.cpp and orders to workers in
+// DispatcherOrders.cpp.
 
 namespace dandelionloom {
 
@@ -19,7 +20,9 @@
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
-    : m_state(state), m_options(options), m_demand(state, m_durations, options.demand)
+    : m_state(state), m_options(options), m_unassignedRuns(state, m_workers, m_options),
+      m_disruptionBudgets(state, m_workers, options.maxAnswerAgeMs),
+      m_demand(state, m_durations, options.demand)
 { }
 
 void Dispatcher::beginTerm(SteadyTimeMs now)
@@ -54,7 +57,6 @@
     m_proposed.clear();
     m_proposedUse.clear();
     m_unassignedRuns.clear();
-    m_unassignedUse.clear();
     m_quotas.clear();
     m_waitCounts = {};
     m_waitingForQuota.clear();
@@ -67,7 +69,7 @@
     m_deregistered.clear();
     m_workersToReview.clear();
     m_maintenanceDue.clear();
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     m_changes.clear();
     m_orphanStops.clear();
     m_lastSearched.clear();
@@ -83,96 +85,6 @@
     m_pendingCountedAt = 0;
 }
 
-void Dispatcher::recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
-{
-    WorkerView &view = m_workers[worker];
-    const JobRecord *job = m_state.job(ended.task.job);
-    const auto started = m_startedAt.find(ended.task);
-    m_decisions.push_back({"end", taskName(ended.task), ended.run, worker,
-                           std::string(runOutcomeNames.name(ended.runOutcome)),
-                           started == m_startedAt.end() ? -1 : now - started->second});
-    if (ended.runOutcome == RunOutcome::Done) {
-        view.failuresInRow = 0;
-        view.failedJobs.clear();
-        if (job != nullptr && started != m_startedAt.end()) {
-            m_durations.record(job->spec.queue, now - started->second);
-        }
-    } else if (ended.runOutcome == RunOutcome::Failed) {
-        m_failedOn[ended.task] = worker;
-        view.failedJobs.insert(ended.task.job);
-        ++view.failuresInRow;
-        if (view.failuresInRow >= m_options.quarantineFailures && view.failedJobs.size() > 1) {
-            view.avoidUntil = now + m_options.quarantineMs;
-            m_decisions.push_back({"quarantine", {}, 0, worker, "fails-everything", -1});
-        }
-    }
-    if (started != m_startedAt.end()) {
-        m_startedAt.erase(started);
-    }
-}
-
-std::vector<JobChange> Dispatcher::announced(const WorkerAnnouncement &announcement,
-                                             SteadyTimeMs now)
-{
-    const WorkerRecord &worker = announcement.worker;
-    const WorkerRecord *known = m_state.worker(worker.id);
-    if (m_state.hasLeft(worker.id, worker.startTimeMs)
-        || (known != nullptr && known->startTimeMs > worker.startTimeMs)) {
-        return {};
-    }
-    const bool newIncarnation = known == nullptr || known->startTimeMs != worker.startTimeMs;
-    std::uint64_t &sequence = m_sequences[worker.id];
-    if (!newIncarnation && announcement.sequence < sequence) {
-        return {};
-    }
-    sequence = announcement.sequence;
-    if (!newIncarnation && announcement.clockMs >= 0) {
-        WorkerView &view = m_workers[worker.id];
-        if (!view.clockMs) {
-            view.clockMs = announcement.clockMs;
-            view.clockAt = now;
-        }
-    }
-    if (!newIncarnation && (*known == worker || (known->draining && !worker.draining))) {
-        return {};
-    }
-    std::vector<JobChange> changes;
-    if (newIncarnation) {
-        for (const auto &[id, other] : m_state.workers()) {
-            if (id == worker.id || other.address != worker.address) {
-                continue;
-            }
-            if (other.startTimeMs > worker.startTimeMs) {
-                // Delayed announcement of an incarnation whose address a newer one has taken over.
-                return {};
-            }
-            changes.emplace_back(WorkerLeft{id, other.startTimeMs});
-        }
-        forgetAvailability();
-        removeWorker(worker.id);
-    }
-    changes.emplace_back(WorkerJoined{worker});
-    return changes;
-}
-
-bool Dispatcher::deregistered(const std::string &worker)
-{
-    const WorkerRecord *known = m_state.worker(worker);
-    const auto found = m_workers.find(worker);
-    // A worker deregisters only after its draining was acknowledged, and thus recorded.
-    if (known == nullptr || !known->draining || found == m_workers.end()) {
-        return false;
-    }
-    forgetAvailability();
-    found->second.deregistered = true;
-    m_deregistered.insert(worker);
-    for (auto &[task, run] : found->second.runs) {
-        run.stopping = true;
-    }
-    queueStartsAndStops(worker);
-    return true;
-}
-
 void Dispatcher::renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
                          SteadyTimeMs now)
 {
@@ -181,7 +93,7 @@
     if (!m_leads || found == m_workers.end() || record == nullptr) {
         return;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     WorkerView &view = found->second;
     view.renewalInFlight = false;
     if (!isOk(answer)) {
@@ -237,7 +149,8 @@
     const bool pause = !list.ended.empty() && m_workers.size() > m_options.largeFleetWorkers;
     view.nextRenewAt = pause ? now + m_options.renewalPauseMs : now;
     view.longRunningStarting = false;
-    forgetUnlistedRuns(worker, list, view.renewSentAt);
+    m_placementDirty =
+            m_unassignedRuns.forgetUnlisted(worker, list, view.renewSentAt) || m_placementDirty;
     const bool allEndsListed = list.ended.size() < m_options.maxListedEnds;
     std::set<TaskKey> listed;
     for (const RunningRun &row : list.running) {
@@ -369,7 +282,7 @@
     if (slot == view.runs.end() || slot->second.run != run) {
         return;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     RunView &started = slot->second;
     if (fault != CallFault::NoAnswer) {
         view.unansweredOrders = 0;
@@ -503,7 +416,7 @@
     const auto found = m_workers.find(worker);
     if (found != m_workers.end()) {
         found->second.leaving = leaving;
-        forgetAvailability();
+        m_disruptionBudgets.forgetAvailability();
     }
 }
 
@@ -515,8 +428,7 @@
 bool Dispatcher::hasRecentAnswer(const std::string &worker, SteadyTimeMs now) const
 {
     const auto found = m_workers.find(worker);
-    return found != m_workers.end() && found->second.renewedAt != 0
-            && now - found->second.renewedAt < m_options.maxAnswerAgeMs;
+    return found != m_workers.end() && found->second.hasRecentAnswer(now, m_options.maxAnswerAgeMs);
 }
 
 std::size_t Dispatcher::shortRunsOn(const std::string &worker) const
@@ -525,94 +437,16 @@
     return known == nullptr ? 0 : known->reserved.size() - known->longRunningCount;
 }
 
-const Dispatcher::StepAvailability &Dispatcher::availabilityOf(const StepKey &step,
-                                                               SteadyTimeMs now) const
-{
-    if (now != m_availabilityAt) {
-        m_availability.clear();
-        m_availabilityAt = now;
-    }
-    const auto [slot, added] = m_availability.try_emplace(step);
-    StepAvailability &availability = slot->second;
-    if (!added) {
-        return availability;
-    }
-    const auto &tasks = m_state.job(step.job)->occurrences[step.occurrence].steps[step.step].tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const std::string &entry = tasks[index].worker;
-        const WorkerView *other = view(entry);
-        const RunView *run = findRun(entry, {step.job, step.occurrence, step.step, index});
-        const WorkerRecord *record = m_state.worker(entry);
-        const bool stopping = run != nullptr && run->stopping;
-        const bool available = run != nullptr && record != nullptr && !record->draining
-                && !other->leaving && hasRecentAnswer(entry, now) && run->state == RunState::Running
-                && !stopping && run->percent >= 100;
-        availability.unavailable += available ? 0 : 1;
-        if (!stopping) {
-            StepAvailability::OnWorker &here = availability.onWorker[entry];
-            ++here.tasks;
-            here.unavailable += available ? 0 : 1;
-        }
-    }
-    return availability;
-}
-
-std::pair<std::uint32_t, std::uint32_t> Dispatcher::disruptionBudgetUsage(const TaskKey &task,
-                                                                          const std::string &worker,
-                                                                          SteadyTimeMs now) const
-{
-    const StepAvailability &step = availabilityOf({task.job, task.occurrence, task.step}, now);
-    const auto found = step.onWorker.find(worker);
-    if (found == step.onWorker.end()) {
-        return {step.unavailable, 0};
-    }
-    // A task on this worker counts even if its last reading, up to a second old, was below 100%: it
-    // may have become available since.
-    return {step.unavailable - found->second.unavailable, found->second.tasks};
-}
-
 bool Dispatcher::evictOneTask(const std::string &worker, SteadyTimeMs now)
 {
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end()) {
+    const auto task = m_disruptionBudgets.taskToEvict(worker, now);
+    if (!task) {
         return false;
     }
-    for (auto &[task, run] : found->second.runs) {
-        const JobRecord *job = m_state.job(task.job);
-        if (job == nullptr || job->phase != JobPhase::Active || run.state != RunState::Running
-            || run.stopping) {
-            continue;
-        }
-        const StepSpec &step = job->spec.steps[task.step];
-        const auto [unavailable, onWorker] = disruptionBudgetUsage(task, worker, now);
-        if (step.longRunning && onWorker > step.maxUnavailable
-            && unavailable < step.maxUnavailable) {
-            run.stopping = true;
-            m_workersWithStops.insert(worker);
-            forgetAvailability();
-            return true;
-        }
-    }
-    return false;
-}
-
-std::string Dispatcher::disruptionBudgetViolation(const std::string &worker, SteadyTimeMs now) const
-{
-    for (const TaskKey &task : m_state.tasksOf(worker)) {
-        const JobRecord &job = *m_state.job(task.job);
-        const StepSpec &step = job.spec.steps[task.step];
-        if (!step.longRunning || step.maxUnavailable == 0 || job.phase != JobPhase::Active) {
-            continue;
-        }
-        const auto [unavailable, onWorker] = disruptionBudgetUsage(task, worker, now);
-        if (onWorker > 0 && unavailable + onWorker > step.maxUnavailable) {
-            return taskName(task) + ": " + std::to_string(unavailable)
-                    + " unavailable elsewhere and " + std::to_string(onWorker)
-                    + " on this worker, at most " + std::to_string(step.maxUnavailable)
-                    + " allowed by the disruption budget";
-        }
-    }
-    return {};
+    m_workers.at(worker).runs.at(*task).stopping = true;
+    m_workersWithStops.insert(worker);
+    m_disruptionBudgets.forgetAvailability();
+    return true;
 }
 
 const WorkerView *Dispatcher::view(const std::string &worker) const
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -1,9 +1,7 @@
-#include <algorithm>
-
 #include "Scheduling/Dispatcher.h"
 #include "Scheduling/StepFacts.h"
 
-// Tracks runs and jobs from the applied changes.
+// Tracks workers, runs and jobs from announcements and the applied changes.
 
 namespace dandelionloom {
 
@@ -153,6 +151,34 @@
     m_changedJobs.insert(assigned.task.job);
 }
 
+void Dispatcher::recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now)
+{
+    WorkerView &view = m_workers[worker];
+    const JobRecord *job = m_state.job(ended.task.job);
+    const auto started = m_startedAt.find(ended.task);
+    m_decisions.push_back({"end", taskName(ended.task), ended.run, worker,
+                           std::string(runOutcomeNames.name(ended.runOutcome)),
+                           started == m_startedAt.end() ? -1 : now - started->second});
+    if (ended.runOutcome == RunOutcome::Done) {
+        view.failuresInRow = 0;
+        view.failedJobs.clear();
+        if (job != nullptr && started != m_startedAt.end()) {
+            m_durations.record(job->spec.queue, now - started->second);
+        }
+    } else if (ended.runOutcome == RunOutcome::Failed) {
+        m_failedOn[ended.task] = worker;
+        view.failedJobs.insert(ended.task.job);
+        ++view.failuresInRow;
+        if (view.failuresInRow >= m_options.quarantineFailures && view.failedJobs.size() > 1) {
+            view.avoidUntil = now + m_options.quarantineMs;
+            m_decisions.push_back({"quarantine", {}, 0, worker, "fails-everything", -1});
+        }
+    }
+    if (started != m_startedAt.end()) {
+        m_startedAt.erase(started);
+    }
+}
+
 void Dispatcher::onEnded(const RunEnded &ended, SteadyTimeMs now)
 {
     const RunKey key{ended.task, ended.run};
@@ -211,7 +237,7 @@
     if (!m_leads) {
         return;
     }
-    forgetAvailability();
+    m_disruptionBudgets.forgetAvailability();
     m_placementDirty = true;
     m_changedJobs.insert(m_state.jobsWithLostRuns().begin(), m_state.jobsWithLostRuns().end());
     if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
@@ -247,6 +273,68 @@
     }
 }
 
+std::vector<JobChange> Dispatcher::announced(const WorkerAnnouncement &announcement,
+                                             SteadyTimeMs now)
+{
+    const WorkerRecord &worker = announcement.worker;
+    const WorkerRecord *known = m_state.worker(worker.id);
+    if (m_state.hasLeft(worker.id, worker.startTimeMs)
+        || (known != nullptr && known->startTimeMs > worker.startTimeMs)) {
+        return {};
+    }
+    const bool newIncarnation = known == nullptr || known->startTimeMs != worker.startTimeMs;
+    std::uint64_t &sequence = m_sequences[worker.id];
+    if (!newIncarnation && announcement.sequence < sequence) {
+        return {};
+    }
+    sequence = announcement.sequence;
+    if (!newIncarnation && announcement.clockMs >= 0) {
+        WorkerView &view = m_workers[worker.id];
+        if (!view.clockMs) {
+            view.clockMs = announcement.clockMs;
+            view.clockAt = now;
+        }
+    }
+    if (!newIncarnation && (*known == worker || (known->draining && !worker.draining))) {
+        return {};
+    }
+    std::vector<JobChange> changes;
+    if (newIncarnation) {
+        for (const auto &[id, other] : m_state.workers()) {
+            if (id == worker.id || other.address != worker.address) {
+                continue;
+            }
+            if (other.startTimeMs > worker.startTimeMs) {
+                // Delayed announcement of an incarnation whose address a newer one has taken over.
+                return {};
+            }
+            changes.emplace_back(WorkerLeft{id, other.startTimeMs});
+        }
+        m_disruptionBudgets.forgetAvailability();
+        removeWorker(worker.id);
+    }
+    changes.emplace_back(WorkerJoined{worker});
+    return changes;
+}
+
+bool Dispatcher::deregistered(const std::string &worker)
+{
+    const WorkerRecord *known = m_state.worker(worker);
+    const auto found = m_workers.find(worker);
+    // A worker deregisters only after its draining was acknowledged, and thus recorded.
+    if (known == nullptr || !known->draining || found == m_workers.end()) {
+        return false;
+    }
+    m_disruptionBudgets.forgetAvailability();
+    found->second.deregistered = true;
+    m_deregistered.insert(worker);
+    for (auto &[task, run] : found->second.runs) {
+        run.stopping = true;
+    }
+    queueStartsAndStops(worker);
+    return true;
+}
+
 void Dispatcher::removeWorker(const std::string &worker)
 {
     m_workersOfService.clear();
@@ -262,90 +350,20 @@
         m_workers.erase(found);
     }
     m_pendingEnds.erase(worker);
-    forgetUnassignedRuns(worker, [](const RunKey &, const UnassignedRun &) { return true; });
+    m_placementDirty = m_unassignedRuns.forgetWorker(worker) || m_placementDirty;
 }
 
-// A run counts against its team's quota until its end is recorded. It certainly does not run after
-// that, except for the runs that are counted below:
-// - Ends that the worker lists: the run has ended there.
-// - Refused: no start was sent, or the worker refused the only one, or it has confirmed the stop
-//   and refuses the run from then on.
-// - WorkerLost: the lease has expired, the worker refuses the start because the run has ended, or
-//   the worker has left, which it does without runs or by the end of its process.
-// - Starts of an earlier leader are refused once the worker has answered this one. Until then its
-//   runs count as assigned.
-
 void Dispatcher::countUnassignedRun(const std::string &worker, const TaskKey &task,
                                     std::uint32_t run, SteadyTimeMs now)
 {
-    const JobRecord *job = m_state.job(task.job);
-    if (job == nullptr || job->spec.team.empty() || m_proposedEnds.contains({task, run})) {
-        return;
-    }
-    const auto [slot, added] = m_unassignedRuns[worker].try_emplace({task, run});
-    slot->second.countedAt = now;
-    if (added) {
-        slot->second.use = {job->spec.team, job->spec.steps[task.step].need};
-        m_unassignedUse.add(slot->second.use.team, slot->second.use.need);
-    }
-}
-
-void Dispatcher::forgetUnassignedRuns(
-        const std::string &worker,
-        const std::function<bool(const RunKey &, const UnassignedRun &)> &hasEnded)
-{
-    const auto runs = m_unassignedRuns.find(worker);
-    if (runs == m_unassignedRuns.end()) {
-        return;
-    }
-    std::erase_if(runs->second, [&](const auto &item) {
-        const auto &[key, run] = item;
-        if (!hasEnded(key, run)) {
-            return false;
-        }
-        m_unassignedUse.remove(run.use.team, run.use.need);
-        m_placementDirty = true;
-        return true;
-    });
-    if (runs->second.empty()) {
-        m_unassignedRuns.erase(runs);
-    }
-}
-
-void Dispatcher::forgetUnlistedRuns(const std::string &worker, const RenewAnswer &list,
-                                    SteadyTimeMs renewSentAt)
-{
-    const auto listedIn = [](const auto &rows, const RunKey &key) {
-        return std::any_of(rows.begin(), rows.end(), [&key](const auto &row) {
-            return row.task == key.first && row.run == key.second;
-        });
-    };
-    forgetUnassignedRuns(worker, [&](const RunKey &key, const UnassignedRun &run) {
-        return listedIn(list.ended, key)
-                || (renewSentAt >= run.countedAt && !listedIn(list.running, key));
-    });
-}
-
-void Dispatcher::forgetExpiredRuns(SteadyTimeMs now)
-{
-    std::vector<std::string> workers;
-    for (const auto &[worker, runs] : m_unassignedRuns) {
-        workers.push_back(worker);
-    }
-    for (const std::string &worker : workers) {
-        const WorkerView *known = view(worker);
-        const bool mayHoldLease = known != nullptr && known->clockMs
-                && known->clockLowerBound(now, m_options.clockDrift)
-                        <= known->leaseUntilMs + m_options.leaseExpiryMarginMs;
-        forgetUnassignedRuns(worker, [&](const RunKey &, const UnassignedRun &run) {
-            return !mayHoldLease && now - run.countedAt > longestLeaseMs();
-        });
+    if (!m_proposedEnds.contains({task, run})) {
+        m_unassignedRuns.count(worker, {task, run}, now);
     }
 }
 
 TaskResources Dispatcher::useOf(const std::string &team) const
 {
-    return m_state.useOf(team) + m_proposedUse.of(team) + m_unassignedUse.of(team);
+    return m_state.useOf(team) + m_proposedUse.of(team) + m_unassignedRuns.useOf(team);
 }
 
 } // namespace dandelionloom
