Scheduling: Keep steps with a quota in lanes, and reserve quota for passed ones

Cause: each placement pass visited every waiting step, also the thousands that their team's quota holds: TeamQuotaTest::costOfWaiting. A large task or a gang was passed for ever by smaller tasks of its team, as each end frees room for a small one only. The quotas were collected anew for each accepted job.

Change: WaitingSteps keeps steps with a quota in lanes by team, need of a task and size of a gang, and the others in one lane. StepCursor merges the lanes in placement order; a pass leaves out the rest of a lane at its first held step. A lane knows which of its jobs have not been reported as waiting. A job is forgotten when none of its steps waits for a quota any more, so that one with two steps is logged once.

When a quota has held a lane for more than DispatchOptions::maxQuotaPassedMs, what gets free of it is reserved for the lane's first step (reservesQuota, QuotaReservations), one reservation at a time for each team. Nothing is reserved for what does not fit beside the team's long-running tasks, whose use SchedulerState counts apart. SchedulerState also keeps the quotas of its configuration.

waitCounts().quota now counts the held steps of a lane that a pass did not reach; they were counted as not searched. Steps that are left out no longer take a turn of the search behind the last searched step.

--- a/Source/Scheduling/DemandTracker.cpp
+++ b/Source/Scheduling/DemandTracker.cpp
@@ -124,7 +124,7 @@
     if (job.spec.team.empty()) {
         return false;
     }
-    const std::map<std::string, TaskResources> quotas = quotasOf(m_state.configuration());
+    const std::map<std::string, TaskResources> &quotas = m_state.quotas();
     const auto quota = quotas.find(job.spec.team);
     if (quota == quotas.end()) {
         return false;
@@ -261,7 +261,7 @@
     addArrivingDemand(demands, now);
     addForeseenDemand(demands, now);
     std::map<std::string, CountedUse> counted;
-    for (const auto &[team, quota] : quotasOf(m_state.configuration())) {
+    for (const auto &[team, quota] : m_state.quotas()) {
         counted[team] = {quota, m_state.useOf(team)};
     }
     for (const JobId &id : activeJobs) {
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -73,6 +73,10 @@
     /// that move into the pool arrive within it, and it is well below the 3 s after which the task
     /// counts as neglected.
     std::int64_t spreadWaitMs = 2000;
+    /// Time for which other tasks of a team may pass one that the team's quota holds. After it, the
+    /// quota that gets free is kept for the held task; 0 or less for never. Held tasks start within
+    /// 3 s if the team's running tasks end within the rest of that time.
+    std::int64_t maxQuotaPassedMs = 1500;
     DemandOptions demand;
     /// Fraction of a task's latency target above which best-effort tasks on the same worker are
     /// paused. Leaves time for the 0.5 s age of a reading and the 0.1 s that pacing takes.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -29,7 +29,7 @@
     m_termStartedAt = now;
     m_placementDirty = true;
     m_turnsUnknown = true;
-    m_quotas = quotasOf(m_state.configuration());
+    m_quotas = m_state.quotas();
     m_demand.beginTerm(now);
     for (const auto &[id, worker] : m_state.workers()) {
         syncRuns(id);
@@ -57,7 +57,7 @@
     m_unassignedUse.clear();
     m_quotas.clear();
     m_waitCounts = {};
-    m_waitingForQuota.clear();
+    m_reservations.clear();
     m_pendingEnds.clear();
     m_endSources.clear();
     m_proposedEnds.clear();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,6 +12,7 @@
 #include "Model/Result.h"
 #include "Scheduling/DemandTracker.h"
 #include "Scheduling/DispatchTypes.h"
+#include "Scheduling/QuotaReservations.h"
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/TeamQuota.h"
@@ -243,13 +244,21 @@
     /// Brings m_waiting up to date with the changed jobs and the time.
     void updateWaitingSteps(WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
-    void placeSteps(const std::string &service, const WaitingSteps::Order &steps,
-                    PlacementPass &pass);
-    void placeStep(const WaitingStep &waiting, PlacementPass &pass);
-    /// True if the quota of the job's team allows `count` more tasks of the step at once.
-    bool isAllowedByQuota(const JobRecord &job, const StepSpec &step, std::uint32_t count,
-                          PlacementPass &pass) const;
-    void recordQuotaWait(const TaskKey &task, PlacementPass &pass);
+    void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
+    /// Returns false if the quota holds the step, and with it the rest of its lane for this pass.
+    bool placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass);
+    // Quotas of teams.
+    /// True if the quota of the lane's team allows the tasks of the lane that start together.
+    bool isAllowedByQuota(const StepLane &lane, PlacementPass &pass) const;
+    /// The same, without the quota that is reserved for another lane. Ends the hold of the lane.
+    bool mayTakeQuota(const StepLane &lane, const StepRank &rank, PlacementPass &pass);
+    /// Records that the quota holds the lane from the position on, at the task of this index.
+    void holdLane(const StepLane &lane, const StepPosition &position, std::uint32_t index,
+                  PlacementPass &pass);
+    /// Ends reservations whose steps don't wait any more or could not start.
+    void reviewReservations(SteadyTimeMs now);
+    /// Ends reservations whose steps the quota allowed in this pass and that were not searched.
+    void dropUnusedReservations();
     /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
     /// long-running task that fits on no worker.
     void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
@@ -316,8 +325,7 @@
     TeamUse m_unassignedUse;
     std::map<std::string, TaskResources> m_quotas;
     WaitCounts m_waitCounts;
-    /// Jobs with a step that waits for the quota, which is logged once.
-    std::set<JobId> m_waitingForQuota;
+    QuotaReservations m_reservations;
     /// Numbers of the ends that are proposed and not yet applied, by worker.
     std::map<std::string, std::set<std::uint64_t>> m_pendingEnds;
     /// Worker and number of each proposed end, by run.
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -30,6 +30,7 @@
 std::vector<WaitingStep> Dispatcher::waitingStepsOf(const JobRecord &job, WallTimeMs wallNow)
 {
     const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
+    const bool hasQuota = !job.spec.team.empty() && m_quotas.contains(job.spec.team);
     std::vector<WaitingStep> waiting;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const OccurrenceRecord &record = job.occurrences[occurrence];
@@ -67,6 +68,10 @@
             }
             entry.attributes = stepAttributes(job, stepMs, occurrence, step);
             entry.attributes.remainingWork = work;
+            if (hasQuota) {
+                const StepSpec &spec = job.spec.steps[step];
+                entry.lane = {job.spec.team, spec.need, spec.gang ? spec.count : 1};
+            }
             waiting.push_back(std::move(entry));
         }
     }
@@ -129,6 +134,7 @@
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
     updateWaitingSteps(wallNow);
+    reviewReservations(now);
     m_waitCounts = {};
     HeldNeeds heldNeeds;
     for (const auto &[service, steps] : m_waiting.byService()) {
@@ -140,33 +146,38 @@
         PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, 0};
         placeSteps(service, steps, pass);
     }
+    dropUnusedReservations();
 }
 
-void Dispatcher::placeSteps(const std::string &service, const WaitingSteps::Order &steps,
+void Dispatcher::placeSteps(const std::string &service, const ServiceSteps &steps,
                             PlacementPass &pass)
 {
-    auto next = steps.begin();
-    std::size_t searched = 0;
+    StepCursor cursor(steps);
+    const StepPosition *lastSearched = nullptr;
     const auto placeUntilFailed = [&](std::uint32_t limit) {
-        for (; next != steps.end() && pass.failedSearches < limit; ++next) {
-            ++searched;
-            placeStep(m_waiting.at(next->key), pass);
+        while (!cursor.isAtEnd() && pass.failedSearches < limit) {
+            lastSearched = &cursor.position();
+            if (placeStep(*lastSearched, cursor.lane(), pass)) {
+                cursor.next();
+            } else {
+                // Within a pass the use of a team only grows.
+                m_waitCounts.quota += static_cast<std::uint32_t>(cursor.leaveOutLane());
+            }
         }
     };
     placeUntilFailed(maxFailedSearches);
     // Steps that can't be placed for a long time must not hide those behind them, so the latter
     // are searched a worker for in turn.
     const auto last = m_lastSearched.find(service);
-    if (last != m_lastSearched.end() && next != steps.end() && !(last->second < *next)) {
-        const auto resumed = steps.upper_bound(last->second);
-        next = resumed == steps.end() ? next : resumed;
+    if (last != m_lastSearched.end()) {
+        cursor.resumeBehind(last->second);
     }
     placeUntilFailed(2 * maxFailedSearches);
-    m_waitCounts.notSearched += static_cast<std::uint32_t>(steps.size() - searched);
-    if (next == steps.end()) {
+    m_waitCounts.notSearched += static_cast<std::uint32_t>(cursor.remaining());
+    if (cursor.isAtEnd()) {
         m_lastSearched.erase(service);
     } else {
-        m_lastSearched[service] = *std::prev(next);
+        m_lastSearched[service] = *lastSearched;
     }
 }
 
@@ -179,19 +190,20 @@
     });
 }
 
-void Dispatcher::placeStep(const WaitingStep &waiting, PlacementPass &pass)
+bool Dispatcher::placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass)
 {
-    const StepKey &key = waiting.key;
+    const StepKey &key = position.key;
+    const WaitingStep &waiting = m_waiting.at(key);
+    if (!mayTakeQuota(lane, position.rank, pass)) {
+        holdLane(lane, position, waiting.indices.front(), pass);
+        return false;
+    }
     const JobRecord &job = *m_state.job(key.job);
     const StepSpec &step = job.spec.steps[key.step];
-    if (!isAllowedByQuota(job, step, step.gang ? step.count : 1, pass)) {
-        recordQuotaWait({key.job, key.occurrence, key.step, waiting.indices.front()}, pass);
-        return;
-    }
     const TaskResources need = needOf({key.job, key.occurrence, key.step, 0});
     if (isKnownUnmet(pass, step, need)) {
         ++m_waitCounts.capacity;
-        return;
+        return true;
     }
     const Tickets *tickets = nullptr;
     if (job.queue.needsAdvice) {
@@ -199,23 +211,20 @@
         if (tickets == nullptr) {
             ++pass.failedSearches;
             ++m_waitCounts.advice;
-            return;
+            return true;
         }
     }
     if (step.gang) {
         const bool placed = placeGang(job, waiting, tickets, pass);
         pass.failedSearches += placed ? 0 : 1;
         m_waitCounts.capacity += placed ? 0 : 1;
-        if (placed && !m_waitingForQuota.empty()) {
-            m_waitingForQuota.erase(key.job);
-        }
-        return;
+        return true;
     }
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
-        if (!isAllowedByQuota(job, step, 1, pass)) {
-            recordQuotaWait(task, pass);
-            return;
+        if (!isAllowedByQuota(lane, pass)) {
+            holdLane(lane, position, index, pass);
+            return false;
         }
         const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
         if (!worker) {
@@ -230,46 +239,11 @@
             if (onlyNeed) {
                 pass.unmetNeeds.push_back({need, step.requiredLabel});
             }
-            return;
+            return true;
         }
         assign(task, m_state.task(task)->run + 1, *worker, pass.now, pass.orders);
     }
-    if (!m_waitingForQuota.empty()) {
-        m_waitingForQuota.erase(key.job);
-    }
-}
-
-bool Dispatcher::isAllowedByQuota(const JobRecord &job, const StepSpec &step, std::uint32_t count,
-                                  PlacementPass &pass) const
-{
-    const std::string &team = job.spec.team;
-    if (team.empty() || m_quotas.empty()) {
-        return true;
-    }
-    const auto quota = m_quotas.find(team);
-    if (quota == m_quotas.end()) {
-        return true;
-    }
-    // Steps of a team at its quota are skipped at the cost of this search.
-    std::vector<TaskResources> &held = pass.heldNeeds[team];
-    if (std::any_of(held.begin(), held.end(),
-                    [&step](const TaskResources &need) { return fits(need, step.need); })) {
-        return false;
-    }
-    const TaskResources use = useOf(team);
-    if (!isWithinQuota(use, step.need, quota->second)) {
-        held.push_back(step.need);
-        return false;
-    }
-    return count == 1 || isGangWithinQuota(use, count, step.need, quota->second);
-}
-
-void Dispatcher::recordQuotaWait(const TaskKey &task, PlacementPass &pass)
-{
-    ++m_waitCounts.quota;
-    if (m_waitingForQuota.insert(task.job).second) {
-        pass.orders.dispatchDecisions.push_back({"wait", taskName(task), 0, {}, "quota", -1});
-    }
+    return true;
 }
 
 void Dispatcher::holdWorkerFor(const TaskKey &task, PlacementPass &pass)
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -201,7 +201,6 @@
     if (job == nullptr || job->phase != JobPhase::Active) {
         m_activeJobs.erase(ended.task.job);
         m_startedJobs.erase(ended.task.job);
-        m_waitingForQuota.erase(ended.task.job);
     }
     queueStopsOfEndedJob(ended.task.job);
 }
@@ -223,7 +222,6 @@
     } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
         m_changedJobs.insert(cancelled->job);
         m_activeJobs.erase(cancelled->job);
-        m_waitingForQuota.erase(cancelled->job);
         m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
@@ -238,9 +236,9 @@
         }
         m_workersOfService.clear();
     } else if (std::holds_alternative<ConfigurationAccepted>(change)) {
-        // Queues may be served by other services from now on.
+        // Queues may be served by other services from now on, and quotas change the lanes of steps.
         m_changedJobs = m_activeJobs;
-        m_quotas = quotasOf(m_state.configuration());
+        m_quotas = m_state.quotas();
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -88,10 +88,16 @@
 {
     if (change.configuration.version > m_configuration.version) {
         m_configuration = change.configuration;
-        m_queueIndex = QueueIndex(m_configuration.queues);
+        indexConfiguration();
     }
 }
 
+void SchedulerState::indexConfiguration()
+{
+    m_queueIndex = QueueIndex(m_configuration.queues);
+    m_quotas = quotasOf(m_configuration);
+}
+
 void SchedulerState::on(const JobAccepted &change)
 {
     const auto [slot, added] = m_jobs.try_emplace(change.spec.id);
@@ -136,7 +142,25 @@
     task->worker = change.worker;
     ++job.assignedCount;
     m_tasksOfWorker[change.worker].insert(change.task);
-    m_teamUse.add(job.spec.team, job.spec.steps[change.task.step].need);
+    addUse(job, change.task.step);
+}
+
+void SchedulerState::addUse(const JobRecord &job, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    m_teamUse.add(job.spec.team, spec.need);
+    if (spec.longRunning) {
+        m_lastingUse.add(job.spec.team, spec.need);
+    }
+}
+
+void SchedulerState::removeUse(const JobRecord &job, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    m_teamUse.remove(job.spec.team, spec.need);
+    if (spec.longRunning) {
+        m_lastingUse.remove(job.spec.team, spec.need);
+    }
 }
 
 void SchedulerState::on(const RunEnded &change)
@@ -172,7 +196,7 @@
         }
     }
     --job.assignedCount;
-    m_teamUse.remove(job.spec.team, step.need);
+    removeUse(job, change.task.step);
     task.phase = TaskPhase::Pending;
     task.worker.clear();
     if (!change.checkpoint.empty()) {
@@ -210,7 +234,7 @@
     if (task.phase == TaskPhase::Assigned) {
         m_tasksOfWorker[task.worker].erase(key);
         --job.assignedCount;
-        m_teamUse.remove(job.spec.team, job.spec.steps[key.step].need);
+        removeUse(job, key.step);
     }
     task.phase = TaskPhase::Done;
     task.worker.clear();
@@ -308,7 +332,7 @@
         return JobChangeError{std::string("expected a job scheduler state, found malformed bytes: ")
                               + error.what()};
     }
-    state.m_queueIndex = QueueIndex(state.m_configuration.queues);
+    state.indexConfiguration();
     for (const auto &[id, job] : state.m_jobs) {
         for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
             const auto &steps = job.occurrences[occurrence].steps;
@@ -317,7 +341,7 @@
                     const TaskRecord &task = steps[step].tasks[index];
                     if (task.phase == TaskPhase::Assigned) {
                         state.m_tasksOfWorker[task.worker].insert({id, occurrence, step, index});
-                        state.m_teamUse.add(job.spec.team, job.spec.steps[step].need);
+                        state.addUse(job, step);
                     }
                 }
             }
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -88,6 +88,13 @@
     const std::set<TaskKey> &tasksOf(const std::string &worker) const;
     /// Resources that the team's assigned tasks take.
     const TaskResources &useOf(const std::string &team) const { return m_teamUse.of(team); }
+    /// The part of it that long-running tasks take, which don't end by themselves.
+    const TaskResources &lastingUseOf(const std::string &team) const
+    {
+        return m_lastingUse.of(team);
+    }
+    /// Quotas of the configuration in force, by team; without teams that have none.
+    const std::map<std::string, TaskResources> &quotas() const { return m_quotas; }
 
     const QueueConfig *queue(const std::string &name) const;
     const ServiceConfig *service(const std::string &name) const;
@@ -117,10 +124,15 @@
     void endRunsAsLost(const std::string &worker);
     void endRun(JobRecord &job, const RunEnded &change);
     void finishTask(JobRecord &job, const TaskKey &key, WallTimeMs atMs);
+    /// Counts an assigned task of the step in the use of the job's team.
+    void addUse(const JobRecord &job, std::uint32_t step);
+    void removeUse(const JobRecord &job, std::uint32_t step);
+    void indexConfiguration();
 
     FleetConfiguration m_configuration;
-    /// Derived from m_configuration and not stored.
+    // Derived from m_configuration and not stored.
     QueueIndex m_queueIndex;
+    std::map<std::string, TaskResources> m_quotas;
     std::unordered_map<JobId, JobRecord> m_jobs;
     std::map<std::string, WorkerRecord> m_workers;
     /// Last ended incarnation of each worker that left, so that a delayed announcement does not add
@@ -129,8 +141,10 @@
     std::map<std::uint64_t, MaintenanceWave> m_waves;
     /// Index of the assigned tasks by worker; derived from m_jobs and not stored.
     std::map<std::string, std::set<TaskKey>> m_tasksOfWorker;
-    /// Use of the assigned tasks by team; derived from m_jobs and not stored.
+    /// Use of the assigned tasks by team, and of the long-running ones among them; derived from
+    /// m_jobs and not stored.
     TeamUse m_teamUse;
+    TeamUse m_lastingUse;
     std::vector<JobId> m_jobsWithLostRuns;
 };
 
--- a/Source/Scheduling/ServiceLoads.cpp
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -15,11 +15,12 @@
 }
 
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
-                          const WaitingSteps::Order &steps)
+                          const ServiceSteps &steps)
 {
     WaitingWork work;
     const StepKey *previous = nullptr;
-    for (const StepPosition &position : steps) {
+    for (StepCursor cursor(steps); !cursor.isAtEnd(); cursor.next()) {
+        const StepPosition &position = cursor.position();
         const StepKey &key = position.key;
         const StepGroup group = position.rank.group;
         if (group != StepGroup::OnTime && group != StepGroup::Late) {
--- a/Source/Scheduling/ServiceLoads.h
+++ b/Source/Scheduling/ServiceLoads.h
@@ -37,7 +37,7 @@
 /// Sums up the waiting steps of a service. Work beyond its team's share and work that is too late
 /// to be of use is left out, as it is placed after all jobs within their share.
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
-                          const WaitingSteps::Order &steps);
+                          const ServiceSteps &steps);
 
 /// Facts of a job that is about to be accepted.
 struct SubmittedJob
--- a/Source/Scheduling/TeamQuota.cpp
+++ b/Source/Scheduling/TeamQuota.cpp
@@ -63,6 +63,28 @@
     return static_cast<std::uint32_t>(tasks);
 }
 
+bool reservesQuota(const QuotaWait &wait, const TaskResources &lasting,
+                   const TaskResources &maxRunning, std::int64_t maxPassedMs)
+{
+    return maxPassedMs > 0 && wait.heldMs > maxPassedMs
+            && isGangWithinQuota(lasting, wait.count, wait.need, maxRunning);
+}
+
+bool delaysQuotaWait(const TaskResources &need, const QuotaWait &wait,
+                     const TaskResources &maxRunning)
+{
+    if (!isWithin(wait.count * wait.need, maxRunning)) {
+        // Starts only beside nothing else.
+        return need != TaskResources{};
+    }
+    const auto competes = [](std::int64_t amount, std::int64_t waiting, std::int64_t limit) {
+        return limit != 0 && amount > 0 && waiting > 0;
+    };
+    return competes(need.processorMilli, wait.need.processorMilli, maxRunning.processorMilli)
+            || competes(need.memoryMb, wait.need.memoryMb, maxRunning.memoryMb)
+            || competes(need.accelerators, wait.need.accelerators, maxRunning.accelerators);
+}
+
 std::map<std::string, TaskResources> quotasOf(const FleetConfiguration &configuration)
 {
     std::map<std::string, TaskResources> quotas;
--- a/Source/Scheduling/TeamQuota.h
+++ b/Source/Scheduling/TeamQuota.h
@@ -25,6 +25,26 @@
 std::uint32_t tasksWithinQuota(const TaskResources &running, std::uint32_t count,
                                const TaskResources &need, const TaskResources &maxRunning);
 
+/// Tasks that start together and wait for the quota of their team.
+struct QuotaWait
+{
+    /// Resources of one task.
+    TaskResources need;
+    std::uint32_t count = 1;
+    /// Time for which the quota has held them, in milliseconds.
+    std::int64_t heldMs = 0;
+};
+
+/// True if the quota that gets free is kept for the tasks: other tasks of the team have passed them
+/// for longer than `maxPassedMs`, and they fit once all tasks of the team have ended but for the
+/// lasting ones, which don't end by themselves. Never true if `maxPassedMs` is not above 0.
+bool reservesQuota(const QuotaWait &wait, const TaskResources &lasting,
+                   const TaskResources &maxRunning, std::int64_t maxPassedMs);
+
+/// True if a task with this need would take quota that the waiting tasks need.
+bool delaysQuotaWait(const TaskResources &need, const QuotaWait &wait,
+                     const TaskResources &maxRunning);
+
 /// Quotas of the teams that have one, by team.
 std::map<std::string, TaskResources> quotasOf(const FleetConfiguration &configuration);
 
--- a/Source/Scheduling/WaitingSteps.h
+++ b/Source/Scheduling/WaitingSteps.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -24,6 +26,7 @@
         }
         return std::tie(occurrence, step) < std::tie(other.occurrence, other.step);
     }
+    bool operator==(const StepKey &) const = default;
 };
 
 /// Position of a step in the placement order.
@@ -37,6 +40,25 @@
     }
 };
 
+/// What decides whether a quota holds a step back: it holds all steps of a key, or none.
+struct LaneKey
+{
+    /// Empty for steps without a quota, whose other members have their defaults.
+    std::string team;
+    /// Resources of one task.
+    TaskResources need;
+    /// Number of tasks that start together: all of a gang, otherwise 1.
+    std::uint32_t count = 1;
+
+    bool operator==(const LaneKey &) const = default;
+    bool operator<(const LaneKey &other) const
+    {
+        return std::tie(team, need.processorMilli, need.memoryMb, need.accelerators, count)
+                < std::tie(other.team, other.need.processorMilli, other.need.memoryMb,
+                           other.need.accelerators, other.count);
+    }
+};
+
 /// A step with tasks that wait for a worker.
 struct WaitingStep
 {
@@ -44,6 +66,74 @@
     StepAttributes attributes;
     /// Indices of the waiting tasks.
     std::vector<std::uint32_t> indices;
+    LaneKey lane = {};
+};
+
+/// How long a quota has held a lane.
+struct QuotaHold
+{
+    /// Time at which it began. Since then the quota has allowed no step of the lane.
+    SteadyTimeMs since = 0;
+    /// Best rank of a step that was held in this time. Ranks get worse while steps are held.
+    StepRank rank;
+};
+
+/// Steps of a service that their team's quota holds back all or none. Steps without a quota share
+/// one lane.
+struct StepLane
+{
+    using Order = std::set<StepPosition>;
+
+    std::string service;
+    LaneKey key;
+    /// In placement order; not empty.
+    Order steps;
+    /// Steps whose jobs have not been reported as waiting for the quota. Empty without a quota.
+    Order unreported;
+    /// Set while the quota holds the lane, as of the last placement pass that has reached it.
+    std::optional<QuotaHold> hold;
+};
+
+/// Waiting steps of a service.
+struct ServiceSteps
+{
+    std::map<LaneKey, StepLane> lanes;
+
+    std::size_t size() const;
+};
+
+/// Visits the steps of a service in placement order, without those of lanes that are left out. The
+/// steps must not change meanwhile.
+class StepCursor
+{
+public:
+    explicit StepCursor(const ServiceSteps &steps);
+
+    bool isAtEnd() const { return m_heads.empty(); }
+    // Must not be called at the end.
+    const StepPosition &position() const { return *m_heads.front().next; }
+    const StepLane &lane() const { return *m_heads.front().lane; }
+    void next();
+    /// Leaves out the current step and the rest of its lane. Returns the number of steps of the
+    /// lane that were not visited, with the current one and those that were passed over.
+    std::size_t leaveOutLane();
+    /// Goes on with the first step behind the position. Stays if that is no step ahead.
+    void resumeBehind(const StepPosition &position);
+    /// Number of steps that were neither visited nor left out.
+    std::size_t remaining() const { return m_remaining; }
+
+private:
+    struct Head
+    {
+        StepLane::Order::const_iterator next;
+        const StepLane *lane = nullptr;
+        std::size_t visited = 0;
+    };
+    static bool isLater(const Head &left, const Head &right) { return *right.next < *left.next; }
+
+    /// A heap with the first step at the front.
+    std::vector<Head> m_heads;
+    std::size_t m_remaining = 0;
 };
 
 /// The steps that wait for capacity, in placement order. The cost of a change depends on the steps
@@ -51,7 +141,9 @@
 class WaitingSteps
 {
 public:
-    using Order = std::set<StepPosition>;
+    WaitingSteps() = default;
+    WaitingSteps(const WaitingSteps &) = delete;
+    WaitingSteps &operator=(const WaitingSteps &) = delete;
 
     /// Replaces the waiting steps of a job of the service. All keys must be of the job.
     void replace(const JobId &job, const std::string &service, std::vector<WaitingStep> steps,
@@ -61,23 +153,36 @@
     /// Moves the steps whose rank changes with time.
     void advance(WallTimeMs now);
     /// Waiting steps by service. No service is without any.
-    const std::map<std::string, Order> &byService() const { return m_byService; }
+    const std::map<std::string, ServiceSteps> &byService() const { return m_byService; }
     const WaitingStep &at(const StepKey &key) const { return m_steps.at(key).step; }
+    /// Null if no step of the lane waits.
+    const StepLane *lane(const std::string &service, const LaneKey &key) const;
+    void setHold(const StepLane &lane, std::optional<QuotaHold> hold);
+    /// Returns a step of each job that waits in the lane from the position on and has not been
+    /// reported, in placement order. The jobs count as reported until none of their steps waits in
+    /// a lane with a quota.
+    std::vector<StepKey> takeUnreported(const StepLane &lane, const StepPosition &from);
 
 private:
     struct Entry
     {
         WaitingStep step;
-        std::string service;
+        StepLane *lane = nullptr;
         StepRank rank;
         /// Time of the entry in m_rankChanges; 0 for none.
         WallTimeMs changesAt = 0;
     };
+    StepLane &laneOf(const std::string &service, const LaneKey &key);
+    /// Removes the steps of a job and returns their lanes, which may be empty now.
+    std::vector<StepLane *> removeSteps(const JobId &job);
+    void eraseEmpty(const std::vector<StepLane *> &lanes);
     void insertInOrder(const StepKey &key, Entry &entry, WallTimeMs now);
     void removeFromOrder(const StepKey &key, const Entry &entry);
 
     std::map<StepKey, Entry> m_steps;
-    std::map<std::string, Order> m_byService;
+    std::map<std::string, ServiceSteps> m_byService;
+    /// Jobs that were reported as waiting for their team's quota.
+    std::set<JobId> m_reported;
     /// Steps by the time at which their rank changes.
     std::set<std::pair<WallTimeMs, StepKey>> m_rankChanges;
 };
--- a/Tests/Scheduling/TeamQuotaTest.cpp
+++ b/Tests/Scheduling/TeamQuotaTest.cpp
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
 #include <random>
 
@@ -91,6 +92,41 @@
 
 constexpr std::int64_t jobsPerSecond = 2;
 
+/// Time within which a task that other tasks of its team pass has to start.
+constexpr std::int64_t maxHeldMs = 3000;
+
+/// Sends small jobs of a team, which need 13.6 cores at any time, until the condition holds or the
+/// limit has passed.
+void sendSmallJobs(FleetSimulation &fleet, const std::string &team, std::int64_t limit,
+                   const std::function<bool()> &condition)
+{
+    const SteadyTimeMs end = fleet.now + limit;
+    while (!condition() && fleet.now < end) {
+        fleet.submit(team + std::to_string(fleet.now), "quotes", {shortStep(1)}, team);
+        fleet.run(50);
+    }
+}
+
+void sendSmallJobs(FleetSimulation &fleet, const std::string &team, std::int64_t limit)
+{
+    sendSmallJobs(fleet, team, limit, [] { return false; });
+}
+
+/// Number of completed jobs whose id begins with the prefix.
+std::ptrdiff_t completedOf(const FleetSimulation &fleet, const std::string &prefix)
+{
+    return std::count_if(fleet.completedAt.begin(), fleet.completedAt.end(),
+                         [&prefix](const auto &item) { return item.first.starts_with(prefix); });
+}
+
+/// Number of decisions to let the job wait.
+std::ptrdiff_t waitsOf(const FleetSimulation &fleet, const std::string &job)
+{
+    return std::count_if(
+            fleet.waits.begin(), fleet.waits.end(),
+            [&job](const DispatchDecision &wait) { return wait.task.starts_with(job + "."); });
+}
+
 SharesResult replayShares(std::uint64_t seed, std::int64_t hotFactor, bool marksExcess)
 {
     FleetSimulation fleet(seed);
@@ -135,6 +171,7 @@
 {
     CPPUNIT_TEST_SUITE(TeamQuotaTest);
     CPPUNIT_TEST(rules);
+    CPPUNIT_TEST(reservationRules);
     CPPUNIT_TEST(useInRandomHistories);
     CPPUNIT_TEST(backlog);
     CPPUNIT_TEST(changedQuota);
@@ -144,6 +181,14 @@
     CPPUNIT_TEST(completionAfterLoss);
     CPPUNIT_TEST(gangs);
     CPPUNIT_TEST(largeTask);
+    CPPUNIT_TEST(passedLargeTask);
+    CPPUNIT_TEST(passedGang);
+    CPPUNIT_TEST(severalPassedSteps);
+    CPPUNIT_TEST(reservationsThatCannotBeUsed);
+    CPPUNIT_TEST(passedBestEffort);
+    CPPUNIT_TEST(teamsWithAndWithoutQuota);
+    CPPUNIT_TEST(raisedForThousands);
+    CPPUNIT_TEST(waitsLoggedOnce);
     CPPUNIT_TEST(twoTeams);
     CPPUNIT_TEST(costOfWaiting);
     CPPUNIT_TEST(bestEffortAndStopped);
@@ -187,6 +232,37 @@
         });
     }
 
+    /// Guards against quota that is kept for a task that can't use it, or kept from tasks that
+    /// don't need it.
+    void reservationRules()
+    {
+        const TaskResources quota{8000, 0, 2};
+        const QuotaWait large{{6000, 512, 0}, 1, 1501};
+        section("only after the time, and not if there is none", [&] {
+            CPPUNIT_ASSERT(reservesQuota(large, {}, quota, 1500));
+            CPPUNIT_ASSERT(!reservesQuota(large, {}, quota, 1501));
+            CPPUNIT_ASSERT(!reservesQuota(large, {}, quota, 0));
+            CPPUNIT_ASSERT(!reservesQuota(large, {}, quota, -1));
+        });
+        section("only if it fits beside the tasks that don't end by themselves", [&] {
+            CPPUNIT_ASSERT(reservesQuota(large, {2000, 99999, 0}, quota, 1500));
+            CPPUNIT_ASSERT(!reservesQuota(large, {2001, 0, 0}, quota, 1500));
+            CPPUNIT_ASSERT(reservesQuota({{9000, 0, 0}, 1, 1501}, {}, quota, 1500));
+            CPPUNIT_ASSERT(!reservesQuota({{9000, 0, 0}, 1, 1501}, {100, 0, 0}, quota, 1500));
+            CPPUNIT_ASSERT(reservesQuota({{1000, 0, 0}, 9, 1501}, {}, quota, 1500));
+            CPPUNIT_ASSERT(!reservesQuota({{1000, 0, 0}, 10, 1501}, {}, quota, 1500));
+        });
+        section("only tasks with a need in common delay it", [&] {
+            CPPUNIT_ASSERT(delaysQuotaWait({100, 512, 0}, large, quota));
+            CPPUNIT_ASSERT(!delaysQuotaWait({0, 512, 1}, large, quota));
+            CPPUNIT_ASSERT(!delaysQuotaWait({100, 512, 0}, {{0, 512, 2}, 1, 0}, quota));
+        });
+        section("each task delays one that starts alone", [&] {
+            CPPUNIT_ASSERT(delaysQuotaWait({0, 512, 0}, {{9000, 0, 0}, 1, 0}, quota));
+            CPPUNIT_ASSERT(!delaysQuotaWait({}, {{9000, 0, 0}, 1, 0}, quota));
+        });
+    }
+
     /// Guards against a use that drifts from the records over many changes, with printed seeds.
     void useInRandomHistories()
     {
@@ -482,6 +558,261 @@
         fleet.runUntil("both jobs", 4000, [&] { return fleet.completedAt.size() == 2; });
     }
 
+    /// Guards against a large task that smaller ones of its team pass for ever, as each end frees
+    /// room for a small one only, and against other teams that wait for it. Without a reservation
+    /// of the quota the large task doesn't start while small jobs arrive.
+    void passedLargeTask()
+    {
+        for (const std::int64_t milli : {6000, 8000, 9000}) {
+            FleetSimulation fleet(20);
+            setUpFleet(fleet, 3, {teamOf("a", 8000), teamOf("b", 8000)});
+            sendSmallJobs(fleet, "a", 1000);
+            fleet.submit("large", "quotes", {shortStep(1, milli)}, "a");
+            std::vector<std::string> others;
+            const SteadyTimeMs submittedAt = fleet.now;
+            sendSmallJobs(fleet, "a", 2 * maxHeldMs, [&] {
+                if (fleet.runningCount("large") == 1) {
+                    return true;
+                }
+                others.push_back("other" + std::to_string(others.size()));
+                fleet.submit(others.back(), "quotes", {shortStep(1, 100)}, "b");
+                return false;
+            });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("large"));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.now - submittedAt),
+                                   fleet.now - submittedAt <= maxHeldMs);
+            section("the small jobs and the other team go on", [&] {
+                const std::ptrdiff_t completed = completedOf(fleet, "a");
+                sendSmallJobs(fleet, "a", 2000);
+                CPPUNIT_ASSERT(isCompleted(fleet, "large"));
+                CPPUNIT_ASSERT(completedOf(fleet, "a") >= completed + 8);
+                for (const std::string &other : others) {
+                    CPPUNIT_ASSERT(isCompleted(fleet, other));
+                    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), waitsOf(fleet, other));
+                }
+            });
+        }
+    }
+
+    /// Guards against a gang that single tasks of its team pass for ever. Without a reservation of
+    /// the quota the gang doesn't start while small jobs arrive.
+    void passedGang()
+    {
+        FleetSimulation fleet(21);
+        setUpFleet(fleet, 2, {teamOf("a", 6000)});
+        StepSpec gang = shortStep(5);
+        gang.gang = true;
+        sendSmallJobs(fleet, "a", 1000);
+        fleet.submit("gang", "quotes", {gang}, "a");
+        const SteadyTimeMs submittedAt = fleet.now;
+        sendSmallJobs(fleet, "a", 2 * maxHeldMs, [&] { return fleet.runningCount("gang") == 5; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), fleet.runningCount("gang"));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.now - submittedAt),
+                               fleet.now - submittedAt <= maxHeldMs);
+    }
+
+    /// Guards against steps that keep the quota from each other, and against jobs that wait for
+    /// themselves: with a later step that is larger, or with occurrences that overlap.
+    void severalPassedSteps()
+    {
+        FleetSimulation fleet(22);
+        setUpFleet(fleet, 3, {teamOf("a", 8000)});
+        StepSpec gang = shortStep(6);
+        gang.gang = true;
+        StepSpec second = shortStep(1, 7000);
+        second.dependsOn = {0};
+        sendSmallJobs(fleet, "a", 1000);
+        fleet.submit("large", "quotes", {shortStep(1, 6000)}, "a");
+        fleet.submit("larger", "quotes", {shortStep(1, 9000)}, "a");
+        fleet.submit("gang", "quotes", {gang}, "a");
+        section("each of them completes while small jobs arrive", [&] {
+            const auto completed = [&] {
+                return isCompleted(fleet, "large") && isCompleted(fleet, "larger")
+                        && isCompleted(fleet, "gang");
+            };
+            sendSmallJobs(fleet, "a", 3 * maxHeldMs, completed);
+            CPPUNIT_ASSERT(completed());
+        });
+        section("both steps of a job complete while small jobs arrive", [&] {
+            fleet.submit("steps", "quotes", {shortStep(1, 3000), second}, "a");
+            const auto completed = [&] { return isCompleted(fleet, "steps"); };
+            sendSmallJobs(fleet, "a", 3 * maxHeldMs, completed);
+            CPPUNIT_ASSERT(completed());
+        });
+        section("a job that repeats completes when no more small jobs arrive", [&] {
+            JobAccepted repeated;
+            repeated.spec.id = "repeated";
+            repeated.spec.queue = "quotes";
+            repeated.spec.team = "a";
+            repeated.spec.steps = {shortStep(1, 4000), second};
+            repeated.spec.startAtMs = fleet.now;
+            repeated.spec.intervalMs = 500;
+            repeated.spec.repeatCount = 4;
+            repeated.queue = queueOf("quotes", "pricing");
+            repeated.atMs = fleet.now;
+            fleet.state.apply(repeated);
+            fleet.dispatcher->applied(repeated, fleet.now);
+            sendSmallJobs(fleet, "a", 5000);
+            fleet.runUntil("all jobs", 60000, [&] {
+                return isCompleted(fleet, "repeated")
+                        && fleet.dispatcher->useOf("a") == TaskResources{};
+            });
+        });
+    }
+
+    /// Guards against quota that is kept for a step that can't start: beside long-running tasks,
+    /// on no worker, or as a gang beyond the quota.
+    void reservationsThatCannotBeUsed()
+    {
+        const auto smallJobsGoOn = [](const std::vector<StepSpec> &held, bool hasLongRunning,
+                                      std::int64_t workerMilli) {
+            FleetSimulation fleet(23);
+            fleet.configure({queueOf("quotes", "pricing", 5)}, {"pricing"});
+            fleet.setTeams({teamOf("a", 8000)});
+            for (int worker = 0; worker < 6; ++worker) {
+                fleet.addWorker("pricing", workerMilli);
+            }
+            fleet.start();
+            fleet.run(100);
+            if (hasLongRunning) {
+                fleet.submit("server", "quotes", {longRunningStep(4, 0)}, "a");
+            }
+            fleet.run(1000);
+            sendSmallJobs(fleet, "a", 1000);
+            fleet.submit("held", "quotes", held, "a");
+            for (int period = 0; period < 4; ++period) {
+                const std::uint32_t before = fleet.starts;
+                sendSmallJobs(fleet, "a", maxHeldMs);
+                CPPUNIT_ASSERT(fleet.starts >= before + 8);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.runningCount("held"));
+        };
+        section("beside long-running tasks",
+                [&] { smallJobsGoOn({shortStep(1, 6000)}, true, 16000); });
+        section("larger than each worker",
+                [&] { smallJobsGoOn({shortStep(1, 6000)}, false, 4000); });
+        section("a gang that never starts", [&] {
+            StepSpec gang = shortStep(10);
+            gang.gang = true;
+            smallJobsGoOn({gang}, false, 16000);
+        });
+    }
+
+    /// Guards against a best-effort task for which the quota is kept from tasks that can be on
+    /// time.
+    void passedBestEffort()
+    {
+        FleetSimulation fleet(24);
+        setUpFleet(fleet, 2, {teamOf("a", 2000)});
+        StepSpec filler = shortStep(1, 2000);
+        filler.bestEffort = true;
+        const auto sendOne = [&](int job) {
+            fleet.submit("j" + std::to_string(job), "quotes", {shortStep(1)}, "a");
+            fleet.run(400);
+        };
+        sendOne(0);
+        fleet.submit("filler", "quotes", {filler}, "a");
+        for (int job = 1; job < 20; ++job) {
+            sendOne(job);
+        }
+        fleet.runUntil("the filler", 3000, [&] { return fleet.runningCount("filler") == 1; });
+        for (int job = 0; job < 20; ++job) {
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), waitsOf(fleet, "j" + std::to_string(job)));
+        }
+    }
+
+    /// Guards against steps without a quota that wait with those of a team that has one, and
+    /// against wrong numbers of held steps.
+    void teamsWithAndWithoutQuota()
+    {
+        FleetSimulation fleet(25);
+        fleet.durationOf = [](const TaskKey &) { return 30000; };
+        setUpFleet(fleet, 1, {teamOf("a", 2000), teamOf("b", 0)});
+        for (int job = 0; job < 10; ++job) {
+            fleet.submit("j" + std::to_string(job) + "a", "quotes", {shortStep(1)}, "a");
+            if (job % 2 == 0) {
+                fleet.submit("j" + std::to_string(job) + "b", "quotes", {shortStep(1)}, "b");
+                fleet.submit("j" + std::to_string(job) + "n", "quotes", {shortStep(1)});
+            }
+        }
+        fleet.run(300);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2000), runningMilli(fleet, "a"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5000), runningMilli(fleet, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5000), runningMilli(fleet, ""));
+        CPPUNIT_ASSERT_EQUAL(8U, fleet.dispatcher->waitCounts().quota);
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.dispatcher->waitCounts().capacity);
+        section("without its quota the team waits for workers only", [&] {
+            fleet.setTeams({teamOf("a", 0), teamOf("b", 0)});
+            fleet.run(300);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(6000), runningMilli(fleet, "a"));
+            CPPUNIT_ASSERT_EQUAL(0U, fleet.dispatcher->waitCounts().quota);
+            CPPUNIT_ASSERT_EQUAL(4U, fleet.dispatcher->waitCounts().capacity);
+        });
+        section("with one it waits for it again", [&] {
+            fleet.setTeams({teamOf("a", 2000), teamOf("b", 0)});
+            fleet.run(300);
+            CPPUNIT_ASSERT_EQUAL(4U, fleet.dispatcher->waitCounts().quota);
+            CPPUNIT_ASSERT_EQUAL(0U, fleet.dispatcher->waitCounts().capacity);
+        });
+    }
+
+    /// Guards against steps that stay held by an earlier quota when many of them wait.
+    void raisedForThousands()
+    {
+        constexpr int jobs = 2000;
+        FleetSimulation fleet(26);
+        fleet.durationOf = [](const TaskKey &) { return 60000; };
+        setUpFleet(fleet, 20, {teamOf("a", 1000)});
+        StepSpec step = shortStep(1, 100);
+        step.need.memoryMb = 100;
+        for (int job = 0; job < jobs; ++job) {
+            fleet.submit("j" + std::to_string(job), "quotes", {step}, "a");
+        }
+        fleet.run(500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1000), runningMilli(fleet, "a"));
+        CPPUNIT_ASSERT_EQUAL(1990U, fleet.dispatcher->waitCounts().quota);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1990), fleet.waits.size());
+        fleet.setTeams({teamOf("a", 100 * jobs)});
+        fleet.runUntil("all starts", 2000, [&] { return runningMilli(fleet, "a") == 100 * jobs; });
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.dispatcher->waitCounts().quota);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1990), fleet.waits.size());
+    }
+
+    /// Guards against several log lines for a job that waits with more than one step, and against
+    /// none when its quota has gone and come back.
+    void waitsLoggedOnce()
+    {
+        section("a job with two steps", [] {
+            FleetSimulation fleet(27);
+            setUpFleet(fleet, 2, {teamOf("a", 4000)});
+            for (int job = 0; job < 12; ++job) {
+                fleet.submit("j" + std::to_string(job), "quotes",
+                             {shortStep(2), shortStep(1, 2000)}, "a");
+            }
+            fleet.runUntil("all jobs", 30000, [&] { return fleet.completedAt.size() == 12; });
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), waitsOf(fleet, "j0"));
+            for (int job = 1; job < 12; ++job) {
+                CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), waitsOf(fleet, "j" + std::to_string(job)));
+            }
+        });
+        section("a quota that goes and comes back", [] {
+            FleetSimulation fleet(28);
+            fleet.durationOf = [](const TaskKey &) { return 30000; };
+            setUpFleet(fleet, 1, {teamOf("a", 1000)});
+            fleet.submit("first", "quotes", {shortStep(1)}, "a");
+            fleet.submit("others", "quotes", {shortStep(15)}, "b");
+            fleet.run(200);
+            fleet.submit("second", "quotes", {shortStep(1)}, "a");
+            fleet.run(500);
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), waitsOf(fleet, "second"));
+            fleet.setTeams({});
+            fleet.run(500);
+            fleet.setTeams({teamOf("a", 1000)});
+            fleet.run(500);
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(2), waitsOf(fleet, "second"));
+        });
+    }
+
     /// Guards against a team at its quota whose backlog hides the steps of another one.
     void twoTeams()
     {
