Scheduling: Decide submissions in a function and find teams by an index

The facts of a submission were gathered inside JobService, so that no test in simulated time could replay the decisions.

reviewSubmission(), liesBeyondShare() and recordInShare() hold the decision; JobService calls them. The team directory, which is rebuilt when the configuration changes, holds the position of each team. The job is moved from the decision to the proposal, and paths are looked up without a copy.

Checked by compiling the changed files; not linked, not run.

--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -23,6 +23,7 @@
 #include "Scheduling/ServiceLoads.h"
 #include "Scheduling/ShareMeter.h"
 #include "Scheduling/SubmissionForecast.h"
+#include "Scheduling/SubmissionReview.h"
 #include "Scheduling/TeamDirectory.h"
 
 namespace dandelionloom {
@@ -128,8 +129,8 @@
     /// Team of a job that is recorded or proposed; empty for none.
     std::string teamOfJob(const std::string &job) const;
     /// Accepts the job or refuses it, as it would end too late or its team is beyond its share.
-    SubmissionDecision decide(const JobSpec &spec, const QueueConfig &queue,
-                              const TeamConfig *owner, const std::string &requestId);
+    SubmissionDecision decide(const JobRecord &job, const TeamConfig *owner,
+                              const std::string &requestId, SteadyTimeMs now);
     /// Compares the first start of a job with its predicted one.
     void checkPrediction(const RunAssigned &assigned);
     /// False if the job is of another team than the caller's.
@@ -182,6 +183,7 @@
     std::multimap<std::string, PendingReply> m_pendingReplies;
     /// Teams of the jobs that are proposed and not yet applied, by job.
     std::map<std::string, std::string> m_teamsOfProposedJobs;
+    /// Teams of the configuration applied here, see rebuildTeams().
     TeamDirectory m_teams;
     ShareMeter m_shares;
     ServiceLoads m_loads;
--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -1,7 +1,4 @@
-#include <algorithm>
-
 #include "Runtime/JobService.h"
-#include "Scheduling/StepFacts.h"
 
 // Handlers of the calls of clients, workers and operators. They run on the leader only.
 
@@ -13,9 +10,6 @@
 /// jobs in use have a hundred tasks.
 constexpr std::uint64_t maxTasksPerJob = 20000;
 
-/// Number of different delays that callers of one refusal get, by a hash of their job's id.
-constexpr std::uint64_t spreadSteps = 1024;
-
 std::string jobKey(const std::string &job)
 {
     return "job/" + job;
@@ -186,10 +180,7 @@
 
 const TeamConfig *JobService::team(const std::string &name) const
 {
-    const std::vector<TeamConfig> &teams = m_schedulerState.configuration().teams;
-    const auto found = std::find_if(teams.begin(), teams.end(),
-                                    [&name](const TeamConfig &each) { return each.name == name; });
-    return found == teams.end() ? nullptr : &*found;
+    return findTeam(m_teams, m_schedulerState.configuration(), name);
 }
 
 std::optional<std::string> JobService::findTeamOrReply(const QueueConfig &queue,
@@ -213,41 +204,20 @@
     return std::nullopt;
 }
 
-SubmissionDecision JobService::decide(const JobSpec &spec, const QueueConfig &queue,
-                                      const TeamConfig *owner, const std::string &requestId)
+SubmissionDecision JobService::decide(const JobRecord &job, const TeamConfig *owner,
+                                      const std::string &requestId, SteadyTimeMs now)
 {
-    const bool startsLater = spec.repeatCount > 0 || spec.startAtMs > 0;
-    if (!m_teams.requiresKeys || isLongRunning(spec) || isBestEffort(spec) || startsLater) {
+    if (!m_teams.requiresKeys) {
         return {};
     }
-    JobRecord job;
-    job.spec = spec;
-    job.queue = queue;
-    job.acceptedAtMs = wallTimeNow();
-    const SubmittedJob submitted =
-            submittedJob(job, m_dispatcher.durations().expectedStepMs(spec), job.acceptedAtMs);
-    const SteadyTimeMs now = steadyTimeNow();
-    const std::optional<ServiceLoad> load =
-            m_loads.loadOf(queue.service, submitted.rank, !spec.beyondShare, now);
+    const auto [decision, load] = reviewSubmission(
+            job, owner, {m_shares, m_dispatcher.durations(), m_loads}, m_options.submissions, now);
     if (!load) {
-        return {};
+        return decision;
     }
-    SubmissionFacts facts;
-    facts.now = job.acceptedAtMs;
-    facts.jobCoreMs = submitted.coreMs;
-    facts.jobPathMs = submitted.pathMs;
-    facts.usefulUntil = submitted.usefulUntil;
-    facts.withinShare = !spec.beyondShare;
-    facts.msUntilWithinShare =
-            owner == nullptr ? 0 : m_shares.msUntilWithinShare(owner->name, owner->weight, now);
-    facts.targetLatencyMs = queue.targetLatencyMs;
-    facts.callerSpread = static_cast<double>(JobId(spec.id).hash() % spreadSteps)
-            / static_cast<double>(spreadSteps);
-    facts.load = *load;
-    const SubmissionDecision decision = decideSubmission(facts, m_options.submissions);
     const bool accepted = decision.verdict == SubmissionVerdict::Accepted;
     if (accepted) {
-        m_predictedStarts[spec.id] = now + decision.predictedWaitMs;
+        m_predictedStarts[job.spec.id] = now + decision.predictedWaitMs;
     } else {
         m_metrics.count(
                 "dandelionloom_submissions_refused_total",
@@ -256,9 +226,9 @@
     // Accepted jobs come by the hundred a second and must not use the lines of rarer events.
     m_log.line(accepted ? LogSeverity::Debug : LogSeverity::Info, "forecast",
                {{"request", requestId},
-                {"job", spec.id},
-                {"queue", queue.name},
-                {"team", spec.team},
+                {"job", job.spec.id},
+                {"queue", job.queue.name},
+                {"team", job.spec.team},
                 {"verdict", submissionVerdictNames.name(decision.verdict)},
                 {"wait_ms", decision.predictedWaitMs},
                 {"retry_after_ms", decision.retryAfterMs},
@@ -327,9 +297,12 @@
     }
     const TeamConfig *owner = team(spec.team);
     const SteadyTimeMs now = steadyTimeNow();
-    spec.beyondShare = owner != nullptr && !isLongRunning(spec)
-            && !m_shares.isWithinShare(owner->name, owner->weight, now);
-    const SubmissionDecision decision = decide(spec, *queue, owner, call.requestId);
+    JobRecord job;
+    job.spec = std::move(spec);
+    job.spec.beyondShare = liesBeyondShare(job.spec, owner, m_shares, now);
+    job.queue = *queue;
+    job.acceptedAtMs = wallTimeNow();
+    const SubmissionDecision decision = decide(job, owner, call.requestId, now);
     if (decision.verdict != SubmissionVerdict::Accepted) {
         JobCallAnswer refusal = makeAnswer(
                 JobCallOutcome::Busy, std::string(submissionVerdictNames.name(decision.verdict)));
@@ -337,12 +310,13 @@
         reply(refusal);
         return;
     }
-    if (owner != nullptr && !isLongRunning(spec) && !spec.beyondShare) {
-        m_shares.record(owner->name, now);
-    }
+    recordInShare(job.spec, owner, m_shares, now);
     replyWhenApplied(key, makeAnswer(JobCallOutcome::Done, "accepted"), reply);
-    m_teamsOfProposedJobs[spec.id] = spec.team;
-    propose({JobAccepted{std::move(spec), *queue, wallTimeNow()}});
+    m_teamsOfProposedJobs[job.spec.id] = job.spec.team;
+    // Not by propose(), whose list would copy the job with its payload.
+    m_unproposedChanges.emplace_back(
+            JobAccepted{std::move(job.spec), std::move(job.queue), job.acceptedAtMs});
+    scheduleFlush();
 }
 
 void JobService::status(const JobCall &call, const JobReplyCallback &reply)
--- a/Source/Scheduling/QueueIndex.cpp
+++ b/Source/Scheduling/QueueIndex.cpp
@@ -30,7 +30,7 @@
         if (*length > path.size()) {
             continue;
         }
-        const auto queue = known->second.byPrefix.find(std::string(path.substr(0, *length)));
+        const auto queue = known->second.byPrefix.find(path.substr(0, *length));
         if (queue != known->second.byPrefix.end()) {
             return queue->second;
         }
--- a/Source/Scheduling/QueueIndex.h
+++ b/Source/Scheduling/QueueIndex.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,9 +27,18 @@
     std::optional<std::size_t> serving(const std::string &host, std::string_view path) const;
 
 private:
+    /// Lets a part of a path be looked up without a copy of it.
+    struct TextHash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const
+        {
+            return std::hash<std::string_view>{}(text);
+        }
+    };
     struct Host
     {
-        std::unordered_map<std::string, std::size_t> byPrefix;
+        std::unordered_map<std::string, std::size_t, TextHash, std::equal_to<>> byPrefix;
         /// Lengths of the prefixes, which are few.
         std::set<std::size_t> lengths;
     };
--- a/Source/Scheduling/TeamDirectory.cpp
+++ b/Source/Scheduling/TeamDirectory.cpp
@@ -6,7 +6,9 @@
 {
     TeamDirectory directory;
     directory.requiresKeys = configuration.requiresKeys;
-    for (const TeamConfig &team : configuration.teams) {
+    for (std::size_t position = 0; position < configuration.teams.size(); ++position) {
+        const TeamConfig &team = configuration.teams[position];
+        directory.positionOfTeam.emplace(team.name, position);
         for (const std::string &key : team.apiKeys) {
             directory.teamOfKey.emplace(key, team.name);
         }
@@ -14,6 +16,13 @@
     return directory;
 }
 
+const TeamConfig *findTeam(const TeamDirectory &directory, const FleetConfiguration &configuration,
+                           const std::string &name)
+{
+    const auto found = directory.positionOfTeam.find(name);
+    return found == directory.positionOfTeam.end() ? nullptr : &configuration.teams[found->second];
+}
+
 KeyDecision checkKey(const TeamDirectory &directory, const QueueConfig &queue,
                      const std::string &apiKey)
 {
--- a/Source/Scheduling/TeamDirectory.h
+++ b/Source/Scheduling/TeamDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 
@@ -8,15 +9,22 @@
 
 namespace dandelionloom {
 
-/// The teams of one configuration, by key.
+/// The teams of one configuration. Each submission asks for the caller's team.
 struct TeamDirectory
 {
     bool requiresKeys = false;
+    /// Name of the team by key.
     std::unordered_map<std::string, std::string> teamOfKey;
+    /// Position in FleetConfiguration::teams by name.
+    std::unordered_map<std::string, std::size_t> positionOfTeam;
 };
 
 TeamDirectory makeTeamDirectory(const FleetConfiguration &configuration);
 
+/// The team with this name; null if there is none. The directory must be of the configuration.
+const TeamConfig *findTeam(const TeamDirectory &directory, const FleetConfiguration &configuration,
+                           const std::string &name);
+
 enum class KeyCheck {
     /// The key belongs to a team.
     Known,
--- a/Tests/Scheduling/TeamDirectoryTest.cpp
+++ b/Tests/Scheduling/TeamDirectoryTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST_SUITE(TeamDirectoryTest);
     CPPUNIT_TEST(keys);
     CPPUNIT_TEST(publicQueues);
+    CPPUNIT_TEST(teamsByName);
     CPPUNIT_TEST(jobsOfOtherTeams);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,26 @@
         CPPUNIT_ASSERT(teamOf(configuration, "x", true).empty());
     }
 
+    /// Guards against a team whose jobs are measured by the weight of another one after the
+    /// configuration changed.
+    void teamsByName()
+    {
+        FleetConfiguration configuration = twoTeams();
+        const auto weightOf = [&configuration](const std::string &name) {
+            const TeamConfig *team =
+                    findTeam(makeTeamDirectory(configuration), configuration, name);
+            return team == nullptr ? -1 : team->weight;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(20), weightOf("large"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), weightOf("small"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(-1), weightOf(""));
+        section("a removed team is unknown, and the others keep their weights", [&] {
+            configuration.teams.erase(configuration.teams.begin());
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(-1), weightOf("large"));
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(2), weightOf("small"));
+        });
+    }
+
     /// Guards against a team that reads or cancels the jobs of another one.
     void jobsOfOtherTeams()
     {
