Scheduling: Limit a team's work to what its quota lets run

Work that a quota holds back counts as ahead of new jobs of other teams, although it can't take capacity from them. coreMsWithinQuota() gives the part of a job's work that its team's quota lets run within a time, by the resource that limits it. The sums of waiting work don't use it yet.

Checked by compiling the changed files; not linked, not run.

--- a/Source/Scheduling/ServiceLoads.cpp
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -39,6 +39,40 @@
     return work;
 }
 
+QuotaTime operator+(const QuotaTime &left, const QuotaTime &right)
+{
+    return {left.processorMs + right.processorMs, left.memoryMs + right.memoryMs,
+            left.acceleratorMs + right.acceleratorMs};
+}
+
+QuotaTime quotaTime(double coreMs, const TaskResources &need, const TaskResources &maxRunning)
+{
+    if (need.processorMilli <= 0) {
+        return {};
+    }
+    const double taskMs = coreMs * milliPerCore / static_cast<double>(need.processorMilli);
+    const auto timeOf = [taskMs](std::int64_t amount, std::int64_t limit) {
+        return limit == 0 ? 0
+                          : taskMs * static_cast<double>(amount)
+                        / static_cast<double>(std::max(limit, amount));
+    };
+    return {timeOf(need.processorMilli, maxRunning.processorMilli),
+            timeOf(need.memoryMb, maxRunning.memoryMb),
+            timeOf(need.accelerators, maxRunning.accelerators)};
+}
+
+double coreMsWithinQuota(double coreMs, const QuotaTime &earlier, const QuotaTime &own,
+                         std::int64_t horizonMs)
+{
+    const double beginMs = earlier.longestMs();
+    const double endMs = (earlier + own).longestMs();
+    const auto horizon = static_cast<double>(horizonMs);
+    if (endMs <= horizon) {
+        return coreMs;
+    }
+    return beginMs >= horizon ? 0 : coreMs * (horizon - beginMs) / (endMs - beginMs);
+}
+
 SubmittedJob submittedJob(const JobRecord &job, const std::vector<std::int64_t> &stepMs,
                           WallTimeMs now)
 {
--- a/Source/Scheduling/ServiceLoads.h
+++ b/Source/Scheduling/ServiceLoads.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,6 +40,31 @@
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
                           const WaitingSteps::Order &steps);
 
+/// Time in milliseconds for which work takes the whole of its team's quota, by resource; 0 for a
+/// resource without a limit.
+struct QuotaTime
+{
+    double processorMs = 0;
+    double memoryMs = 0;
+    double acceleratorMs = 0;
+
+    double longestMs() const { return std::max({processorMs, memoryMs, acceleratorMs}); }
+};
+
+QuotaTime operator+(const QuotaTime &left, const QuotaTime &right);
+
+/// Time of the work of tasks that each require `need`, by its core-milliseconds. A task that is
+/// larger than the quota runs alone, with all that it requires. Tasks that require no processor
+/// time have no work, and take no time.
+QuotaTime quotaTime(double coreMs, const TaskResources &need, const TaskResources &maxRunning);
+
+/// Core-milliseconds of a job's work that the quota of its team lets run within `horizonMs`.
+/// `earlier` is the time of the team's jobs before it in placement order, `own` that of the job.
+/// The rest takes no capacity from jobs of other teams in that time. What the team runs besides is
+/// not deducted, so that this is an upper bound.
+double coreMsWithinQuota(double coreMs, const QuotaTime &earlier, const QuotaTime &own,
+                         std::int64_t horizonMs);
+
 /// Facts of a job that is about to be accepted.
 struct SubmittedJob
 {
--- /dev/null
+++ b/Tests/Scheduling/ServiceLoadsTest.cpp
@@ -0,0 +1,105 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Scheduling/ServiceLoads.h"
+#include "Support/Section.h"
+
+using namespace dandelionloom;
+using namespace dandelionloom::test;
+
+namespace {
+
+constexpr std::int64_t horizonMs = 5000;
+constexpr double tolerance = 1e-6;
+const TaskResources fourCores{4000, 0, 0};
+const TaskResources oneCore{1000, 512, 0};
+
+/// Core-milliseconds that count of equal jobs of a team, in placement order.
+double countedOf(int jobs, double coreMs, const TaskResources &need, const TaskResources &quota)
+{
+    const QuotaTime own = quotaTime(coreMs, need, quota);
+    QuotaTime earlier;
+    double counted = 0;
+    for (int job = 0; job < jobs; ++job) {
+        counted += coreMsWithinQuota(coreMs, earlier, own, horizonMs);
+        earlier = earlier + own;
+    }
+    return counted;
+}
+
+} // namespace
+
+class ServiceLoadsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServiceLoadsTest);
+    CPPUNIT_TEST(workWithinQuota);
+    CPPUNIT_TEST(limitingResource);
+    CPPUNIT_TEST(largeTasks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against jobs of other teams that are refused for work that its team's quota holds
+    /// back, and against work that runs and counts as held back.
+    void workWithinQuota()
+    {
+        const auto counted = [](int jobs, const TaskResources &quota) {
+            return countedOf(jobs, 2000, oneCore, quota);
+        };
+        section("work that the quota lets run counts in full", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(2000, counted(1, fourCores), tolerance);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(20000, counted(10, fourCores), tolerance);
+        });
+        section("the rest of a long backlog does not count", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(20000, counted(11, fourCores), tolerance);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(20000, counted(2000, fourCores), tolerance);
+        });
+        section("a job counts in part if it reaches beyond the time", [&] {
+            const QuotaTime own = quotaTime(8000, oneCore, fourCores);
+            const QuotaTime earlier = quotaTime(16000, oneCore, fourCores);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, coreMsWithinQuota(8000, earlier, own, horizonMs),
+                                         tolerance);
+        });
+        section("without a quota all work counts",
+                [&] { CPPUNIT_ASSERT_DOUBLES_EQUAL(4e6, counted(2000, {}), tolerance); });
+        section("no time, no work", [&] {
+            const QuotaTime own = quotaTime(2000, oneCore, fourCores);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0, coreMsWithinQuota(2000, {}, own, 0), tolerance);
+        });
+    }
+
+    /// Guards against a quota of memory or accelerators that is taken for none.
+    void limitingResource()
+    {
+        section("memory for two tasks at once", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(10000, countedOf(50, 2000, oneCore, {4000, 1024, 0}),
+                                         tolerance);
+        });
+        section("one accelerator", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(5000, countedOf(50, 2000, {1000, 512, 1}, {0, 0, 1}),
+                                         tolerance);
+        });
+        section("jobs that take different resources run beside one another", [&] {
+            const TaskResources quota{4000, 4096, 0};
+            const QuotaTime processor = quotaTime(16000, {1000, 1, 0}, quota);
+            const QuotaTime memory = quotaTime(1600, {100, 1024, 0}, quota);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, processor.longestMs(), tolerance);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, memory.longestMs(), tolerance);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(
+                    1600, coreMsWithinQuota(1600, processor, memory, horizonMs), tolerance);
+        });
+        section("tasks without processor time have no work", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0, quotaTime(0, {0, 512, 0}, {0, 512, 0}).longestMs(),
+                                         tolerance);
+        });
+    }
+
+    /// Guards against a task that is larger than its quota and counts for less than it takes: it
+    /// runs alone, with all that it requires.
+    void largeTasks()
+    {
+        const TaskResources eightCores{8000, 512, 0};
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(40000, countedOf(50, 8000, eightCores, fourCores), tolerance);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServiceLoadsTest);
