--- a/Tests/Scheduling/JobServiceFixture.cpp
+++ b/Tests/Scheduling/JobServiceFixture.cpp
@@ -37,6 +37,17 @@
     return call;
 }
 
+/// Submits a job of one task of one core.
+JobCall submissionOf(const std::string &path, const std::string &key, std::int64_t estimateMs)
+{
+    JobCall call = callOf(JobCallKind::Submit, path, key);
+    StepSpec step;
+    step.need = {1000, 100, 0};
+    step.estimateMs = estimateMs;
+    call.spec.steps = {step};
+    return call;
+}
+
 } // namespace
 
 class JobServiceFixture::FakeWorkers : public WorkerCalls
@@ -196,12 +207,22 @@
 JobCallAnswer JobServiceFixture::submit(const std::string &path, const std::string &key,
                                         std::int64_t estimateMs)
 {
-    JobCall submitted = callOf(JobCallKind::Submit, path, key);
-    StepSpec step;
-    step.need = {1000, 100, 0};
-    step.estimateMs = estimateMs;
-    submitted.spec.steps = {step};
-    return call(submitted);
+    return call(submissionOf(path, key, estimateMs));
+}
+
+std::optional<JobCallAnswer> JobServiceFixture::answerWithinSubmit(const std::string &path,
+                                                                   const std::string &key,
+                                                                   std::int64_t estimateMs)
+{
+    // Shared, as an accepted job is answered after this function has returned.
+    const auto answer = std::make_shared<std::optional<JobCallAnswer>>();
+    std::optional<JobCallAnswer> withinCall;
+    m_loop.runAndWait([&] {
+        m_service->handle(submissionOf(path, key, estimateMs),
+                          [answer](JobCallAnswer received) { *answer = std::move(received); });
+        withinCall = *answer;
+    });
+    return withinCall;
 }
 
 JobCallAnswer JobServiceFixture::status(const std::string &path, const std::string &key)
--- a/Tests/Scheduling/JobServiceFixture.h
+++ b/Tests/Scheduling/JobServiceFixture.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,9 @@
     /// Submits a job of one task of one core.
     JobCallAnswer submit(const std::string &path, const std::string &key,
                          std::int64_t estimateMs = 500);
+    /// The same without waiting: none if the answer is not given within the call.
+    std::optional<JobCallAnswer> answerWithinSubmit(const std::string &path, const std::string &key,
+                                                    std::int64_t estimateMs = 500);
     JobCallAnswer status(const std::string &path, const std::string &key);
     JobCallAnswer cancel(const std::string &path, const std::string &key);
     JobCallAnswer configure(const FleetConfiguration &configuration);
