--- a/Source/Scheduling/ServiceLoads.cpp
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -25,6 +25,14 @@
     entries.push_back({rank, coreMs, totalCoreMs() + coreMs, onTimeUntil});
 }
 
+void WaitingWork::insert(const StepRank &rank, double coreMs, WallTimeMs onTimeUntil)
+{
+    const double before = coreMsBefore(rank);
+    const auto next = entries.begin() + static_cast<std::ptrdiff_t>(countBefore(entries, rank));
+    const auto added = entries.insert(next, {rank, coreMs, before, onTimeUntil});
+    std::for_each(added, entries.end(), [coreMs](Entry &entry) { entry.coreMsUpTo += coreMs; });
+}
+
 double WaitingWork::coreMsBefore(const StepRank &rank) const
 {
     const std::size_t count = countBefore(entries, rank);
@@ -50,10 +58,45 @@
     return waitMs <= untilLate ? std::optional(waitMs) : std::nullopt;
 }
 
+QuotaTime operator+(const QuotaTime &left, const QuotaTime &right)
+{
+    return {left.processorMs + right.processorMs, left.memoryMs + right.memoryMs,
+            left.acceleratorMs + right.acceleratorMs};
+}
+
+QuotaTime quotaTime(double coreMs, const TaskResources &need, const TaskResources &maxRunning)
+{
+    if (need.processorMilli <= 0) {
+        return {};
+    }
+    const double taskMs = coreMs * milliPerCore / static_cast<double>(need.processorMilli);
+    const auto timeOf = [taskMs](std::int64_t amount, std::int64_t limit) {
+        return limit == 0 ? 0
+                          : taskMs * static_cast<double>(amount)
+                        / static_cast<double>(std::max(limit, amount));
+    };
+    return {timeOf(need.processorMilli, maxRunning.processorMilli),
+            timeOf(need.memoryMb, maxRunning.memoryMb),
+            timeOf(need.accelerators, maxRunning.accelerators)};
+}
+
+double coreMsWithinQuota(double coreMs, const QuotaTime &earlier, const QuotaTime &own,
+                         std::int64_t horizonMs)
+{
+    const double beginMs = earlier.longestMs();
+    const double endMs = (earlier + own).longestMs();
+    const auto horizon = static_cast<double>(horizonMs);
+    if (endMs <= horizon) {
+        return coreMs;
+    }
+    return beginMs >= horizon ? 0 : coreMs * (horizon - beginMs) / (endMs - beginMs);
+}
+
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
-                          const ServiceSteps &steps)
+                          const ServiceSteps &steps, WallTimeMs now)
 {
     WaitingWork work;
+    std::map<std::string, QuotaTime> quotaTimes;
     const StepKey *previous = nullptr;
     for (StepCursor cursor(steps); !cursor.isAtEnd(); cursor.next()) {
         const StepPosition &position = cursor.position();
@@ -71,8 +114,15 @@
             continue;
         }
         const StepAttributes &attributes = waiting.at(key).attributes;
-        work.add(position.rank, attributes.remainingWork / milliPerCore,
-                 latestOnTimeStart(attributes));
+        double coreMs = attributes.remainingWork / milliPerCore;
+        const auto quota = state.quotas().find(job->spec.team);
+        if (quota != state.quotas().end()) {
+            const QuotaTime own = quotaTime(coreMs, job->spec.steps[key.step].need, quota->second);
+            QuotaTime &earlier = quotaTimes[job->spec.team];
+            coreMs = coreMsWithinQuota(coreMs, earlier, own, usefulDeadline(attributes) - now);
+            earlier = earlier + own;
+        }
+        work.add(position.rank, coreMs, latestOnTimeStart(attributes));
     }
     return work;
 }
@@ -118,7 +168,7 @@
         return std::nullopt;
     }
     if (m_sumsAt == 0 || now - m_sumsAt >= m_options.maxAgeMs) {
-        sumUp();
+        sumUp(job.submittedAt);
         m_sumsAt = now;
     }
     ServiceLoad load;
@@ -142,11 +192,19 @@
     return load;
 }
 
-void ServiceLoads::sumUp()
+void ServiceLoads::accepted(const std::string &service, const SubmittedJob &job)
+{
+    const bool isOfUse = job.rank.group == StepGroup::OnTime || job.rank.group == StepGroup::Late;
+    if (isOfUse) {
+        m_waiting[service].insert(job.rank, job.coreMs, job.onTimeUntil);
+    }
+}
+
+void ServiceLoads::sumUp(WallTimeMs wallNow)
 {
     m_waiting.clear();
     for (const auto &[service, steps] : m_dispatcher.waitingSteps().byService()) {
-        m_waiting[service] = waitingWorkOf(m_state, m_dispatcher.waitingSteps(), steps);
+        m_waiting[service] = waitingWorkOf(m_state, m_dispatcher.waitingSteps(), steps, wallNow);
     }
     sumUpWorkers();
     sumUpInstances();
--- a/Source/Scheduling/ServiceLoads.h
+++ b/Source/Scheduling/ServiceLoads.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,6 +39,8 @@
 
     /// Adds a job behind the others.
     void add(const StepRank &rank, double coreMs, WallTimeMs onTimeUntil);
+    /// Adds a job behind those of the same rank.
+    void insert(const StepRank &rank, double coreMs, WallTimeMs onTimeUntil);
     /// Core-milliseconds of the jobs that are placed before a new job of the rank. Jobs of the same
     /// rank count: many jobs of a queue require the same work.
     double coreMsBefore(const StepRank &rank) const;
@@ -49,10 +52,36 @@
                                        std::int64_t capacityMilli, WallTimeMs now) const;
 };
 
+/// Time in milliseconds for which work takes the whole of its team's quota, by resource; 0 for a
+/// resource without a limit.
+struct QuotaTime
+{
+    double processorMs = 0;
+    double memoryMs = 0;
+    double acceleratorMs = 0;
+
+    double longestMs() const { return std::max({processorMs, memoryMs, acceleratorMs}); }
+};
+
+QuotaTime operator+(const QuotaTime &left, const QuotaTime &right);
+
+/// Time of the work of tasks that each require `need`, by its core-milliseconds. A task that is
+/// larger than the quota runs alone, with all that it requires. Tasks that require no processor
+/// time have no work, and take no time.
+QuotaTime quotaTime(double coreMs, const TaskResources &need, const TaskResources &maxRunning);
+
+/// Core-milliseconds of a job's work that the quota of its team lets run within `horizonMs`.
+/// `earlier` is the time of the team's jobs before it in placement order, `own` that of the job.
+/// The rest takes no capacity from jobs of other teams in that time. What the team runs besides is
+/// not deducted, so that this is an upper bound.
+double coreMsWithinQuota(double coreMs, const QuotaTime &earlier, const QuotaTime &own,
+                         std::int64_t horizonMs);
+
 /// Sums up the waiting steps of a service. Work beyond its team's share and work that is too late
-/// to be of use is left out, as it is placed after all jobs within their share.
+/// to be of use is left out, as it is placed after all jobs within their share, and so is what its
+/// team's quota holds back until then.
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
-                          const ServiceSteps &steps);
+                          const ServiceSteps &steps, WallTimeMs now);
 
 /// Facts of a job that is about to be accepted.
 struct SubmittedJob
@@ -85,10 +114,12 @@
     /// missing.
     std::optional<ServiceLoad> loadOf(const std::string &service, const SubmittedJob &job,
                                       bool withinShare, SteadyTimeMs now);
+    /// Adds an accepted job to the loads of the following ones, until the next sum contains it.
+    void accepted(const std::string &service, const SubmittedJob &job);
     std::int64_t ageMs(SteadyTimeMs now) const { return now - m_sumsAt; }
 
 private:
-    void sumUp();
+    void sumUp(WallTimeMs wallNow);
     void sumUpWorkers();
     void sumUpInstances();
 
--- a/Tests/Scheduling/SubmissionForecastTest.cpp
+++ b/Tests/Scheduling/SubmissionForecastTest.cpp
@@ -359,7 +359,7 @@
         add("late", 50, 9000, false);
         add("overdue", 7, 1000, false);
         add("excess", 9, 10000, true);
-        const WaitingWork work = waitingWorkOf(state, waiting, waiting.byService().at("s"));
+        const WaitingWork work = waitingWorkOf(state, waiting, waiting.byService().at("s"), 10000);
         const auto before = [&](double coreMs) {
             return work.coreMsBefore({StepGroup::OnTime, 0, coreMs * milliPerCore});
         };
