--- a/Tests/Clients/ClientCrowd.cpp
+++ b/Tests/Clients/ClientCrowd.cpp
@@ -52,6 +52,9 @@
     }
     for (std::size_t index = 0; index < options.connections; ++index) {
         m_clients.push_back({connectTo(options.address), 0, false, index % m_blocks.size()});
+        if (!options.prologue.empty()) {
+            exchangePrologue(m_clients.back(), options);
+        }
     }
 }
 
@@ -62,6 +65,28 @@
     }
 }
 
+void ClientCrowd::exchangePrologue(const Client &client, const ClientCrowdOptions &options)
+{
+    const auto size = static_cast<ssize_t>(options.prologue.size());
+    std::string reply;
+    if (waitFor(client.descriptor, POLLOUT)
+        && ::send(client.descriptor, options.prologue.data(), options.prologue.size(), MSG_NOSIGNAL)
+                == size) {
+        std::array<char, 4096> buffer{};
+        while (reply.find(options.prologueReply) == std::string::npos
+               && waitFor(client.descriptor, POLLIN)) {
+            const ssize_t count = ::recv(client.descriptor, buffer.data(), buffer.size(), 0);
+            if (count <= 0) {
+                break;
+            }
+            reply.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    }
+    if (reply.find(options.prologueReply) == std::string::npos) {
+        throw std::runtime_error("the server did not reply to the prologue");
+    }
+}
+
 bool ClientCrowd::isSending(const Client &client) const
 {
     return !client.closedByServer && client.sent < m_bytesPerConnection;
--- a/Tests/Clients/ClientCrowd.h
+++ b/Tests/Clients/ClientCrowd.h
@@ -12,8 +12,13 @@
     std::string address;
     std::size_t connections = 48;
     std::size_t bytesPerConnection = 4 * 1024 * 1024;
-    /// Whole requests, which a connection sends in turn and repeats. Connections take them in turn.
+    /// Whole requests, of which each connection repeats one until it has sent its bytes. Without
+    /// bytes, a connection sends nothing; with fewer than a request has, a part of it.
     std::vector<std::string> requests;
+    /// Sent once on each connection, before its requests. Its bytes don't count.
+    std::string prologue = {};
+    /// Text in what the server sends after the prologue.
+    std::string prologueReply = {};
 };
 
 /// Clients that send requests ahead and read no response. Their connections stay open until the
@@ -41,6 +46,7 @@
         std::size_t block = 0;
     };
 
+    static void exchangePrologue(const Client &client, const ClientCrowdOptions &options);
     bool isSending(const Client &client) const;
     void sendSome(Client &client) const;
 
