Peers: Bound the messages that a process holds for all peers

Each connection could hold 8 MiB of incomplete messages after its hello, and any number of bytes in unsent responses; 256 connections exceed the memory of a machine. At the limit of connections new ones were refused, so that connections without a hello kept peers out.

The transport counts incomplete messages, requests being handled and unsent responses of all inbound connections. Beyond a share of the memory the largest discardable message of the connection that holds most is freed and its stream reset; requests being handled stay. At the limit of connections the oldest one without a hello is closed. The limit follows from the descriptors. A hello that closes its connection no longer leaves a reference to it, and closed connections without a hello are logged once a minute by host and reason.

Single files were compiled; not built, not run.

--- a/Source/Adapters/Http/HttpLimits.h
+++ b/Source/Adapters/Http/HttpLimits.h
@@ -28,13 +28,15 @@
     /// HttpListener uses one thread for each connection.
     std::size_t maxConnections = 512;
     std::size_t maxRequestsPerConnection = 100000;
-    /// Bytes of requests and responses that all connections of an EventedHttpServer together may
-    /// hold; 0 for no limit.
+    /// Bytes of requests and responses that all connections together may hold; 0 for no limit.
     std::size_t maxBufferedBytes = 0;
     /// Buffer sizes that the kernel is asked for on accepted connections of an EventedHttpServer; 0
     /// for the system's default. A platform that refuses them keeps its own.
     std::size_t receiveBufferBytes = 0;
     std::size_t sendBufferBytes = 0;
+    /// Receive buffer size from the moment on at which a client sends ahead of its responses; 0 for
+    /// no change.
+    std::size_t sentAheadBufferBytes = 0;
     /// How long stop() waits for requests in progress.
     Milliseconds stopTimeout{5000};
 };
--- a/Source/Adapters/Peers/Http2Callbacks.cpp
+++ b/Source/Adapters/Peers/Http2Callbacks.cpp
@@ -49,6 +49,9 @@
     if (found == m_streams.end()) {
         return 0;
     }
+    if (found->second.discarded) {
+        return 0;
+    }
     std::string &inbound = found->second.inbound;
     if (inbound.size() + length > m_limits.maxBodyBytes) {
         return failSession("expected a message of at most " + std::to_string(m_limits.maxBodyBytes)
@@ -70,8 +73,13 @@
         return 0;
     }
     const auto found = m_streams.find(frame.hd.stream_id);
-    if (found != m_streams.end()) {
-        m_bufferedBytes -= found->second.inbound.size();
+    if (found != m_streams.end() && !found->second.discarded) {
+        const std::size_t bytes = found->second.inbound.size();
+        m_bufferedBytes -= bytes;
+        if (m_role == Http2Role::Server) {
+            found->second.unansweredBytes = bytes;
+            m_unansweredBytes += bytes;
+        }
         m_messages.emplace_back(found->first, std::move(found->second.inbound));
         found->second.inbound.clear();
     }
@@ -83,6 +91,8 @@
     const auto found = m_streams.find(stream);
     if (found != m_streams.end()) {
         m_bufferedBytes -= found->second.inbound.size();
+        m_unansweredBytes -= found->second.unansweredBytes;
+        m_unsentBytes -= found->second.outbound.size();
         m_streams.erase(found);
         m_closedStreams.push_back(stream);
     }
@@ -93,7 +103,7 @@
                                     std::uint32_t *flags)
 {
     const auto found = m_streams.find(stream);
-    if (found == m_streams.end()) {
+    if (found == m_streams.end() || found->second.discarded) {
         return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
     Stream &state = found->second;
@@ -102,6 +112,7 @@
     state.outboundSent += count;
     if (state.outboundSent == state.outbound.size()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
+        m_unsentBytes -= state.outbound.size();
         state.outbound.clear();
         state.outboundSent = 0;
     }
--- a/Source/Adapters/Peers/Http2Connection.cpp
+++ b/Source/Adapters/Peers/Http2Connection.cpp
@@ -98,6 +98,7 @@
     if (stream < 0) {
         return stream;
     }
+    m_unsentBytes += body.size();
     m_streams[stream].outbound = std::move(body);
     m_flushAgain = true;
     flush();
@@ -110,6 +111,9 @@
     if (m_closed || found == m_streams.end()) {
         return;
     }
+    m_unansweredBytes -= found->second.unansweredBytes;
+    found->second.unansweredBytes = 0;
+    m_unsentBytes += body.size();
     found->second.outbound = std::move(body);
     static const std::string name = ":status";
     static const std::string value = "200";
@@ -133,6 +137,29 @@
     flush();
 }
 
+bool Http2Connection::discardLargestMessage()
+{
+    const auto bytesOf = [](const Stream &stream) {
+        return stream.inbound.size() + stream.outbound.size();
+    };
+    const auto largest = std::max_element(m_streams.begin(), m_streams.end(),
+                                          [&](const auto &left, const auto &right) {
+                                              return bytesOf(left.second) < bytesOf(right.second);
+                                          });
+    if (m_closed || largest == m_streams.end() || bytesOf(largest->second) == 0) {
+        return false;
+    }
+    Stream &stream = largest->second;
+    m_bufferedBytes -= stream.inbound.size();
+    m_unsentBytes -= stream.outbound.size();
+    stream.inbound = std::string();
+    stream.outbound = std::string();
+    stream.outboundSent = 0;
+    stream.discarded = true;
+    resetStream(largest->first);
+    return true;
+}
+
 void Http2Connection::ping()
 {
     if (m_closed) {
@@ -268,6 +295,16 @@
         m_waitingForWritable = !m_output.empty();
         m_loop.changeEvents(m_watch, m_waitingForWritable ? EPOLLIN | EPOLLOUT : EPOLLIN);
     }
+    reportHeldBytes();
+}
+
+void Http2Connection::reportHeldBytes()
+{
+    const std::size_t bytes = heldBytes();
+    if (bytes != m_reportedBytes && m_events.heldBytesChanged) {
+        m_reportedBytes = bytes;
+        m_events.heldBytesChanged(bytes);
+    }
 }
 
 void Http2Connection::deliverEvents()
--- a/Source/Adapters/Peers/Http2Connection.h
+++ b/Source/Adapters/Peers/Http2Connection.h
@@ -32,6 +32,8 @@
     std::function<void(std::int32_t stream, std::string body)> message;
     std::function<void(std::int32_t stream)> streamClosed;
     std::function<void(std::size_t received, std::size_t sent)> bytesTransferred;
+    /// The value of heldBytes() has changed. May be empty.
+    std::function<void(std::size_t bytes)> heldBytesChanged;
     /// The output buffer is empty again after the socket had blocked.
     std::function<void()> outputDrained;
     /// Called once, with the reason, after the descriptor was closed.
@@ -57,6 +59,9 @@
     std::int32_t request(std::string body);
     void respond(std::int32_t stream, std::string body);
     void resetStream(std::int32_t stream);
+    /// Frees the largest message that is incomplete or was not sent completely, and resets its
+    /// stream. Returns false if there is none. A request that is being handled stays.
+    bool discardLargestMessage();
     void ping();
     /// Sends GOAWAY and closes the connection once it has been written.
     void terminate();
@@ -71,6 +76,11 @@
     /// messages.
     bool hasUnsentOutput() const { return !m_output.empty(); }
     std::size_t openStreams() const { return m_streams.size(); }
+    /// Bytes of incomplete messages, of requests that were not answered yet, and of messages that
+    /// were not sent completely.
+    std::size_t heldBytes() const { return m_bufferedBytes + m_unansweredBytes + m_unsentBytes; }
+    /// Bytes that discardLargestMessage() can free.
+    std::size_t discardableBytes() const { return m_bufferedBytes + m_unsentBytes; }
 
 private:
     struct Stream
@@ -79,6 +89,9 @@
         std::string outbound;
         std::size_t outboundSent = 0;
         std::size_t headerBytes = 0;
+        /// Size of a request that was not answered yet.
+        std::size_t unansweredBytes = 0;
+        bool discarded = false;
     };
     struct SessionDeleter
     {
@@ -96,6 +109,7 @@
     /// has ended.
     void flush();
     void deliverEvents();
+    void reportHeldBytes();
     /// Stores the error and returns the code that makes nghttp2 fail the session.
     int failSession(const std::string &error);
 
@@ -118,6 +132,9 @@
     EventLoop::WatchId m_watch = 0;
     std::map<std::int32_t, Stream> m_streams;
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_unansweredBytes = 0;
+    std::size_t m_unsentBytes = 0;
+    std::size_t m_reportedBytes = 0;
     std::string m_output;
     bool m_waitingForWritable = false;
     std::string m_error;
--- a/Source/Adapters/Peers/PeerOptions.h
+++ b/Source/Adapters/Peers/PeerOptions.h
@@ -44,8 +44,12 @@
     /// that exceeds either limit fails with NotSent.
     std::size_t maxPendingCalls = 4096;
     std::size_t maxPendingBytes = 64U << 20U;
-    /// Concurrent inbound connections.
+    /// Concurrent inbound connections. Beyond it the oldest one without an accepted hello is
+    /// closed.
     std::size_t maxConnections = 256;
+    /// Bytes of messages that all inbound connections together may hold: incomplete requests,
+    /// requests being handled, and responses that were not sent. 0 for no limit.
+    std::size_t maxHeldBytes = 0;
 
     Milliseconds connectTimeout{1000};
     /// Time from the established connection to the accepted hello, on both sides.
--- a/Source/Adapters/Peers/PeerServer.cpp
+++ b/Source/Adapters/Peers/PeerServer.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <cstring>
@@ -91,7 +92,7 @@
 
 void PeerServer::addConnection(int descriptor, const std::string &address)
 {
-    if (m_connections.size() >= m_context.options.maxConnections) {
+    if (!makeRoom()) {
         logRefusal(address,
                    "expected at most " + std::to_string(m_context.options.maxConnections)
                            + " connections, found one more");
@@ -113,11 +114,13 @@
     events.bytesTransferred = [this](std::size_t received, std::size_t sent) {
         m_context.traffic.wireBytes(received, sent);
     };
+    events.heldBytesChanged = [this, id](std::size_t bytes) { onHeldBytes(id, bytes); };
     events.outputDrained = [] {};
     events.closed = [this, id](const std::string &reason) { onClosed(id, reason); };
     Http2Limits limits = http2Limits(m_context.options);
     limits.maxBodyBytes = maxHelloBytes;
     limits.maxBufferedBytes = maxHelloBytes;
+    m_withoutHello.insert(id);
     InboundConnection &inbound = m_connections[id];
     inbound.address = address;
     inbound.connection = std::make_shared<Http2Connection>(*m_loop, descriptor, Http2Role::Server,
@@ -131,6 +134,59 @@
     connection->open();
 }
 
+bool PeerServer::makeRoom()
+{
+    if (m_connections.size() < m_context.options.maxConnections) {
+        return true;
+    }
+    if (m_withoutHello.empty()) {
+        return false;
+    }
+    const std::shared_ptr<Http2Connection> oldest =
+            m_connections.at(*m_withoutHello.begin()).connection;
+    oldest->close("expected a hello before the limit of connections was reached, found none that "
+                  "was accepted");
+    return true;
+}
+
+void PeerServer::onHeldBytes(std::uint64_t id, std::size_t bytes)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end()) {
+        return;
+    }
+    m_heldBytes = m_heldBytes - found->second.heldBytes + bytes;
+    found->second.heldBytes = bytes;
+    const std::size_t limit = m_context.options.maxHeldBytes;
+    if (limit == 0 || m_discarding) {
+        return;
+    }
+    m_discarding = true;
+    while (m_heldBytes > limit && discardMessage()) { }
+    m_discarding = false;
+}
+
+bool PeerServer::discardMessage()
+{
+    const auto largest = std::max_element(m_connections.begin(), m_connections.end(),
+                                          [](const auto &left, const auto &right) {
+                                              return left.second.connection->discardableBytes()
+                                                      < right.second.connection->discardableBytes();
+                                          });
+    if (largest == m_connections.end()) {
+        return false;
+    }
+    const std::string address = largest->second.address;
+    const std::shared_ptr<Http2Connection> connection = largest->second.connection;
+    if (!connection->discardLargestMessage()) {
+        return false;
+    }
+    logRefusal(address,
+               "expected at most " + std::to_string(m_context.options.maxHeldBytes)
+                       + " bytes of messages on all connections, found more");
+    return true;
+}
+
 void PeerServer::onMessage(std::uint64_t id, std::int32_t stream, std::string body)
 {
     const auto found = m_connections.find(id);
@@ -143,8 +199,11 @@
         return;
     }
     onHello(inbound, stream, body);
-    if (!inbound.name.empty()) {
-        m_loop->cancelTimer(inbound.timer);
+    // The hello may have closed the connection.
+    const auto accepted = m_connections.find(id);
+    if (accepted != m_connections.end() && !accepted->second.name.empty()) {
+        m_withoutHello.erase(id);
+        m_loop->cancelTimer(accepted->second.timer);
         checkIdleTimeout(id);
     }
 }
@@ -249,9 +308,14 @@
     m_loop->cancelTimer(found->second.timer);
     const InboundConnection inbound = std::move(found->second);
     m_connections.erase(found);
+    m_withoutHello.erase(id);
+    m_heldBytes -= inbound.heldBytes;
     if (m_stopped || inbound.refusedHelloStream != 0) {
         return;
     }
+    if (inbound.name.empty() && !isLogDue(inbound.address, reason)) {
+        return;
+    }
     const std::string name = inbound.name.empty() ? "without hello" : "from " + inbound.name;
     const bool expected = !inbound.name.empty() && inbound.connection->openStreams() == 0;
     m_context.log.event(expected ? LogSeverity::Debug : LogSeverity::Warning, "peers",
@@ -273,18 +337,26 @@
 }
 
 void PeerServer::logRefusal(const std::string &address, const std::string &message)
+{
+    if (isLogDue(address, message)) {
+        m_context.log.event(LogSeverity::Error, "peers",
+                            "connection from " + address + ": " + message);
+    }
+}
+
+bool PeerServer::isLogDue(const std::string &address, const std::string &message)
 {
     const SteadyTimeMs now = steadyTimeNow();
     const std::string key = hostOf(address) + " " + message;
     const auto found = m_lastRefusalLogAt.find(key);
     if (found != m_lastRefusalLogAt.end() && now - found->second < refusalLogIntervalMs) {
-        return;
+        return false;
     }
     if (m_lastRefusalLogAt.size() >= maxTrackedRefusals) {
         m_lastRefusalLogAt.clear();
     }
     m_lastRefusalLogAt[key] = now;
-    m_context.log.event(LogSeverity::Error, "peers", "connection from " + address + ": " + message);
+    return true;
 }
 
 } // namespace dandelionloom
--- a/Source/Adapters/Peers/PeerServer.h
+++ b/Source/Adapters/Peers/PeerServer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "Adapters/Peers/EventLoop.h"
@@ -38,11 +39,19 @@
         /// Stream of a refused hello; 0 if none. Once the response has been sent and this stream
         /// has closed, the connection is terminated.
         std::int32_t refusedHelloStream = 0;
+        /// Share of this connection in the held bytes of the server.
+        std::size_t heldBytes = 0;
     };
 
     void watchListener();
     void acceptConnections();
     void addConnection(int descriptor, const std::string &address);
+    /// At the limit of connections, closes the oldest one without a hello. Returns false if there
+    /// is no room for another connection.
+    bool makeRoom();
+    void onHeldBytes(std::uint64_t id, std::size_t bytes);
+    /// Returns false if no message may be discarded.
+    bool discardMessage();
     void onMessage(std::uint64_t id, std::int32_t stream, std::string body);
     void onHello(InboundConnection &inbound, std::int32_t stream, const std::string &body);
     void onRequest(std::uint64_t id, const InboundConnection &inbound, std::int32_t stream,
@@ -52,6 +61,8 @@
     void respond(std::uint64_t id, std::int32_t stream, PeerMessageKind kind,
                  const PeerResult &result);
     void logRefusal(const std::string &address, const std::string &message);
+    /// Returns true if this refusal of the host was not logged within the last minute.
+    bool isLogDue(const std::string &address, const std::string &message);
 
     const std::shared_ptr<EventLoop> m_loop;
     const PeerContext m_context;
@@ -62,6 +73,10 @@
     EventLoop::WatchId m_listenerWatch = 0;
     EventLoop::TimerId m_acceptRetryTimer;
     std::map<std::uint64_t, InboundConnection> m_connections;
+    /// In the order of their arrival.
+    std::set<std::uint64_t> m_withoutHello;
+    std::size_t m_heldBytes = 0;
+    bool m_discarding = false;
     std::uint64_t m_nextId = 1;
     bool m_stopped = false;
     /// Time of the last log line by host and refusal, so that a peer that keeps retrying is logged
--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -25,9 +25,10 @@
 // Shares of the machine. The descriptors that remain are for the journal, the other instances and
 // the workers, the memory that remains for the program and the scheduler's state. The receive
 // buffers of the control listener are left to the system, as workers report up to 4 MiB and get no
-// acknowledgement after a second.
-constexpr ListenerShare controlShare{42, 22, 0, 256 * 1024};
+// acknowledgement after a second; only those of clients that send ahead are limited.
+constexpr ListenerShare controlShare{42, 22, 0, 256 * 1024, 20};
 constexpr ListenerShare metricsShare{8, 3, 3, 64 * 1024};
+constexpr PeerShare peerShare{25, 12};
 
 } // namespace
 
@@ -96,7 +97,9 @@
     const PeerNetworkSettings &peers = m_settings.peers;
     m_transport = std::make_unique<Http2PeerTransport>(
             peerIdentity(peers), peers.name + ":" + std::to_string(peers.ownPort),
-            std::vector<PeerAddress>{}, peerTransportOptions(), m_log, m_metrics);
+            std::vector<PeerAddress>{},
+            limitToMachine(peerTransportOptions(), m_settings.machine, peerShare), m_log,
+            m_metrics);
     m_outgoingClients = factory(m_loop);
     m_workerCalls = std::make_unique<RelayedWorkerCalls>(
             m_loop, *m_transport, *m_outgoingClients.workers, m_log,
--- a/Source/Program/GatewayInstance.cpp
+++ b/Source/Program/GatewayInstance.cpp
@@ -34,6 +34,7 @@
 constexpr ListenerShare callerShare{60, 20, 30, sendBufferBytes};
 constexpr ListenerShare readinessShare{8, 3, 3, sendBufferBytes};
 constexpr ListenerShare metricsShare{7, 2, 3, sendBufferBytes};
+constexpr PeerShare peerShare{10, 10};
 
 } // namespace
 
@@ -94,7 +95,9 @@
     const PeerNetworkSettings &peers = m_settings.peers;
     m_transport = std::make_unique<Http2PeerTransport>(
             peerIdentity(peers), peers.name + ":" + std::to_string(peers.ownPort),
-            std::vector<PeerAddress>{}, peerTransportOptions(), m_log, m_metrics);
+            std::vector<PeerAddress>{},
+            limitToMachine(peerTransportOptions(), m_settings.machine, peerShare), m_log,
+            m_metrics);
     const auto started = m_transport->start();
     if (!isOk(started)) {
         return StartError{errorOf(started).message};
--- a/Source/Program/ListenerLimits.h
+++ b/Source/Program/ListenerLimits.h
@@ -8,6 +8,7 @@
 #include "Adapters/Http/EventedHttpServer.h"
 #include "Adapters/Http/HttpLimits.h"
 #include "Adapters/Logging/JsonLineLog.h"
+#include "Adapters/Peers/PeerOptions.h"
 #include "Model/Time.h"
 #include "Ports/MetricSink.h"
 
@@ -33,12 +34,28 @@
     std::size_t unread = 0;
     /// Size of the send buffer of a connection.
     std::size_t sendBufferBytes = 0;
+    /// Of the memory, for bytes that clients send ahead of their responses, if the receive buffers
+    /// are otherwise left to the system.
+    std::size_t sentAhead = 0;
 };
 
 /// Lowers the limits of a listener to its share of the machine.
 HttpLimits limitToMachine(HttpLimits limits, const MachineLimits &machine,
                           const ListenerShare &share);
 
+/// Part of a machine that the connections from other processes may use, in percent.
+struct PeerShare
+{
+    std::size_t descriptors = 0;
+    /// Of the memory, for messages that the process holds for them.
+    std::size_t held = 0;
+};
+
+/// Lowers the limits of the listener for peers to its share of the machine. Two whole messages are
+/// always allowed.
+PeerTransportOptions limitToMachine(PeerTransportOptions options, const MachineLimits &machine,
+                                    const PeerShare &share);
+
 /// Counts and logs the connections that the listeners of a process closed because of a limit. Used
 /// on the event loop's thread only.
 class ClosedConnections
--- a/Tests/Clients/ListenerLimitsTest.cpp
+++ b/Tests/Clients/ListenerLimitsTest.cpp
@@ -20,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(ListenerLimitsTest);
     CPPUNIT_TEST(machineLimits);
+    CPPUNIT_TEST(peerLimits);
     CPPUNIT_TEST(closedConnections);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +48,29 @@
             const HttpLimits limited = limitToMachine(limits, {256, 4096}, {50, 25, 0, 0});
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), limited.receiveBufferBytes);
         });
+        section("what clients send ahead is bounded although the receive buffer is not", [&] {
+            const HttpLimits limited = limitToMachine(limits, {256, 4096}, {50, 25, 0, 0, 20});
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), limited.receiveBufferBytes);
+            CPPUNIT_ASSERT(limited.sentAheadBufferBytes > 0);
+            CPPUNIT_ASSERT(limited.sentAheadBufferBytes * 1500 <= std::size_t(256 << 20) / 5);
+        });
+    }
+
+    /// Guards against peers whose messages the memory of the machine doesn't cover, and against a
+    /// machine that is too small for one message.
+    void peerLimits()
+    {
+        const PeerShare share{10, 10};
+        section("a usual machine keeps the limit of connections", [&] {
+            const auto limited = limitToMachine(PeerTransportOptions{}, {256, 4096}, share);
+            CPPUNIT_ASSERT_EQUAL(PeerTransportOptions{}.maxConnections, limited.maxConnections);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(256 << 20) / 10, limited.maxHeldBytes);
+        });
+        section("a small machine lowers it, and has room for two messages", [&] {
+            const auto limited = limitToMachine(PeerTransportOptions{}, {32, 600}, share);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(40), limited.maxConnections);
+            CPPUNIT_ASSERT_EQUAL(2 * limited.maxMessageBytes, limited.maxHeldBytes);
+        });
     }
 
     /// Guards against a log line for each closed connection, which a crowd could multiply.
--- a/Tests/Peers/PeerInputTest.cpp
+++ b/Tests/Peers/PeerInputTest.cpp
@@ -297,6 +297,27 @@
             CPPUNIT_ASSERT(peers.server.log.waitForLine("bytes of incomplete messages"));
             peers.assertCallSucceeds();
         });
+        section("messages on all connections past the limit", [&] {
+            PeerTransportOptions smallLimit;
+            smallLimit.maxHeldBytes = 100000;
+            PeerPair peers(smallLimit);
+            // Larger than what the server reads at once.
+            CPPUNIT_ASSERT(!isOk(
+                    peers.client->call("b", PeerMessageKind::Vote, std::string(3U << 20U, 'x'))));
+            CPPUNIT_ASSERT(
+                    peers.server.log.waitForLine("100000 bytes of messages on all connections"));
+            peers.assertCallSucceeds();
+        });
+        section("connections without a hello at the limit of connections", [&] {
+            PeerTransportOptions fewConnections;
+            fewConnections.maxConnections = 2;
+            fewConnections.helloTimeout = Milliseconds(60000);
+            PeerPair peers(fewConnections);
+            RawClient first(peers.server.address());
+            RawClient second(peers.server.address());
+            peers.assertCallSucceeds();
+            first.waitForClose();
+        });
         section("header fields past the limit", [&] {
             PeerTransportOptions smallLimit;
             smallLimit.maxHeaderBytes = 64;
