Http: Parse requests as their bytes arrive

A chunked body was parsed from its beginning at each read, so that a client that sends a byte at a time cost quadratic time. HttpRequestParser keeps what it has parsed. It and the text of responses are moved out of EventedHttpServer.cpp.

At the limit of buffered bytes the first bytes of a request still counted as an idle connection, which gives way before incomplete requests: with older ones at the limit, no new request was served. They now count as an incomplete request.

The receive buffer of a connection is limited once its client sends ahead, where receive buffers are left to the system.

Single files were compiled; not built, not run.

--- a/Source/Adapters/Http/ByteReader.cpp
+++ b/Source/Adapters/Http/ByteReader.cpp
@@ -11,10 +11,6 @@
 
 constexpr int readBytes = 16384;
 
-/// Limit for a chunk size with its extensions, and for one trailer field.
-constexpr std::size_t maxChunkLineBytes = 1024;
-constexpr int maxTrailerFields = 32;
-
 /// Limits chunk sizes to 4 GiB: more digits could overflow sums of sizes.
 constexpr std::size_t maxChunkSizeDigits = 8;
 
@@ -25,11 +21,9 @@
     if (status != ReadStatus::Ok) {
         return status == ReadStatus::TooLong ? ReadStatus::Malformed : status;
     }
-    const auto end = std::min(line.find(';'), line.size());
-    const char *last = line.data() + end;
-    const auto [rest, error] = std::from_chars(line.data(), last, size, 16);
-    const bool valid = error == std::errc() && rest == last && end <= maxChunkSizeDigits;
-    return valid ? ReadStatus::Ok : ReadStatus::Malformed;
+    const std::optional<std::size_t> parsed = parseChunkSize(line);
+    size = parsed.value_or(0);
+    return parsed ? ReadStatus::Ok : ReadStatus::Malformed;
 }
 
 ReadStatus skipTrailer(ByteReader &reader)
@@ -125,6 +119,17 @@
     return buffered() > 0 ? ReadStatus::Ok : fillBuffer();
 }
 
+std::optional<std::size_t> parseChunkSize(std::string_view line)
+{
+    constexpr int hexadecimal = 16;
+    const auto end = std::min(line.find(';'), line.size());
+    const char *last = line.data() + end;
+    std::size_t size = 0;
+    const auto [rest, error] = std::from_chars(line.data(), last, size, hexadecimal);
+    const bool valid = error == std::errc() && rest == last && end <= maxChunkSizeDigits;
+    return valid ? std::optional(size) : std::nullopt;
+}
+
 ReadStatus readChunkedBody(ByteReader &reader, std::string &body, std::size_t maxBytes)
 {
     while (true) {
--- a/Source/Adapters/Http/ByteReader.h
+++ b/Source/Adapters/Http/ByteReader.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace dandelionloom {
 
@@ -37,6 +39,13 @@
     std::size_t m_position = 0;
 };
 
+/// Limit for a chunk size with its extensions, and for one trailer field.
+inline constexpr std::size_t maxChunkLineBytes = 1024;
+inline constexpr int maxTrailerFields = 32;
+
+/// Size in the first line of a chunk; empty if it is malformed. Extensions are ignored.
+std::optional<std::size_t> parseChunkSize(std::string_view line);
+
 /// Reads a body in chunked transfer coding and discards its trailer fields.
 ReadStatus readChunkedBody(ByteReader &reader, std::string &body, std::size_t maxBytes);
 
--- a/Source/Adapters/Http/EventedHttpServer.cpp
+++ b/Source/Adapters/Http/EventedHttpServer.cpp
@@ -7,12 +7,11 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <optional>
 #include <string_view>
 #include <variant>
 
-#include "Adapters/Http/ByteReader.h"
+#include "Adapters/Http/HttpResponseText.h"
 #include "Adapters/Peers/PeerSockets.h"
 
 namespace dandelionloom {
@@ -20,13 +19,9 @@
 namespace {
 
 constexpr std::size_t readBytes = 16 * 1024;
-/// Buffers above this size are freed between requests, as most connections are idle.
-constexpr std::size_t maxIdleBufferBytes = 4096;
 /// Other connections of the event loop wait while connections are accepted.
 constexpr int maxAcceptsPerEvent = 64;
 constexpr Milliseconds acceptPause{100};
-/// Sizes and extensions of chunks beyond the size of the body itself.
-constexpr std::size_t maxChunkOverheadBytes = 64 * 1024;
 
 /// Limits of the lingering close: closing a connection with unread input resets it, and the client
 /// could lose the response.
@@ -35,131 +30,6 @@
 
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
-const char *reasonPhrase(int status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 307:
-        return "Temporary Redirect";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 409:
-        return "Conflict";
-    case 410:
-        return "Gone";
-    case 413:
-        return "Content Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
-std::string renderResponse(const HttpResponse &response, bool keepAlive)
-{
-    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " "
-            + reasonPhrase(response.status) + "\r\n";
-    for (const auto &[name, value] : response.headers) {
-        text += name + ": " + value + "\r\n";
-    }
-    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    if (!keepAlive) {
-        text += "Connection: close\r\n";
-    }
-    text += "\r\n";
-    return text + response.body;
-}
-
-struct ParsedRequest
-{
-    HttpRequest request;
-    bool keepAlive = true;
-    std::size_t consumed = 0;
-};
-
-struct IncompleteRequest
-{
-    /// Size of the input from which on parsing can succeed.
-    std::size_t bytesNeeded = 0;
-    bool headComplete = false;
-    bool expectsContinue = false;
-};
-
-using ParseResult = std::variant<ParsedRequest, IncompleteRequest, HttpRequestError>;
-
-ParseResult parseRequest(std::string_view input, const HttpLimits &limits)
-{
-    constexpr std::string_view headEndMark = "\r\n\r\n";
-    const std::size_t headEnd = input.find(headEndMark);
-    if (headEnd == std::string_view::npos) {
-        if (input.size() > limits.maxHeaderBytes + limits.maxRequestLineBytes) {
-            return HttpRequestError{431, "the head is longer than the limit"};
-        }
-        return IncompleteRequest{input.size() + 1, false, false};
-    }
-    std::size_t copied = 0;
-    bool inputEnded = false;
-    ByteReader reader([&](char *buffer, int size) {
-        const std::size_t count = std::min(static_cast<std::size_t>(size), input.size() - copied);
-        std::memcpy(buffer, input.data() + copied, count);
-        copied += count;
-        inputEnded = inputEnded || count == 0;
-        return static_cast<int>(count);
-    });
-    auto head = readHead(reader, limits);
-    if (!isOk(head)) {
-        return errorOf(head);
-    }
-    const HttpHead &requestHead = valueOf(head);
-    const std::size_t bodyBegin = headEnd + headEndMark.size();
-    if (requestHead.contentLength && input.size() - bodyBegin < *requestHead.contentLength) {
-        return IncompleteRequest{bodyBegin + *requestHead.contentLength, true,
-                                 requestHead.expectsContinue};
-    }
-    auto body = readBody(reader, requestHead, limits);
-    if (!isOk(body)) {
-        if (!inputEnded) {
-            return errorOf(body);
-        }
-        if (input.size() - bodyBegin > limits.maxBodyBytes * 2 + maxChunkOverheadBytes) {
-            return HttpRequestError{413, "the chunks are longer than the limit"};
-        }
-        return IncompleteRequest{input.size() + 1, true, requestHead.expectsContinue};
-    }
-    ParsedRequest parsed;
-    parsed.request.method = requestHead.method;
-    const std::size_t query = requestHead.target.find('?');
-    parsed.request.path = requestHead.target.substr(0, query);
-    if (query != std::string::npos) {
-        parsed.request.query = requestHead.target.substr(query + 1);
-    }
-    parsed.request.headers = requestHead.headers;
-    parsed.request.body = takeValue(std::move(body));
-    parsed.keepAlive = requestHead.keepAlive;
-    parsed.consumed = copied - reader.buffered();
-    return parsed;
-}
-
-void clearBuffer(std::string &buffer)
-{
-    buffer.clear();
-    if (buffer.capacity() > maxIdleBufferBytes) {
-        buffer.shrink_to_fit();
-    }
-}
-
 void setBufferSize(int descriptor, int option, std::size_t bytes)
 {
     const int value = static_cast<int>(bytes);
@@ -222,7 +92,7 @@
     }
     std::vector<std::uint64_t> idle;
     for (const auto &[id, connection] : m_connections) {
-        if (connection->phase == Phase::Idle && connection->input.empty()) {
+        if (connection->phase == Phase::Idle && connection->parser.empty()) {
             idle.push_back(id);
         }
     }
@@ -260,7 +130,7 @@
     }
     setNoDelay(descriptor);
     const std::uint64_t id = m_nextId++;
-    auto connection = std::make_unique<Connection>();
+    auto connection = std::make_unique<Connection>(m_limits);
     connection->descriptor = descriptor;
     connection->progressAt = steadyTimeNow();
     connection->watch = m_loop.watch(descriptor, EPOLLIN,
@@ -298,7 +168,11 @@
     Connection &connection = *m_connections.at(id);
     if (connection.phase == Phase::Handling || connection.phase == Phase::Sending) {
         // The client sends ahead or has closed its sending side. A client that does neither costs
-        // no change of the events.
+        // no change of the events, and keeps the receive buffer that the system gives it.
+        if (!connection.sentAhead) {
+            connection.sentAhead = true;
+            setBufferSize(connection.descriptor, SO_RCVBUF, m_limits.sentAheadBufferBytes);
+        }
         m_loop.changeEvents(connection.watch,
                             connection.phase == Phase::Sending ? std::uint32_t{EPOLLOUT} : 0U);
         return;
@@ -307,11 +181,9 @@
         discardInput(id);
         return;
     }
-    if (connection.phase == Phase::Idle && !connection.input.empty() && !parseInput(id)) {
+    if (connection.phase == Phase::Idle && !connection.parser.empty() && !parseInput(id)) {
         return;
     }
-    connection.input.erase(0, connection.inputOffset);
-    connection.inputOffset = 0;
     std::array<char, readBytes> buffer;
     for (;;) {
         const ssize_t count = ::recv(connection.descriptor, buffer.data(), buffer.size(), 0);
@@ -322,13 +194,18 @@
             close(id);
             return;
         }
-        connection.input.append(buffer.data(), static_cast<std::size_t>(count));
+        connection.parser.append({buffer.data(), static_cast<std::size_t>(count)});
+        if (connection.phase == Phase::Idle) {
+            // Otherwise a new request would be the first one that gives way at the buffer limit.
+            connection.phase = Phase::ReadingHead;
+            armTimer(id, m_limits.headTimeout, ConnectionCloseReason::RequestTimeout);
+        }
         countBytes(connection);
         enforceBufferLimit();
         if (!m_connections.contains(id)) {
             return;
         }
-        if (connection.input.size() >= connection.bytesNeeded && !parseInput(id)) {
+        if (connection.parser.canParse() && !parseInput(id)) {
             return;
         }
         if (static_cast<std::size_t>(count) < buffer.size()) {
@@ -354,25 +231,18 @@
 bool EventedHttpServer::parseInput(std::uint64_t id)
 {
     Connection &connection = *m_connections.at(id);
-    ParseResult result = parseRequest(
-            std::string_view(connection.input).substr(connection.inputOffset), m_limits);
+    HttpRequestParser::Result result = connection.parser.parse();
     if (const auto *error = std::get_if<HttpRequestError>(&result)) {
         reject(id, *error);
         return false;
     }
-    if (auto *parsed = std::get_if<ParsedRequest>(&result)) {
-        connection.inputOffset += parsed->consumed;
-        if (connection.inputOffset == connection.input.size()) {
-            clearBuffer(connection.input);
-            connection.inputOffset = 0;
-        }
-        connection.requestBytes = parsed->consumed;
+    if (auto *parsed = std::get_if<HttpRequestParser::Complete>(&result)) {
+        connection.requestBytes = parsed->bytes;
         connection.keepAlive = parsed->keepAlive;
         handleRequest(id, std::move(parsed->request));
         return false;
     }
-    const auto &incomplete = std::get<IncompleteRequest>(result);
-    connection.bytesNeeded = incomplete.bytesNeeded;
+    const auto &incomplete = std::get<HttpRequestParser::Incomplete>(result);
     const Phase phase = incomplete.headComplete ? Phase::ReadingBody : Phase::ReadingHead;
     if (connection.phase != phase) {
         connection.phase = phase;
@@ -396,7 +266,6 @@
 {
     Connection &connection = *m_connections.at(id);
     connection.phase = Phase::Handling;
-    connection.bytesNeeded = 0;
     connection.continueSent = false;
     connection.progressAt = steadyTimeNow();
     countBytes(connection);
@@ -438,8 +307,7 @@
     Connection &connection = *m_connections.at(id);
     connection.keepAlive = false;
     connection.rejected = true;
-    clearBuffer(connection.input);
-    connection.inputOffset = 0;
+    connection.parser.clear();
     connection.output = renderResponse({error.status, {}, error.reason}, false);
     connection.phase = Phase::Sending;
     sendOutput(id);
@@ -499,7 +367,7 @@
     connection.progressAt = steadyTimeNow();
     armTimer(id, m_limits.keepAliveTimeout, std::nullopt);
     m_loop.changeEvents(connection.watch, EPOLLIN);
-    if (!connection.input.empty()) {
+    if (!connection.parser.empty()) {
         m_loop.post([self = std::weak_ptr(m_self), id] {
             const auto server = self.lock();
             if (!server) {
@@ -507,7 +375,7 @@
             }
             const auto found = (*server)->m_connections.find(id);
             if (found != (*server)->m_connections.end() && found->second->phase == Phase::Idle
-                && !found->second->input.empty()) {
+                && !found->second->parser.empty()) {
                 (*server)->parseInput(id);
             }
         });
@@ -524,8 +392,7 @@
         close(id);
         return;
     }
-    clearBuffer(connection.input);
-    connection.inputOffset = 0;
+    connection.parser.clear();
     countBytes(connection);
     ::shutdown(connection.descriptor, SHUT_WR);
     connection.phase = Phase::Lingering;
@@ -536,7 +403,7 @@
 void EventedHttpServer::countBytes(Connection &connection)
 {
     const std::size_t bytes =
-            connection.input.size() + connection.output.size() + connection.requestBytes;
+            connection.parser.bufferedBytes() + connection.output.size() + connection.requestBytes;
     m_bufferedBytes += bytes - connection.bufferedBytes;
     connection.bufferedBytes = bytes;
 }
--- a/Source/Adapters/Http/EventedHttpServer.h
+++ b/Source/Adapters/Http/EventedHttpServer.h
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "Adapters/Http/ConnectionPressure.h"
-#include "Adapters/Http/HttpHead.h"
 #include "Adapters/Http/HttpLimits.h"
+#include "Adapters/Http/HttpRequestParser.h"
 #include "Adapters/Peers/EventLoop.h"
 #include "Model/EnumNames.h"
 #include "Model/HttpMessage.h"
@@ -17,16 +17,6 @@
 
 namespace dandelionloom {
 
-struct HttpRequest
-{
-    std::string method;
-    /// Request target without its query.
-    std::string path;
-    std::string query;
-    HttpHeaders headers;
-    std::string body;
-};
-
 struct HttpListenError
 {
     std::string message;
@@ -98,15 +88,13 @@
 
     struct Connection
     {
+        explicit Connection(const HttpLimits &limits) : parser(limits) { }
+
         int descriptor = -1;
         EventLoop::WatchId watch = 0;
         EventLoop::TimerId timer;
         Phase phase = Phase::Idle;
-        std::string input;
-        /// Bytes of `input` that belong to earlier requests.
-        std::size_t inputOffset = 0;
-        /// Unparsed bytes from which on parsing can succeed.
-        std::size_t bytesNeeded = 0;
+        HttpRequestParser parser;
         std::string output;
         std::size_t outputOffset = 0;
         /// Size of the request that is handled.
@@ -120,6 +108,8 @@
         bool keepAlive = true;
         bool continueSent = false;
         bool rejected = false;
+        /// The client has sent bytes before it got its response; its receive buffer is limited.
+        bool sentAhead = false;
         /// The kernel has refused part of the response; its time limit runs.
         bool sendBlocked = false;
     };
--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -389,7 +389,8 @@
         ::close(idle);
     }
 
-    /// Guards against incomplete requests that take the memory of the process.
+    /// Guards against incomplete requests that take the memory of the process, and against new
+    /// requests that give way to them.
     void bufferLimit()
     {
         HttpLimits limits;
@@ -404,6 +405,17 @@
         CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] { return http.closeReasons.size() == 1; }));
         CPPUNIT_ASSERT(http.closeReasons[0] == ConnectionCloseReason::BufferLimit);
         CPPUNIT_ASSERT(http.bufferedBytes() <= limits.maxBufferedBytes);
+        section("a new request is answered in place of an incomplete one", [&] {
+            const int third = http.connect();
+            ClientAndServer::send(third, head + std::string(42000, 'x'));
+            CPPUNIT_ASSERT(http.waitForBytes(102000));
+            const std::string body(1000, 'y');
+            const std::string response = http.sendRaw(
+                    "POST /new HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
+                    + std::to_string(body.size()) + "\r\n\r\n" + body);
+            CPPUNIT_ASSERT(response.ends_with("/new=" + body));
+            ::close(third);
+        });
         ::close(first);
         ::close(second);
     }
