Serve: Hold against clients that keep connections

Clients that send nothing, parts of requests, or read no responses kept all connections for callers and endpoints until their time limits, and all sixteen threads for operators as long as they sent a byte now and then. Incomplete bodies of callers were bounded only by the number of connections.

ConnectionSet, now in files of its own, names the connection to close by chooseConnectionToClose and shuts it down; its thread does not handle the request. It bounds connections and buffered bytes for HttpListener and OperatorServer. limits.memory_mb and limits.max_open_files are settings of serve, from which the limits follow. Waiting threads of HttpListener no longer take a second descriptor each.

Single files were compiled; not built, not run.

--- a/Source/Adapters/Http/HttpHead.cpp
+++ b/Source/Adapters/Http/HttpHead.cpp
@@ -223,6 +223,8 @@
                                                const HttpLimits &limits)
 {
     std::string body;
+    // Growing as the bytes arrive would take up to twice the size of the body.
+    body.reserve(head.contentLength.value_or(0));
     const ReadStatus status = head.contentLength
             ? reader.readExactly(body, *head.contentLength)
             : readChunkedBody(reader, body, limits.maxBodyBytes);
--- a/Source/Adapters/Http/HttpListener.cpp
+++ b/Source/Adapters/Http/HttpListener.cpp
@@ -1,5 +1,11 @@
 #include "Adapters/Http/HttpListener.h"
 
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
@@ -7,16 +13,17 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/Net/TCPServerParams.h>
 
-#include <algorithm>
-#include <array>
-
 namespace dandelionloom {
 
 namespace {
 
-/// Threads for connections above the limit, which get an error response before they are closed.
+/// Threads for connections above the limit: they close another one, or get an error response.
 constexpr std::size_t rejectionThreads = 8;
 constexpr int listenBacklog = 256;
+/// Accepted connections that wait for a thread. They hold descriptors, so a listener with few
+/// connections has a short queue.
+constexpr std::size_t connectionsPerQueued = 4;
+constexpr std::size_t minQueued = 8;
 
 /// Limits of the lingering close: how long and how many bytes are read from a rejected client.
 /// Closing a connection with unread input resets it, and the client could lose the response.
@@ -28,27 +35,44 @@
     return {duration.count() * Poco::Timespan::MILLISECONDS};
 }
 
-/// Reads from a socket until a deadline.
+/// Waits until a socket is readable or its connection has ended. Returns false after the timeout.
+/// Poco::Net::Socket::poll() takes a further descriptor for each waiting thread.
+bool waitForInput(const Poco::Net::StreamSocket &socket, SteadyTimeMs timeoutMs)
+{
+    pollfd entry{socket.impl()->sockfd(), POLLIN, 0};
+    int count = -1;
+    do {
+        count = ::poll(&entry, 1, static_cast<int>(timeoutMs));
+    } while (count < 0 && errno == EINTR);
+    return count > 0;
+}
+
+/// Reads from a socket until a deadline, and counts the bytes read.
 class DeadlineSource
 {
 public:
-    explicit DeadlineSource(Poco::Net::StreamSocket &socket) : m_socket(socket) { }
+    DeadlineSource(Poco::Net::StreamSocket &socket, ConnectionSet &connections)
+        : m_socket(socket), m_connections(connections)
+    { }
 
     void setTimeout(Milliseconds timeout) { m_deadline = steadyTimeNow() + timeout.count(); }
 
     int read(char *buffer, int size)
     {
         const SteadyTimeMs remainingMs = m_deadline - steadyTimeNow();
-        if (remainingMs <= 0
-            || !m_socket.poll(timespan(Milliseconds(remainingMs)),
-                              Poco::Net::Socket::SELECT_READ)) {
+        if (remainingMs <= 0 || !waitForInput(m_socket, remainingMs)) {
             throw Poco::TimeoutException();
         }
-        return m_socket.receiveBytes(buffer, size);
+        const int count = m_socket.receiveBytes(buffer, size);
+        if (count > 0 && !m_connections.addBytes(m_socket, static_cast<std::size_t>(count))) {
+            return 0;
+        }
+        return count;
     }
 
 private:
     Poco::Net::StreamSocket &m_socket;
+    ConnectionSet &m_connections;
     SteadyTimeMs m_deadline = 0;
 };
 
@@ -56,7 +80,7 @@
 {
 public:
     Connection(const Poco::Net::StreamSocket &socket, const HttpLimits &limits,
-               HttpHandler &handler, detail::ConnectionSet &connections)
+               HttpHandler &handler, ConnectionSet &connections)
         : TCPServerConnection(socket), m_limits(limits), m_handler(handler),
           m_connections(connections)
     { }
@@ -64,7 +88,7 @@
     void run() override
     {
         try {
-            if (!m_connections.add(socket(), m_limits.maxConnections)) {
+            if (!m_connections.add(socket(), Milliseconds(0))) {
                 reject(m_handler.makeErrorResponse({503, "too-many-connections"}));
                 return;
             }
@@ -79,15 +103,15 @@
 private:
     void serve()
     {
-        DeadlineSource source(socket());
+        DeadlineSource source(socket(), m_connections);
         ByteReader reader([&](char *buffer, int size) { return source.read(buffer, size); });
         for (std::size_t count = 0; count < m_limits.maxRequestsPerConnection; ++count) {
             source.setTimeout(count == 0 ? m_limits.headTimeout : m_limits.keepAliveTimeout);
-            if (!m_connections.setIdle(socket(), true)) {
+            if (!setPhase(ConnectionPhase::Idle)) {
                 return;
             }
             const ReadStatus status = reader.waitForByte();
-            if (!m_connections.setIdle(socket(), false) || status != ReadStatus::Ok) {
+            if (!setPhase(ConnectionPhase::Reading) || status != ReadStatus::Ok) {
                 return;
             }
             const bool last = count + 1 == m_limits.maxRequestsPerConnection;
@@ -97,6 +121,8 @@
         }
     }
 
+    bool setPhase(ConnectionPhase phase) { return m_connections.setPhase(socket(), phase); }
+
     /// Returns true if the connection accepts another request.
     bool serveRequest(DeadlineSource &source, ByteReader &reader, bool last)
     {
@@ -123,6 +149,9 @@
         }
         const bool keepAlive = request.keepAlive && !last;
         const bool isHeadRequest = request.method == "HEAD";
+        if (!setPhase(ConnectionPhase::Handling)) {
+            return false;
+        }
         const HttpResponse response = m_handler.handle(valueOf(principal), std::move(request),
                                                        takeValue(std::move(body)));
         sendResponse(response, keepAlive, isHeadRequest);
@@ -138,11 +167,16 @@
         }
         sendResponse(response, false, false);
         socket().shutdownSend();
-        DeadlineSource source(socket());
-        source.setTimeout(lingerTimeout);
+        setPhase(ConnectionPhase::Idle);
+        const SteadyTimeMs deadline = steadyTimeNow() + lingerTimeout.count();
         std::array<char, 4096> discarded;
         for (std::size_t bytes = 0; bytes < maxLingerBytes;) {
-            const int count = source.read(discarded.data(), static_cast<int>(discarded.size()));
+            const SteadyTimeMs remainingMs = deadline - steadyTimeNow();
+            if (remainingMs <= 0 || !waitForInput(socket(), remainingMs)) {
+                return;
+            }
+            const int count =
+                    socket().receiveBytes(discarded.data(), static_cast<int>(discarded.size()));
             if (count <= 0) {
                 return;
             }
@@ -167,6 +201,8 @@
         if (!isHeadRequest && !bodiless) {
             bytes += response.body;
         }
+        setPhase(ConnectionPhase::Sending);
+        m_connections.addBytes(socket(), bytes.size());
         sendAll(bytes);
     }
 
@@ -193,14 +229,13 @@
 
     const HttpLimits &m_limits;
     HttpHandler &m_handler;
-    detail::ConnectionSet &m_connections;
+    ConnectionSet &m_connections;
 };
 
 class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-    ConnectionFactory(const HttpLimits &limits, HttpHandler &handler,
-                      detail::ConnectionSet &connections)
+    ConnectionFactory(const HttpLimits &limits, HttpHandler &handler, ConnectionSet &connections)
         : m_limits(limits), m_handler(handler), m_connections(connections)
     { }
 
@@ -212,74 +247,22 @@
 private:
     const HttpLimits &m_limits;
     HttpHandler &m_handler;
-    detail::ConnectionSet &m_connections;
+    ConnectionSet &m_connections;
 };
 
 } // namespace
 
-namespace detail {
-
-bool ConnectionSet::add(const Poco::Net::StreamSocket &socket, std::size_t limit)
-{
-    const std::lock_guard lock(m_mutex);
-    if (m_stopping || m_sockets.size() >= limit) {
-        return false;
-    }
-    m_sockets.insert(socket);
-    return true;
-}
-
-void ConnectionSet::remove(const Poco::Net::StreamSocket &socket)
-{
-    const std::lock_guard lock(m_mutex);
-    m_idle.erase(socket);
-    m_sockets.erase(socket);
-    m_changed.notify_all();
-}
-
-bool ConnectionSet::setIdle(const Poco::Net::StreamSocket &socket, bool idle)
-{
-    const std::lock_guard lock(m_mutex);
-    if (idle) {
-        m_idle.insert(socket);
-    } else {
-        m_idle.erase(socket);
-    }
-    return !m_stopping;
-}
-
-void ConnectionSet::stop(Milliseconds limit)
-{
-    const auto shutDown = [](const std::set<Poco::Net::StreamSocket> &sockets) {
-        for (Poco::Net::StreamSocket socket : sockets) {
-            try {
-                socket.shutdown();
-            } catch (const Poco::Exception &) {
-                // The client has already closed the connection.
-            }
-        }
-    };
-    std::unique_lock lock(m_mutex);
-    m_stopping = true;
-    shutDown(m_idle);
-    const auto empty = [&] { return m_sockets.empty(); };
-    if (!m_changed.wait_for(lock, limit, empty)) {
-        shutDown(m_sockets);
-        m_changed.wait(lock, empty);
-    }
-}
-
-} // namespace detail
-
 HttpListener::HttpListener(const std::string &address, const HttpLimits &limits,
                            HttpHandler &handler)
-    : m_limits(limits), m_threads(2, static_cast<int>(limits.maxConnections + rejectionThreads))
+    : m_limits(limits), m_connections({limits.maxConnections, limits.maxBufferedBytes}),
+      m_threads(2, static_cast<int>(limits.maxConnections + rejectionThreads))
 {
     m_socket.bind(Poco::Net::SocketAddress(address), true, false);
     m_socket.listen(listenBacklog);
     auto *parameters = new Poco::Net::TCPServerParams;
     parameters->setMaxThreads(static_cast<int>(limits.maxConnections + rejectionThreads));
-    parameters->setMaxQueued(listenBacklog);
+    parameters->setMaxQueued(
+            static_cast<int>(std::max(limits.maxConnections / connectionsPerQueued, minQueued)));
     m_server = std::make_unique<Poco::Net::TCPServer>(
             new ConnectionFactory(m_limits, handler, m_connections), m_threads, m_socket,
             parameters);
--- a/Source/Adapters/Http/HttpListener.h
+++ b/Source/Adapters/Http/HttpListener.h
@@ -1,16 +1,13 @@
 #pragma once
 
-#include <condition_variable>
 #include <memory>
-#include <mutex>
-#include <set>
 #include <string>
 
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
+#include "Adapters/Http/ConnectionSet.h"
 #include "Adapters/Http/HttpHead.h"
 #include "Adapters/Http/HttpLimits.h"
 #include "Model/HttpMessage.h"
@@ -32,33 +29,10 @@
     virtual HttpResponse makeErrorResponse(const HttpRequestError &error) = 0;
 };
 
-namespace detail {
-
-/// Open connections of a listener. stop() closes them.
-class ConnectionSet
-{
-public:
-    /// Returns false if the limit is reached or the listener is stopping.
-    bool add(const Poco::Net::StreamSocket &socket, std::size_t limit);
-    void remove(const Poco::Net::StreamSocket &socket);
-    /// Sets whether the connection is waiting for a request. Returns false if the listener is
-    /// stopping.
-    bool setIdle(const Poco::Net::StreamSocket &socket, bool idle);
-    void stop(Milliseconds limit);
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::set<Poco::Net::StreamSocket> m_sockets;
-    std::set<Poco::Net::StreamSocket> m_idle;
-    bool m_stopping = false;
-};
-
-} // namespace detail
-
 /// HTTP/1.1 server based on Poco::Net::TCPServer. Unlike Poco::Net::HTTPServer, it bounds the total
 /// time and size of requests and validates their framing strictly. Uses one thread for each
-/// connection.
+/// connection. At the limit of connections or of buffered bytes, it closes connections as
+/// EventedHttpServer does; a new one gets 503 while requests of all others are handled.
 class HttpListener
 {
 public:
@@ -78,7 +52,7 @@
 
 private:
     const HttpLimits m_limits;
-    detail::ConnectionSet m_connections;
+    ConnectionSet m_connections;
     Poco::Net::ServerSocket m_socket;
     Poco::ThreadPool m_threads;
     std::unique_ptr<Poco::Net::TCPServer> m_server;
--- a/Source/Adapters/Http/OperatorServer.cpp
+++ b/Source/Adapters/Http/OperatorServer.cpp
@@ -1,18 +1,26 @@
 #include "Adapters/Http/OperatorServer.h"
 
+#include <unistd.h>
+
+#include <cerrno>
 #include <optional>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
+#include "Adapters/Http/ConnectionSet.h"
 #include "Adapters/Http/OperatorResponses.h"
 
 namespace dandelionloom {
@@ -23,8 +31,13 @@
 using Poco::Net::HTTPServerResponse;
 
 /// Few operators send requests at the same time. Each thread may block for the command timeout.
-constexpr int maxThreads = 16;
+constexpr std::size_t maxConnections = 16;
+/// Threads for connections above the limit: they close another one, or wait for one to end.
+constexpr std::size_t waitingThreads = 8;
+constexpr int maxThreads = maxConnections + waitingThreads;
 constexpr int maxQueuedConnections = 64;
+/// A request may confirm a read and commit a change, each within the command timeout.
+constexpr int commandsPerRequest = 2;
 
 /// POCO's dispatcher threads may miss the wake-up of a stop and then sleep for this time. With
 /// POCO's default of 10 s, a stop occasionally took 10 s.
@@ -105,13 +118,41 @@
     return std::nullopt;
 }
 
+/// A connection as one of those of the listener.
+class TrackedConnection
+{
+public:
+    TrackedConnection(Poco::Net::StreamSocket socket, ConnectionSet &connections)
+        : m_socket(std::move(socket)), m_connections(connections)
+    { }
+
+    /// Throws if the connection was closed, so that its request is not handled.
+    void enter(ConnectionPhase phase)
+    {
+        if (!m_connections.setPhase(m_socket, phase)) {
+            throw Poco::Net::ConnectionAbortedException("closed by a limit or by the stop");
+        }
+    }
+    void addBytes(std::size_t count)
+    {
+        if (!m_connections.addBytes(m_socket, count)) {
+            throw Poco::Net::ConnectionAbortedException("closed by a limit or by the stop");
+        }
+    }
+
+private:
+    const Poco::Net::StreamSocket m_socket;
+    ConnectionSet &m_connections;
+};
+
 /// Reads the whole body. Returns an error response if it is too long or incomplete.
 std::optional<OperatorResponse> readBody(HTTPServerRequest &request, const LimitSettings &limits,
-                                         std::string &body)
+                                         TrackedConnection &connection, std::string &body)
 {
     std::istream &stream = request.stream();
     char buffer[8192];
     while (stream.read(buffer, sizeof(buffer)) || stream.gcount() > 0) {
+        connection.addBytes(static_cast<std::size_t>(stream.gcount()));
         body.append(buffer, static_cast<std::size_t>(stream.gcount()));
         if (body.size() > limits.bodyBytes) {
             return errorResponse(413,
@@ -147,24 +188,32 @@
 class ApiHandler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    ApiHandler(OperatorRequest request, const LimitSettings &limits, OperatorApi &api)
-        : m_request(std::move(request)), m_limits(limits), m_api(api)
+    ApiHandler(OperatorRequest request, const LimitSettings &limits, OperatorApi &api,
+               const TrackedConnection &connection)
+        : m_request(std::move(request)), m_limits(limits), m_api(api), m_connection(connection)
     { }
 
     void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
     {
-        if (const auto error = readBody(request, m_limits, m_request.body)) {
+        const auto error = readBody(request, m_limits, m_connection, m_request.body);
+        if (error) {
             response.setKeepAlive(false);
+            m_connection.enter(ConnectionPhase::Sending);
             send(response, *error);
             return;
         }
-        send(response, m_api.handle(m_request));
+        m_connection.enter(ConnectionPhase::Handling);
+        const OperatorResponse result = m_api.handle(m_request);
+        m_connection.enter(ConnectionPhase::Sending);
+        send(response, result);
+        m_connection.enter(ConnectionPhase::Idle);
     }
 
 private:
     OperatorRequest m_request;
     const LimitSettings &m_limits;
     OperatorApi &m_api;
+    TrackedConnection m_connection;
 };
 
 /// Selects the handler of a request by its head. POCO sends 100 Continue only if the status of the
@@ -172,12 +221,14 @@
 class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    HandlerFactory(const OperatorServerOptions &options, DecisionLog &decisions, OperatorApi &api)
-        : m_options(options), m_decisions(decisions), m_api(api)
+    HandlerFactory(const OperatorServerOptions &options, DecisionLog &decisions, OperatorApi &api,
+                   const TrackedConnection &connection)
+        : m_options(options), m_decisions(decisions), m_api(api), m_connection(connection)
     { }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &request) override
     {
+        m_connection.enter(ConnectionPhase::Reading);
         OperatorRequest parsed;
         std::optional<OperatorResponse> response = checkHead(request, m_options.limits);
         if (!response) {
@@ -196,13 +247,14 @@
         if (response) {
             request.response().setStatus(
                     static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response->status));
+            m_connection.enter(ConnectionPhase::Sending);
             return new RejectingHandler(std::move(*response));
         }
         parsed.accept = request.get("Accept", "");
         parsed.contentType = request.get("Content-Type", "");
         parsed.ifMatch = request.get("If-Match", "");
         parsed.changeId = request.get("Dandelionloom-Change-Id", "");
-        return new ApiHandler(std::move(parsed), m_options.limits, m_api);
+        return new ApiHandler(std::move(parsed), m_options.limits, m_api, m_connection);
     }
 
 private:
@@ -242,6 +294,88 @@
     const OperatorServerOptions &m_options;
     DecisionLog &m_decisions;
     OperatorApi &m_api;
+    TrackedConnection m_connection;
+};
+
+/// What the connections of a listener share.
+struct ListenerContext
+{
+    const OperatorServerOptions &options;
+    DecisionLog &decisions;
+    OperatorApi &api;
+    ConnectionSet &connections;
+    Poco::AutoPtr<Poco::Net::HTTPServerParams> parameters;
+};
+
+/// A descriptor of its own for a connection. POCO's session closes its descriptor by itself, so
+/// that another thread that shuts the connection down could meet a new connection with the same
+/// number.
+class DuplicateSocket : public Poco::Net::StreamSocket
+{
+public:
+    explicit DuplicateSocket(const Poco::Net::StreamSocket &socket)
+        : StreamSocket(new Poco::Net::StreamSocketImpl(duplicate(socket)))
+    { }
+
+private:
+    static int duplicate(const Poco::Net::StreamSocket &socket)
+    {
+        const int descriptor = ::dup(socket.impl()->sockfd());
+        if (descriptor < 0) {
+            throw Poco::Net::NetException("cannot duplicate a descriptor", errno);
+        }
+        return descriptor;
+    }
+};
+
+class OperatorConnection : public Poco::Net::HTTPServerConnection
+{
+public:
+    OperatorConnection(const Poco::Net::StreamSocket &socket, const ListenerContext &context)
+        : OperatorConnection(socket, DuplicateSocket(socket), context)
+    { }
+
+    void run() override
+    {
+        // A connection without room is closed before anything is read from it.
+        if (!m_connections.add(m_duplicate, m_wait)) {
+            return;
+        }
+        try {
+            HTTPServerConnection::run();
+        } catch (const std::exception &) {
+            // The connection was lost, or closed by a limit, so that no response can be sent.
+        }
+        m_connections.remove(m_duplicate);
+    }
+
+private:
+    OperatorConnection(const Poco::Net::StreamSocket &socket,
+                       const Poco::Net::StreamSocket &duplicate, const ListenerContext &context)
+        : HTTPServerConnection(socket, context.parameters,
+                               new HandlerFactory(context.options, context.decisions, context.api,
+                                                  {duplicate, context.connections})),
+          m_duplicate(duplicate), m_connections(context.connections),
+          m_wait(context.options.commandTimeout)
+    { }
+
+    const Poco::Net::StreamSocket m_duplicate;
+    ConnectionSet &m_connections;
+    const Milliseconds m_wait;
+};
+
+class OperatorConnectionFactory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit OperatorConnectionFactory(const ListenerContext &context) : m_context(context) { }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new OperatorConnection(socket, m_context);
+    }
+
+private:
+    const ListenerContext m_context;
 };
 
 } // namespace
@@ -250,16 +384,21 @@
 {
 public:
     Listener(const OperatorServerOptions &options, DecisionLog &decisions, OperatorApi &api)
-        : m_socket(Poco::Net::SocketAddress(options.address)), m_threads(2, maxThreads),
-          m_server(new HandlerFactory(options, decisions, api), m_threads, m_socket,
-                   makeParameters(options.limits))
+        : m_stopTimeout(commandsPerRequest * options.commandTimeout),
+          m_connections({maxConnections, options.maxBufferedBytes}),
+          m_socket(Poco::Net::SocketAddress(options.address)), m_threads(2, maxThreads),
+          m_parameters(makeParameters(options.limits)),
+          m_server(new OperatorConnectionFactory(
+                           {options, decisions, api, m_connections, m_parameters}),
+                   m_threads, m_socket, m_parameters)
     {
         m_server.start();
     }
 
     ~Listener()
     {
-        m_server.stopAll(false);
+        m_server.stop();
+        m_connections.stop(m_stopTimeout);
         m_threads.joinAll();
     }
 
@@ -281,9 +420,12 @@
         return parameters;
     }
 
+    const Milliseconds m_stopTimeout;
+    ConnectionSet m_connections;
     Poco::Net::ServerSocket m_socket;
     Poco::ThreadPool m_threads;
-    Poco::Net::HTTPServer m_server;
+    const Poco::AutoPtr<Poco::Net::HTTPServerParams> m_parameters;
+    Poco::Net::TCPServer m_server;
 };
 
 OperatorServer::OperatorServer(OperatorServerOptions options, OperatorServices services)
--- a/Source/Adapters/Http/OperatorServer.h
+++ b/Source/Adapters/Http/OperatorServer.h
@@ -20,6 +20,8 @@
     OperatorCredentials credentials;
     /// Body, header and request line limits and the read timeout.
     LimitSettings limits;
+    /// Bytes of request bodies that all connections together may hold; 0 for no limit.
+    std::size_t maxBufferedBytes = 0;
     /// Time for a command to be committed and applied. Longer than two elections with the default
     /// timeouts, so that a change that is sent during an election is answered.
     Milliseconds commandTimeout{5000};
@@ -33,7 +35,9 @@
 };
 
 /// Serves the administration API over HTTP/1.1. /healthz and /readyz need no credential; requests
-/// for other paths without a valid credential are rejected before their body is read.
+/// for other paths without a valid credential are rejected before their body is read. At the limit
+/// of connections or of buffered bytes, connections are closed as by EventedHttpServer; none whose
+/// request is being handled.
 class OperatorServer
 {
 public:
--- a/Source/Adapters/Settings/Settings.cpp
+++ b/Source/Adapters/Settings/Settings.cpp
@@ -193,6 +193,8 @@
         limits.retryPercent = number<std::uint32_t>(reader, "limits", "retry_percent");
         limits.longWorkPercent = number<std::uint32_t>(reader, "limits", "long_work_percent");
         limits.entryBytes = number<std::uint64_t>(reader, "limits", "entry_bytes");
+        limits.memoryMb = number<std::uint32_t>(reader, "limits", "memory_mb");
+        limits.maxOpenFiles = number<std::uint32_t>(reader, "limits", "max_open_files");
         reader.reportUnknownKeys();
     }
 
--- a/Source/Adapters/Settings/Settings.h
+++ b/Source/Adapters/Settings/Settings.h
@@ -98,6 +98,8 @@
     std::uint32_t retryPercent = 10;
     std::uint32_t longWorkPercent = 75;
     std::uint64_t entryBytes = 258048;
+    std::uint32_t memoryMb = 256;
+    std::uint32_t maxOpenFiles = 4096;
 };
 
 struct StorageSettings
--- a/Source/Program/EntryInstance.cpp
+++ b/Source/Program/EntryInstance.cpp
@@ -16,6 +16,7 @@
 #include "Adapters/Logging/JsonDecisionLog.h"
 #include "Adapters/Metrics/PrometheusMetrics.h"
 #include "Adapters/Peers/Http2PeerTransport.h"
+#include "Program/ListenerLimits.h"
 #include "Runtime/AnnouncementIntake.h"
 #include "Runtime/AttemptRunner.h"
 #include "Runtime/ClaimBatcher.h"
@@ -44,6 +45,29 @@
     return static_cast<std::uint64_t>(wallTimeNow());
 }
 
+// Shares of the machine. The descriptors that remain are for the connections to endpoints, the
+// memory that remains for the program and the requests that wait for endpoints.
+constexpr ListenerShare callerShare{40, 20, 0, 0};
+constexpr ListenerShare endpointShare{15, 3, 0, 0};
+constexpr ListenerShare operatorShare{5, 5, 0, 0};
+constexpr PeerShare peerShare{10, 12};
+
+MachineLimits machineLimits(const LimitSettings &settings)
+{
+    return {settings.memoryMb, settings.maxOpenFiles};
+}
+
+/// Limits a listener to its share, which always covers two whole requests.
+HttpLimits limitToShare(const HttpLimits &limits, const LimitSettings &settings,
+                        const ListenerShare &share)
+{
+    HttpLimits limited = limitToMachine(limits, machineLimits(settings), share);
+    limited.maxBufferedBytes = std::max(
+            limited.maxBufferedBytes,
+            2 * (limits.maxBodyBytes + limits.maxHeaderBytes + limits.maxRequestLineBytes));
+    return limited;
+}
+
 HttpLimits callerLimits(const LimitSettings &settings)
 {
     HttpLimits limits;
@@ -54,7 +78,7 @@
     limits.headTimeout = settings.readTimeout;
     limits.bodyTimeout = settings.readTimeout;
     limits.maxConnections = settings.callerConnections;
-    return limits;
+    return limitToShare(limits, settings, callerShare);
 }
 
 ReplicaOptions replicaOptions(const Settings &settings)
@@ -160,8 +184,11 @@
                std::function<void(const std::string &)> onFatal)
         : log(std::move(openedLog)),
           storage(std::move(openedStorage)), identity{settings.instance.name, newIncarnation()},
-          store(settings.cluster.group), transport(peerIdentity(settings), settings.listen.peers,
-                                                   peerAddresses(settings), {}, *log, metrics),
+          store(settings.cluster.group),
+          transport(
+                  peerIdentity(settings), settings.listen.peers, peerAddresses(settings),
+                  limitToMachine(PeerTransportOptions{}, machineLimits(settings.limits), peerShare),
+                  *log, metrics),
           replica(replicaOptions(settings), storage.get(), transport, store, *log, metrics,
                   std::move(onFatal)),
           table(tableOptions(settings)), client({}), queue(queueOptions(settings), table, store),
@@ -182,7 +209,8 @@
                      controllerOptions(settings)),
           callerServer(settings.listen.callers, callerLimits(settings.limits),
                        std::move(callerCredentials), gateway),
-          endpointServer(settings.listen.endpoints, endpointServerLimits(),
+          endpointServer(settings.listen.endpoints,
+                         limitToShare(endpointServerLimits(), settings.limits, endpointShare),
                          std::move(endpointCredentials), endpointSync),
           operatorServer(operatorOptions(settings, std::move(operatorCredentials)),
                          {replica, *log, endpointRecords(), waveExplanations(),
@@ -259,6 +287,9 @@
         options.instanceName = settings.instance.name;
         options.credentials = std::move(credentials);
         options.limits = settings.limits;
+        options.maxBufferedBytes =
+                limitToShare(callerLimits(settings.limits), settings.limits, operatorShare)
+                        .maxBufferedBytes;
         options.defaultDrainLimit = settings.timing.drainLimit;
         return options;
     }
