Tests: Kill the gateway while runs of its callers last

Cause: scenario 13 failed once, after 20 s without any request whose outcome was unknown or in progress. Its callers run in step, so a kill between two of their requests leaves no claim without an outcome, and the wait for one never ends.

Change: the gateway is frozen and killed at a moment at which a run has begun less than its length before, so that a claim without an outcome is certain. No check is taken out or eased.

--- a/Tests/Scenarios/13-gateway-killed-resend.lua
+++ b/Tests/Scenarios/13-gateway-killed-resend.lua
@@ -5,7 +5,8 @@
 local c = cluster.new {zones = 3, entries = 6, voters = 3}
 c:start_all()
 c:apply_lists(c:wait_leader())
-c:add_endpoints("pricing", 3, {run_ms = 150})
+local run_ms = 150
+c:add_endpoints("pricing", 3, {run_ms = run_ms})
 c:wait_endpoints(3)
 
 local callers = 12
@@ -18,12 +19,35 @@
         {callers = callers, key_prefix = "settle-", addresses = {"127.0.0.1:" .. entry.ports.callers}})
 end
 
+--- Freezes the gateway at a moment at which endpoints run requests of its callers. A run that began
+--- less than run_ms before has not ended, so its key is claimed and has no outcome.
+local function freeze_during_runs(entry)
+    local known_at, known = now_ms(), c:runs_by_key()
+    wait_until(15000, "runs have begun just before the gateway is frozen", function()
+        entry.process:signal("stop")
+        local frozen_at, runs = now_ms(), c:runs_by_key()
+        local begun = 0
+        for key in pairs(runs) do
+            begun = begun + (known[key] and 0 or 1)
+        end
+        if begun > 0 and frozen_at - known_at < run_ms then
+            return true
+        end
+        known_at, known = frozen_at, runs
+        entry.process:signal("cont")
+        return false
+    end)
+end
+
 local first, second
 section("the gateway is killed with requests in flight and its callers resend", function()
     first = keyed_load(victim)
     wait_until(15000, "the callers have completed requests", function()
         return (cluster.count_outcomes(first).done or 0) >= callers * 2
     end)
+    -- The callers run in step, so a kill between two of their requests would leave no claim without an
+    -- outcome.
+    freeze_during_runs(victim)
     victim.process:signal("kill")
     second = keyed_load(survivor)
     victim.process:wait()
