Http: Give new connections and slow readers their turn at limits

New connections were idle, so each newcomer gave way to the next one while partial heads stayed. They now count as incomplete from their accept on, and the time of a further request begins with its first byte.

A request for which handled requests leave no bytes gets 503 instead of a closed connection, and so does an operator without room, who waits as long as a request may take. A stop leaves requests that are handled and rejections that linger their response.

--- a/Source/Adapters/Http/ConnectionPressure.cpp
+++ b/Source/Adapters/Http/ConnectionPressure.cpp
@@ -5,6 +5,12 @@
 
 namespace dandelionloom {
 
+ConnectionActivity activityOfResponse(bool writable, SteadyTimeMs withoutProgressMs)
+{
+    return !writable && withoutProgressMs >= unreadGraceMs ? ConnectionActivity::ResponseUnread
+                                                           : ConnectionActivity::RequestActive;
+}
+
 std::optional<std::uint64_t>
 chooseConnectionToClose(const std::vector<ConnectionFacts> &connections)
 {
--- a/Source/Adapters/Http/ConnectionSet.cpp
+++ b/Source/Adapters/Http/ConnectionSet.cpp
@@ -10,6 +10,18 @@
 
 namespace dandelionloom {
 
+namespace {
+
+/// How often a stop looks for connections whose client takes no more of a response.
+constexpr Milliseconds stopCheckInterval{100};
+
+bool waitsForRequest(ConnectionPhase phase)
+{
+    return phase == ConnectionPhase::New || phase == ConnectionPhase::Idle;
+}
+
+} // namespace
+
 bool ConnectionSet::add(const Poco::Net::StreamSocket &socket, Milliseconds wait)
 {
     std::unique_lock lock(m_mutex);
@@ -19,7 +31,7 @@
     }
     Connection connection;
     connection.id = m_nextId++;
-    connection.progressAt = steadyTimeNow();
+    connection.progressAt = m_clock();
     m_connections.emplace(socket, connection);
     ++m_openConnections;
     return true;
@@ -48,36 +60,65 @@
         return false;
     }
     Connection &connection = found->second;
-    connection.phase = phase;
-    if (phase != ConnectionPhase::Reading) {
-        connection.progressAt = steadyTimeNow();
+    // A request begins at the end of the idle time, the first one when the connection is accepted.
+    if (phase != ConnectionPhase::Reading || connection.phase == ConnectionPhase::Idle) {
+        connection.progressAt = m_clock();
     }
-    if (phase == ConnectionPhase::Idle) {
+    connection.phase = phase;
+    if (phase == ConnectionPhase::Idle || phase == ConnectionPhase::Lingering) {
         releaseBytes(connection);
-        if (m_stopping) {
-            close(*found);
-        }
+    }
+    if (phase == ConnectionPhase::Idle && m_stopping) {
+        close(*found);
     }
     m_changed.notify_all();
     return !connection.closed;
 }
 
-bool ConnectionSet::addBytes(const Poco::Net::StreamSocket &socket, std::size_t count)
+AddBytesResult ConnectionSet::addBytes(const Poco::Net::StreamSocket &socket, std::size_t count)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_connections.find(socket);
     if (found == m_connections.end() || found->second.closed) {
-        return false;
+        return AddBytesResult::Closed;
     }
-    if (found->second.phase == ConnectionPhase::Idle) {
+    Connection &connection = found->second;
+    if (waitsForRequest(connection.phase)) {
         // Otherwise a new request would be the first one that gives way.
-        found->second.phase = ConnectionPhase::Reading;
+        if (connection.phase == ConnectionPhase::Idle) {
+            connection.progressAt = m_clock();
+        }
+        connection.phase = ConnectionPhase::Reading;
     }
-    found->second.bytes += count;
+    connection.bytes += count;
     m_bufferedBytes += count;
     while (m_limits.maxBufferedBytes != 0 && m_bufferedBytes > m_limits.maxBufferedBytes
-           && closeOne(true)) { }
-    return !found->second.closed;
+           && !connection.closed) {
+        const std::vector<ConnectionFacts> facts = factsOf(true);
+        const std::optional<std::uint64_t> id = chooseConnectionToClose(facts);
+        if (!id) {
+            break;
+        }
+        const auto candidates = std::count_if(facts.begin(), facts.end(), [](const auto &item) {
+            return item.activity != ConnectionActivity::RequestActive;
+        });
+        if (*id == connection.id && candidates == 1
+            && connection.phase == ConnectionPhase::Reading) {
+            releaseBytes(connection);
+            return AddBytesResult::NoRoom;
+        }
+        closeById(*id);
+    }
+    return connection.closed ? AddBytesResult::Closed : AddBytesResult::Added;
+}
+
+void ConnectionSet::noteProgress(const Poco::Net::StreamSocket &socket)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_connections.find(socket);
+    if (found != m_connections.end() && found->second.phase == ConnectionPhase::Sending) {
+        found->second.progressAt = m_clock();
+    }
 }
 
 void ConnectionSet::stop(Milliseconds limit)
@@ -86,52 +127,73 @@
     m_stopping = true;
     m_changed.notify_all();
     for (auto &connection : m_connections) {
-        if (!connection.second.closed && connection.second.phase == ConnectionPhase::Idle) {
+        if (!connection.second.closed && waitsForRequest(connection.second.phase)) {
             close(connection);
         }
     }
     const auto empty = [this] { return m_connections.empty(); };
-    if (m_changed.wait_for(lock, limit, empty)) {
-        return;
-    }
-    for (auto &connection : m_connections) {
-        if (!connection.second.closed) {
-            close(connection);
+    Milliseconds wait = limit;
+    while (!m_changed.wait_for(lock, wait, empty)) {
+        for (auto &connection : m_connections) {
+            if (isOverdue(connection.second)) {
+                close(connection);
+            }
         }
+        wait = stopCheckInterval;
     }
-    m_changed.wait(lock, empty);
 }
 
-ConnectionActivity ConnectionSet::activityOf(const Connections::value_type &connection)
+bool ConnectionSet::isOverdue(const Connection &connection) const
+{
+    switch (connection.phase) {
+    case ConnectionPhase::Handling:
+    case ConnectionPhase::Lingering:
+        return false;
+    case ConnectionPhase::Sending:
+        return !connection.closed && m_clock() - connection.progressAt >= unreadGraceMs;
+    case ConnectionPhase::New:
+    case ConnectionPhase::Idle:
+    case ConnectionPhase::Reading:
+        break;
+    }
+    return !connection.closed;
+}
+
+ConnectionActivity ConnectionSet::activityOf(const Connections::value_type &connection) const
 {
     const auto &[socket, state] = connection;
     switch (state.phase) {
     case ConnectionPhase::Idle:
         return ConnectionActivity::Idle;
+    case ConnectionPhase::New:
     case ConnectionPhase::Reading:
         return ConnectionActivity::RequestIncomplete;
     case ConnectionPhase::Handling:
         return ConnectionActivity::RequestActive;
+    case ConnectionPhase::Lingering:
+        return ConnectionActivity::ResponseUnread;
     case ConnectionPhase::Sending:
         break;
     }
     // The thread waits for a client that does not read if the kernel takes no more bytes.
     pollfd entry{socket.impl()->sockfd(), POLLOUT, 0};
     const bool writable = ::poll(&entry, 1, 0) > 0;
-    return writable ? ConnectionActivity::RequestActive : ConnectionActivity::ResponseUnread;
+    return activityOfResponse(writable, m_clock() - state.progressAt);
 }
 
 bool ConnectionSet::makeRoom()
 {
     while (m_openConnections >= m_limits.maxConnections) {
-        if (!closeOne(false)) {
+        const std::optional<std::uint64_t> id = chooseConnectionToClose(factsOf(false));
+        if (!id) {
             return false;
         }
+        closeById(*id);
     }
     return true;
 }
 
-bool ConnectionSet::closeOne(bool withBytes)
+std::vector<ConnectionFacts> ConnectionSet::factsOf(bool withBytes) const
 {
     std::vector<ConnectionFacts> facts;
     for (const auto &connection : m_connections) {
@@ -140,15 +202,15 @@
             facts.push_back({state.id, activityOf(connection), state.bytes, state.progressAt});
         }
     }
-    const std::optional<std::uint64_t> id = chooseConnectionToClose(facts);
-    if (!id) {
-        return false;
-    }
+    return facts;
+}
+
+void ConnectionSet::closeById(std::uint64_t id)
+{
     const auto chosen =
             std::find_if(m_connections.begin(), m_connections.end(),
-                         [&](const auto &connection) { return connection.second.id == *id; });
+                         [&](const auto &connection) { return connection.second.id == id; });
     close(*chosen);
-    return true;
 }
 
 void ConnectionSet::close(Connections::value_type &connection)
--- a/Source/Adapters/Http/EventedHttpServer.cpp
+++ b/Source/Adapters/Http/EventedHttpServer.cpp
@@ -198,6 +198,10 @@
         if (connection.phase == Phase::Idle) {
             // Otherwise a new request would be the first one that gives way at the buffer limit.
             connection.phase = Phase::ReadingHead;
+            // The first request of a connection begins when the connection is accepted.
+            if (connection.requestCount != 0) {
+                connection.progressAt = steadyTimeNow();
+            }
             armTimer(id, m_limits.headTimeout, ConnectionCloseReason::RequestTimeout);
         }
         countBytes(connection);
@@ -436,7 +440,9 @@
 {
     switch (connection.phase) {
     case Phase::Idle:
-        return ConnectionActivity::Idle;
+        // A client that has just connected must not give way before older incomplete requests.
+        return connection.requestCount == 0 ? ConnectionActivity::RequestIncomplete
+                                            : ConnectionActivity::Idle;
     case Phase::ReadingHead:
     case Phase::ReadingBody:
         return ConnectionActivity::RequestIncomplete;
--- a/Source/Adapters/Http/HttpListener.cpp
+++ b/Source/Adapters/Http/HttpListener.cpp
@@ -1,10 +1,6 @@
 #include "Adapters/Http/HttpListener.h"
 
-#include <poll.h>
-
 #include <algorithm>
-#include <array>
-#include <cerrno>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -13,6 +9,8 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/Net/TCPServerParams.h>
 
+#include "Adapters/Http/SocketInput.h"
+
 namespace dandelionloom {
 
 namespace {
@@ -25,28 +23,11 @@
 constexpr std::size_t connectionsPerQueued = 4;
 constexpr std::size_t minQueued = 8;
 
-/// Limits of the lingering close: how long and how many bytes are read from a rejected client.
-/// Closing a connection with unread input resets it, and the client could lose the response.
-constexpr Milliseconds lingerTimeout{500};
-constexpr std::size_t maxLingerBytes = 256 * 1024;
-
 Poco::Timespan timespan(Milliseconds duration)
 {
     return {duration.count() * Poco::Timespan::MILLISECONDS};
 }
 
-/// Waits until a socket is readable or its connection has ended. Returns false after the timeout.
-/// Poco::Net::Socket::poll() takes a further descriptor for each waiting thread.
-bool waitForInput(const Poco::Net::StreamSocket &socket, SteadyTimeMs timeoutMs)
-{
-    pollfd entry{socket.impl()->sockfd(), POLLIN, 0};
-    int count = -1;
-    do {
-        count = ::poll(&entry, 1, static_cast<int>(timeoutMs));
-    } while (count < 0 && errno == EINTR);
-    return count > 0;
-}
-
 /// Reads from a socket until a deadline, and counts the bytes read.
 class DeadlineSource
 {
@@ -64,16 +45,23 @@
             throw Poco::TimeoutException();
         }
         const int count = m_socket.receiveBytes(buffer, size);
-        if (count > 0 && !m_connections.addBytes(m_socket, static_cast<std::size_t>(count))) {
-            return 0;
+        if (count <= 0) {
+            return count;
         }
-        return count;
+        const AddBytesResult result =
+                m_connections.addBytes(m_socket, static_cast<std::size_t>(count));
+        m_withoutRoom = result == AddBytesResult::NoRoom;
+        return result == AddBytesResult::Added ? count : 0;
     }
 
+    /// True if reading has ended because requests that are handled hold all bytes of the limit.
+    bool withoutRoom() const { return m_withoutRoom; }
+
 private:
     Poco::Net::StreamSocket &m_socket;
     ConnectionSet &m_connections;
     SteadyTimeMs m_deadline = 0;
+    bool m_withoutRoom = false;
 };
 
 class Connection : public Poco::Net::TCPServerConnection
@@ -107,10 +95,14 @@
         ByteReader reader([&](char *buffer, int size) { return source.read(buffer, size); });
         for (std::size_t count = 0; count < m_limits.maxRequestsPerConnection; ++count) {
             source.setTimeout(count == 0 ? m_limits.headTimeout : m_limits.keepAliveTimeout);
-            if (!setPhase(ConnectionPhase::Idle)) {
+            if (count != 0 && !setPhase(ConnectionPhase::Idle)) {
                 return;
             }
             const ReadStatus status = reader.waitForByte();
+            if (source.withoutRoom()) {
+                reject(tooManyBytes());
+                return;
+            }
             if (!setPhase(ConnectionPhase::Reading) || status != ReadStatus::Ok) {
                 return;
             }
@@ -121,6 +113,16 @@
         }
     }
 
+    HttpResponse tooManyBytes()
+    {
+        return m_handler.makeErrorResponse({503, "too-many-buffered-bytes"});
+    }
+
+    HttpResponse refusal(const DeadlineSource &source, const HttpRequestError &error)
+    {
+        return source.withoutRoom() ? tooManyBytes() : m_handler.makeErrorResponse(error);
+    }
+
     bool setPhase(ConnectionPhase phase) { return m_connections.setPhase(socket(), phase); }
 
     /// Returns true if the connection accepts another request.
@@ -129,7 +131,7 @@
         source.setTimeout(m_limits.headTimeout);
         Result<HttpHead, HttpRequestError> head = readHead(reader, m_limits);
         if (!isOk(head)) {
-            reject(m_handler.makeErrorResponse(errorOf(head)));
+            reject(refusal(source, errorOf(head)));
             return false;
         }
         HttpHead request = takeValue(std::move(head));
@@ -144,7 +146,7 @@
         }
         Result<std::string, HttpRequestError> body = readBody(reader, request, m_limits);
         if (!isOk(body)) {
-            reject(m_handler.makeErrorResponse(errorOf(body)));
+            reject(refusal(source, errorOf(body)));
             return false;
         }
         const bool keepAlive = request.keepAlive && !last;
@@ -167,21 +169,8 @@
         }
         sendResponse(response, false, false);
         socket().shutdownSend();
-        setPhase(ConnectionPhase::Idle);
-        const SteadyTimeMs deadline = steadyTimeNow() + lingerTimeout.count();
-        std::array<char, 4096> discarded;
-        for (std::size_t bytes = 0; bytes < maxLingerBytes;) {
-            const SteadyTimeMs remainingMs = deadline - steadyTimeNow();
-            if (remainingMs <= 0 || !waitForInput(socket(), remainingMs)) {
-                return;
-            }
-            const int count =
-                    socket().receiveBytes(discarded.data(), static_cast<int>(discarded.size()));
-            if (count <= 0) {
-                return;
-            }
-            bytes += static_cast<std::size_t>(count);
-        }
+        setPhase(ConnectionPhase::Lingering);
+        discardInput(socket());
     }
 
     void sendResponse(const HttpResponse &response, bool keepAlive, bool isHeadRequest)
@@ -224,6 +213,7 @@
                 throw Poco::TimeoutException();
             }
             sent += static_cast<std::size_t>(count);
+            m_connections.noteProgress(socket());
         }
     }
 
--- a/Source/Adapters/Http/HttpListener.h
+++ b/Source/Adapters/Http/HttpListener.h
@@ -32,7 +32,8 @@
 /// HTTP/1.1 server based on Poco::Net::TCPServer. Unlike Poco::Net::HTTPServer, it bounds the total
 /// time and size of requests and validates their framing strictly. Uses one thread for each
 /// connection. At the limit of connections or of buffered bytes, it closes connections as
-/// EventedHttpServer does; a new one gets 503 while requests of all others are handled.
+/// EventedHttpServer does; a new connection or request gets 503 while requests that are handled
+/// take the whole limit.
 class HttpListener
 {
 public:
@@ -45,7 +46,8 @@
 
     void start();
     /// Stops accepting connections and closes the open ones: idle ones immediately, the others
-    /// after the request in progress, at the latest after the stop timeout.
+    /// after the request in progress. After the stop timeout, incomplete requests and responses
+    /// without progress are closed too; requests that are handled still get their response.
     void stop();
     /// IP address and port.
     std::string address() const;
--- a/Source/Adapters/Http/OperatorServer.cpp
+++ b/Source/Adapters/Http/OperatorServer.cpp
@@ -4,6 +4,7 @@
 
 #include <cerrno>
 #include <optional>
+#include <sstream>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -22,6 +23,7 @@
 
 #include "Adapters/Http/ConnectionSet.h"
 #include "Adapters/Http/OperatorResponses.h"
+#include "Adapters/Http/SocketInput.h"
 
 namespace dandelionloom {
 
@@ -133,11 +135,14 @@
             throw Poco::Net::ConnectionAbortedException("closed by a limit or by the stop");
         }
     }
-    void addBytes(std::size_t count)
+    /// Returns false if the request must be refused. Throws as enter() does.
+    bool addBytes(std::size_t count)
     {
-        if (!m_connections.addBytes(m_socket, count)) {
+        const AddBytesResult result = m_connections.addBytes(m_socket, count);
+        if (result == AddBytesResult::Closed) {
             throw Poco::Net::ConnectionAbortedException("closed by a limit or by the stop");
         }
+        return result == AddBytesResult::Added;
     }
 
 private:
@@ -152,7 +157,11 @@
     std::istream &stream = request.stream();
     char buffer[8192];
     while (stream.read(buffer, sizeof(buffer)) || stream.gcount() > 0) {
-        connection.addBytes(static_cast<std::size_t>(stream.gcount()));
+        if (!connection.addBytes(static_cast<std::size_t>(stream.gcount()))) {
+            return errorResponse(503,
+                                 "expected room for the body, found that requests which are "
+                                 "handled take all of it");
+        }
         body.append(buffer, static_cast<std::size_t>(stream.gcount()));
         if (body.size() > limits.bodyBytes) {
             return errorResponse(413,
@@ -337,11 +346,11 @@
 
     void run() override
     {
-        // A connection without room is closed before anything is read from it.
-        if (!m_connections.add(m_duplicate, m_wait)) {
-            return;
-        }
         try {
+            if (!m_connections.add(m_duplicate, m_wait)) {
+                refuse();
+                return;
+            }
             HTTPServerConnection::run();
         } catch (const std::exception &) {
             // The connection was lost, or closed by a limit, so that no response can be sent.
@@ -350,13 +359,38 @@
     }
 
 private:
+    /// Sends 503 before a request is read.
+    void refuse()
+    {
+        const OperatorResponse response =
+                errorResponse(503,
+                              "expected room for another connection, found that the server handles "
+                              "requests of "
+                                      + std::to_string(maxConnections) + " others, or stops");
+        Poco::Net::HTTPResponse head(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+        head.setKeepAlive(false);
+        head.setContentType(response.contentType);
+        head.setContentLength64(static_cast<Poco::Int64>(response.body.size()));
+        for (const auto &[name, value] : response.headers) {
+            head.set(name, value);
+        }
+        std::ostringstream bytes;
+        head.write(bytes);
+        bytes << response.body;
+        const std::string text = bytes.str();
+        socket().sendBytes(text.data(), static_cast<int>(text.size()), MSG_NOSIGNAL);
+        socket().shutdownSend();
+        discardInput(socket());
+    }
+
     OperatorConnection(const Poco::Net::StreamSocket &socket,
                        const Poco::Net::StreamSocket &duplicate, const ListenerContext &context)
         : HTTPServerConnection(socket, context.parameters,
                                new HandlerFactory(context.options, context.decisions, context.api,
                                                   {duplicate, context.connections})),
           m_duplicate(duplicate), m_connections(context.connections),
-          m_wait(context.options.commandTimeout)
+          m_wait(commandsPerRequest * context.options.commandTimeout)
     { }
 
     const Poco::Net::StreamSocket m_duplicate;
--- a/Tests/Http/ConnectionPressureTest.cpp
+++ b/Tests/Http/ConnectionPressureTest.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(ConnectionPressureTest);
     CPPUNIT_TEST(order);
+    CPPUNIT_TEST(unreadResponses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +45,15 @@
             CPPUNIT_ASSERT(!chooseConnectionToClose({}));
         });
     }
+
+    /// Guards against taking a client that reads for one that does not, and the reverse.
+    void unreadResponses()
+    {
+        using enum ConnectionActivity;
+        CPPUNIT_ASSERT(activityOfResponse(false, unreadGraceMs) == ResponseUnread);
+        CPPUNIT_ASSERT(activityOfResponse(false, unreadGraceMs - 1) == RequestActive);
+        CPPUNIT_ASSERT(activityOfResponse(true, unreadGraceMs) == RequestActive);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionPressureTest);
--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -159,6 +159,8 @@
     CPPUNIT_TEST(requestsSentAhead);
     CPPUNIT_TEST(responseNotTaken);
     CPPUNIT_TEST(connectionLimit);
+    CPPUNIT_TEST(newConnections);
+    CPPUNIT_TEST(nextRequests);
     CPPUNIT_TEST(bufferLimit);
     CPPUNIT_TEST(halfClosedClient);
     CPPUNIT_TEST(lostClient);
@@ -389,6 +391,63 @@
         ::close(idle);
     }
 
+    /// Guards against partial heads at the limit of connections, with which each new connection was
+    /// closed for the next one.
+    void newConnections()
+    {
+        HttpLimits limits;
+        limits.maxConnections = 3;
+        ClientAndServer http(echoHandler, limits);
+        const std::string part = "GET /slow";
+        std::vector<int> clients;
+        for (std::size_t index = 0; index < 3; ++index) {
+            clients.push_back(http.connect());
+            ClientAndServer::send(clients.back(), part);
+            CPPUNIT_ASSERT(http.waitForBytes((index + 1) * part.size()));
+        }
+        const int first = http.connect();
+        CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] { return http.closeReasons.size() == 1; }));
+        const int second = http.connect();
+        CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] { return http.closeReasons.size() == 2; }));
+        for (const int client : {first, second}) {
+            ClientAndServer::send(client, "GET /new HTTP/1.1\r\nHost: a\r\n\r\n");
+            CPPUNIT_ASSERT(ClientAndServer::receive(client, "/new=").ends_with("/new="));
+            clients.push_back(client);
+        }
+        for (const int client : clients) {
+            ::close(client);
+        }
+    }
+
+    /// Guards against counting the idle time before a request as time in which it does not arrive.
+    void nextRequests()
+    {
+        HttpLimits limits;
+        limits.maxConnections = 2;
+        ClientAndServer http(echoHandler, limits);
+        const std::string request = "GET /ordinary HTTP/1.1\r\nHost: a\r\n\r\n";
+        const std::string part = "GET /";
+        const int ordinary = http.connect();
+        ClientAndServer::send(ordinary, request);
+        CPPUNIT_ASSERT(ClientAndServer::receive(ordinary, "/ordinary=").ends_with("/ordinary="));
+        const int slow = http.connect();
+        ClientAndServer::send(slow, part);
+        CPPUNIT_ASSERT(http.waitForBytes(part.size()));
+        const SteadyTimeMs slowBegan = steadyTimeNow();
+        while (steadyTimeNow() == slowBegan) {
+            std::this_thread::yield();
+        }
+        ClientAndServer::send(ordinary, request.substr(0, part.size()));
+        CPPUNIT_ASSERT(http.waitForBytes(2 * part.size()));
+        const int late = http.connect();
+        CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] { return http.closeReasons.size() == 1; }));
+        ClientAndServer::send(ordinary, request.substr(part.size()));
+        CPPUNIT_ASSERT(ClientAndServer::receive(ordinary, "/ordinary=").ends_with("/ordinary="));
+        for (const int client : {ordinary, slow, late}) {
+            ::close(client);
+        }
+    }
+
     /// Guards against incomplete requests that take the memory of the process, and against new
     /// requests that give way to them.
     void bufferLimit()
