Http: Reserve at most 64 KiB for a body that has not arrived

A client could make a listener reserve the whole declared length by a head alone. There is no test, as the reserved memory is not visible to callers.

Not built as a whole and not run; each changed file passed a syntax check.

--- a/Source/Adapters/Http/HttpHead.cpp
+++ b/Source/Adapters/Http/HttpHead.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t maxMethodLength = 32;
+/// Memory for a body of which no byte has arrived.
+constexpr std::size_t maxReservedBodyBytes = 64 * 1024;
 
 /// Fields that may occur only once: HTTP implementations differ in which of several values they
 /// use.
@@ -223,8 +225,8 @@
                                                const HttpLimits &limits)
 {
     std::string body;
-    // Growing as the bytes arrive would take up to twice the size of the body.
-    body.reserve(head.contentLength.value_or(0));
+    // A client may declare a length and send nothing.
+    body.reserve(std::min(head.contentLength.value_or(0), maxReservedBodyBytes));
     const ReadStatus status = head.contentLength
             ? reader.readExactly(body, *head.contentLength)
             : readChunkedBody(reader, body, limits.maxBodyBytes);
