Peers: Count requests until their handlers have replied

A reset stream or closed connection took a request off the count although its handler still held the message. Handled requests beyond the limit made all incomplete messages and blocked responses be discarded, while further requests were still handled. They are now refused with REFUSED_STREAM, and the other messages keep room for two.

--- a/Source/Adapters/Peers/Http2Callbacks.cpp
+++ b/Source/Adapters/Peers/Http2Callbacks.cpp
@@ -74,12 +74,7 @@
     }
     const auto found = m_streams.find(frame.hd.stream_id);
     if (found != m_streams.end() && !found->second.discarded) {
-        const std::size_t bytes = found->second.inbound.size();
-        m_bufferedBytes -= bytes;
-        if (m_role == Http2Role::Server) {
-            found->second.unansweredBytes = bytes;
-            m_unansweredBytes += bytes;
-        }
+        m_bufferedBytes -= found->second.inbound.size();
         m_messages.emplace_back(found->first, std::move(found->second.inbound));
         found->second.inbound.clear();
     }
@@ -91,7 +86,6 @@
     const auto found = m_streams.find(stream);
     if (found != m_streams.end()) {
         m_bufferedBytes -= found->second.inbound.size();
-        m_unansweredBytes -= found->second.unansweredBytes;
         m_unsentBytes -= found->second.outbound.size();
         m_streams.erase(found);
         m_closedStreams.push_back(stream);
--- a/Source/Adapters/Peers/Http2Connection.cpp
+++ b/Source/Adapters/Peers/Http2Connection.cpp
@@ -111,8 +111,6 @@
     if (m_closed || found == m_streams.end()) {
         return;
     }
-    m_unansweredBytes -= found->second.unansweredBytes;
-    found->second.unansweredBytes = 0;
     m_unsentBytes += body.size();
     found->second.outbound = std::move(body);
     static const std::string name = ":status";
@@ -128,11 +126,21 @@
 }
 
 void Http2Connection::resetStream(std::int32_t stream)
+{
+    submitReset(stream, NGHTTP2_CANCEL);
+}
+
+void Http2Connection::refuseStream(std::int32_t stream)
+{
+    submitReset(stream, NGHTTP2_REFUSED_STREAM);
+}
+
+void Http2Connection::submitReset(std::int32_t stream, std::uint32_t errorCode)
 {
     if (m_closed) {
         return;
     }
-    nghttp2_submit_rst_stream(m_session.get(), NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+    nghttp2_submit_rst_stream(m_session.get(), NGHTTP2_FLAG_NONE, stream, errorCode);
     m_flushAgain = true;
     flush();
 }
--- a/Source/Adapters/Peers/Http2Connection.h
+++ b/Source/Adapters/Peers/Http2Connection.h
@@ -59,6 +59,8 @@
     std::int32_t request(std::string body);
     void respond(std::int32_t stream, std::string body);
     void resetStream(std::int32_t stream);
+    /// Resets a stream whose request was not handled; the client may send it again.
+    void refuseStream(std::int32_t stream);
     /// Frees the largest message that is incomplete or was not sent completely, and resets its
     /// stream. Returns false if there is none. A request that is being handled stays.
     bool discardLargestMessage();
@@ -76,11 +78,9 @@
     /// messages.
     bool hasUnsentOutput() const { return !m_output.empty(); }
     std::size_t openStreams() const { return m_streams.size(); }
-    /// Bytes of incomplete messages, of requests that were not answered yet, and of messages that
-    /// were not sent completely.
-    std::size_t heldBytes() const { return m_bufferedBytes + m_unansweredBytes + m_unsentBytes; }
-    /// Bytes that discardLargestMessage() can free.
-    std::size_t discardableBytes() const { return m_bufferedBytes + m_unsentBytes; }
+    /// Bytes of incomplete messages and of messages that were not sent completely, which
+    /// discardLargestMessage() can free.
+    std::size_t heldBytes() const { return m_bufferedBytes + m_unsentBytes; }
 
 private:
     struct Stream
@@ -89,8 +89,6 @@
         std::string outbound;
         std::size_t outboundSent = 0;
         std::size_t headerBytes = 0;
-        /// Size of a request that was not answered yet.
-        std::size_t unansweredBytes = 0;
         bool discarded = false;
     };
     struct SessionDeleter
@@ -110,6 +108,7 @@
     void flush();
     void deliverEvents();
     void reportHeldBytes();
+    void submitReset(std::int32_t stream, std::uint32_t errorCode);
     /// Stores the error and returns the code that makes nghttp2 fail the session.
     int failSession(const std::string &error);
 
@@ -132,7 +131,6 @@
     EventLoop::WatchId m_watch = 0;
     std::map<std::int32_t, Stream> m_streams;
     std::size_t m_bufferedBytes = 0;
-    std::size_t m_unansweredBytes = 0;
     std::size_t m_unsentBytes = 0;
     std::size_t m_reportedBytes = 0;
     std::string m_output;
--- a/Source/Adapters/Peers/PeerOptions.h
+++ b/Source/Adapters/Peers/PeerOptions.h
@@ -48,7 +48,8 @@
     /// closed.
     std::size_t maxConnections = 256;
     /// Bytes of messages that all inbound connections together may hold: incomplete requests,
-    /// requests being handled, and responses that were not sent. 0 for no limit.
+    /// requests being handled, and responses that were not sent. While requests being handled take
+    /// the whole limit, the others may still take two messages. 0 for no limit.
     std::size_t maxHeldBytes = 0;
 
     Milliseconds connectTimeout{1000};
--- a/Source/Adapters/Peers/PeerServer.cpp
+++ b/Source/Adapters/Peers/PeerServer.cpp
@@ -8,6 +8,8 @@
 #include <atomic>
 #include <cerrno>
 #include <cstring>
+#include <functional>
+#include <utility>
 
 #include "Adapters/Peers/PeerEnvelope.h"
 
@@ -31,6 +33,43 @@
 
 } // namespace
 
+/// Counts the bytes of a request until its handler has replied, or has dropped the reply function.
+class PeerServer::UnansweredRequest
+{
+public:
+    UnansweredRequest(std::weak_ptr<PeerServer *> server, std::shared_ptr<EventLoop> loop,
+                      std::size_t bytes)
+        : m_server(std::move(server)), m_loop(std::move(loop)), m_bytes(bytes)
+    { }
+    ~UnansweredRequest()
+    {
+        finish([](PeerServer &) {});
+    }
+    UnansweredRequest(const UnansweredRequest &) = delete;
+    UnansweredRequest &operator=(const UnansweredRequest &) = delete;
+
+    /// Ends the count and runs the function on the loop's thread. Only the first call has an
+    /// effect. Thread-safe.
+    void finish(std::function<void(PeerServer &)> reply)
+    {
+        if (m_finished.exchange(true)) {
+            return;
+        }
+        m_loop->post([server = m_server, bytes = m_bytes, reply = std::move(reply)] {
+            if (const std::shared_ptr<PeerServer *> self = server.lock()) {
+                (*self)->m_unansweredBytes -= bytes;
+                reply(**self);
+            }
+        });
+    }
+
+private:
+    const std::weak_ptr<PeerServer *> m_server;
+    const std::shared_ptr<EventLoop> m_loop;
+    const std::size_t m_bytes;
+    std::atomic<bool> m_finished = false;
+};
+
 PeerServer::PeerServer(std::shared_ptr<EventLoop> loop, PeerContext context,
                        const Handlers &handlers)
     : m_loop(std::move(loop)), m_context(context), m_handlers(handlers),
@@ -157,30 +196,39 @@
     }
     m_heldBytes = m_heldBytes - found->second.heldBytes + bytes;
     found->second.heldBytes = bytes;
-    const std::size_t limit = m_context.options.maxHeldBytes;
-    if (limit == 0 || m_discarding) {
+    if (m_context.options.maxHeldBytes == 0 || m_discarding) {
         return;
     }
     m_discarding = true;
-    while (m_heldBytes > limit && discardMessage()) { }
+    while (m_heldBytes > heldBytesLimit() && discardMessage()) { }
     m_discarding = false;
 }
 
+std::size_t PeerServer::heldBytesLimit() const
+{
+    // Unanswered requests alone must not make all other messages be discarded.
+    const std::size_t limit = m_context.options.maxHeldBytes;
+    const std::size_t reserved = std::min(limit, 2 * m_context.options.maxMessageBytes);
+    return std::max(limit - std::min(limit, m_unansweredBytes), reserved);
+}
+
 bool PeerServer::discardMessage()
 {
-    const auto largest = std::max_element(m_connections.begin(), m_connections.end(),
-                                          [](const auto &left, const auto &right) {
-                                              return left.second.connection->discardableBytes()
-                                                      < right.second.connection->discardableBytes();
-                                          });
+    const auto largest = std::max_element(
+            m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
+                return left.second.connection->heldBytes() < right.second.connection->heldBytes();
+            });
     if (largest == m_connections.end()) {
         return false;
     }
     const std::string address = largest->second.address;
     const std::shared_ptr<Http2Connection> connection = largest->second.connection;
+    const std::uint64_t id = largest->first;
     if (!connection->discardLargestMessage()) {
         return false;
     }
+    // A connection that delivers messages reports its bytes only afterwards.
+    onHeldBytes(id, connection->heldBytes());
     logRefusal(address,
                "expected at most " + std::to_string(m_context.options.maxHeldBytes)
                        + " bytes of messages on all connections, found more");
@@ -253,20 +301,15 @@
     }
     const auto kind = static_cast<PeerMessageKind>(request->kind);
     m_context.traffic.received(kind, body.size());
-    const auto answered = std::make_shared<std::atomic<bool>>(false);
-    const std::weak_ptr<PeerServer *> alive = m_alive;
-    const std::shared_ptr<EventLoop> loop = m_loop;
-    const PeerTransport::Reply reply = [alive, loop, answered, id, stream,
-                                        kind](PeerResult result) {
-        if (answered->exchange(true)) {
-            return;
-        }
-        loop->post([alive, id, stream, kind, result = std::move(result)] {
-            if (const std::shared_ptr<PeerServer *> server = alive.lock()) {
-                (*server)->respond(id, stream, kind, result);
-            }
-        });
-    };
+    const std::size_t limit = m_context.options.maxHeldBytes;
+    if (limit != 0 && m_unansweredBytes + body.size() > limit) {
+        logRefusal(inbound.address,
+                   "expected at most " + std::to_string(limit)
+                           + " bytes of requests that are handled, found more");
+        inbound.connection->refuseStream(stream);
+        return;
+    }
+    const PeerTransport::Reply reply = replyTo(id, stream, kind, body.size());
     try {
         m_handlers[request->kind](inbound.name, std::move(request->body), reply);
     } catch (const std::exception &exception) {
@@ -275,6 +318,23 @@
                                     + " failed: " + exception.what());
         reply(PeerError{PeerErrorKind::NoAnswer, "the handler failed"});
     }
+    // The request takes room that other messages may have used.
+    const auto found = m_connections.find(id);
+    if (found != m_connections.end()) {
+        onHeldBytes(id, found->second.connection->heldBytes());
+    }
+}
+
+PeerTransport::Reply PeerServer::replyTo(std::uint64_t id, std::int32_t stream,
+                                         PeerMessageKind kind, std::size_t bytes)
+{
+    m_unansweredBytes += bytes;
+    const auto request = std::make_shared<UnansweredRequest>(m_alive, m_loop, bytes);
+    return [request, id, stream, kind](PeerResult result) {
+        request->finish([id, stream, kind, result = std::move(result)](PeerServer &server) {
+            server.respond(id, stream, kind, result);
+        });
+    };
 }
 
 void PeerServer::respond(std::uint64_t id, std::int32_t stream, PeerMessageKind kind,
--- a/Source/Adapters/Peers/PeerServer.h
+++ b/Source/Adapters/Peers/PeerServer.h
@@ -42,6 +42,7 @@
         /// Share of this connection in the held bytes of the server.
         std::size_t heldBytes = 0;
     };
+    class UnansweredRequest;
 
     void watchListener();
     void acceptConnections();
@@ -50,12 +51,17 @@
     /// is no room for another connection.
     bool makeRoom();
     void onHeldBytes(std::uint64_t id, std::size_t bytes);
+    /// Bytes that the connections may hold beside the requests that were not answered.
+    std::size_t heldBytesLimit() const;
     /// Returns false if no message may be discarded.
     bool discardMessage();
     void onMessage(std::uint64_t id, std::int32_t stream, std::string body);
     void onHello(InboundConnection &inbound, std::int32_t stream, const std::string &body);
     void onRequest(std::uint64_t id, const InboundConnection &inbound, std::int32_t stream,
                    const std::string &body);
+    /// Returns the reply function of a request that is counted until its handler has replied.
+    PeerTransport::Reply replyTo(std::uint64_t id, std::int32_t stream, PeerMessageKind kind,
+                                 std::size_t bytes);
     void onClosed(std::uint64_t id, const std::string &reason);
     void checkIdleTimeout(std::uint64_t id);
     void respond(std::uint64_t id, std::int32_t stream, PeerMessageKind kind,
@@ -75,7 +81,11 @@
     std::map<std::uint64_t, InboundConnection> m_connections;
     /// In the order of their arrival.
     std::set<std::uint64_t> m_withoutHello;
+    /// Bytes of incomplete messages and unsent responses.
     std::size_t m_heldBytes = 0;
+    /// Bytes of requests whose handlers have not replied, also of those whose stream or connection
+    /// was closed: the handler still holds the message.
+    std::size_t m_unansweredBytes = 0;
     bool m_discarding = false;
     std::uint64_t m_nextId = 1;
     bool m_stopped = false;
--- a/Tests/Peers/PeerInputTest.cpp
+++ b/Tests/Peers/PeerInputTest.cpp
@@ -137,6 +137,87 @@
     return result;
 }
 
+std::string openStream(std::uint32_t stream)
+{
+    return frame(1, 4, stream, std::string("\x83\x86\x84\x01\x04peer", 9));
+}
+
+/// DATA frames with a message or a part of one.
+std::string dataFrames(std::uint32_t stream, const std::string &bytes, bool end)
+{
+    constexpr std::size_t maxFrameBytes = 16384;
+    std::string frames;
+    for (std::size_t offset = 0; offset < bytes.size(); offset += maxFrameBytes) {
+        const bool last = end && offset + maxFrameBytes >= bytes.size();
+        frames += frame(0, last ? 1 : 0, stream, bytes.substr(offset, maxFrameBytes));
+    }
+    return frames;
+}
+
+std::string voteOf(std::size_t bytes)
+{
+    return encodeEnvelope(PeerRequest{static_cast<std::uint32_t>(PeerMessageKind::Vote),
+                                      std::string(bytes, 'x')});
+}
+
+/// A frame that resets a stream, with its error code.
+std::string resetOf(std::uint32_t stream, char errorCode)
+{
+    return frame(resetFrame, 0, stream, std::string(3, '\0') + errorCode);
+}
+
+/// A server with a limit of held bytes whose handler leaves the replies to the test, and a client
+/// after its hello.
+struct HeldRequests
+{
+    static constexpr char refusedStream = 7;
+    static constexpr char cancel = 8;
+    /// Two of them are beyond the limit. Smaller than the initial window of a stream.
+    static constexpr std::size_t requestBytes = 60000;
+
+    HeldRequests() : server("b", {}, options())
+    {
+        server.transport.setHandler(PeerMessageKind::Vote,
+                                    [this](const std::string &, const std::string &,
+                                           const PeerTransport::Reply &reply) {
+                                        signal.change([&] { replies.push_back(reply); });
+                                    });
+        CPPUNIT_ASSERT(isOk(server.transport.start()));
+        client = std::make_unique<RawClient>(server.address());
+        client->send(recordHelloBytes());
+        waitFor("cluster-1");
+    }
+
+    static PeerTransportOptions options()
+    {
+        PeerTransportOptions options;
+        options.maxHeldBytes = 100000;
+        return options;
+    }
+
+    void waitFor(const std::string &part) const
+    {
+        const std::string received = client->readUntil(
+                [&](const std::string &bytes) { return bytes.find(part) != std::string::npos; });
+        CPPUNIT_ASSERT(received.find(part) != std::string::npos);
+    }
+
+    void waitForRequests(std::size_t count)
+    {
+        CPPUNIT_ASSERT(signal.waitFor([&] { return replies.size() == count; }));
+    }
+
+    void sendRequest(std::uint32_t stream) const
+    {
+        client->send(openStream(stream) + dataFrames(stream, voteOf(requestBytes), true));
+    }
+
+    Signal signal;
+    std::vector<PeerTransport::Reply> replies;
+    PeerNode server;
+    std::unique_ptr<RawClient> client;
+};
+
 /// A server with one handler, and a client with which tests check that the server still works.
 struct PeerPair
 {
@@ -175,6 +256,8 @@
     CPPUNIT_TEST(clientSurvivesMalformedResponses);
     CPPUNIT_TEST(exceededLimitsCloseTheConnection);
     CPPUNIT_TEST(streamsAreLimited);
+    CPPUNIT_TEST(handledRequestsAtTheLimit);
+    CPPUNIT_TEST(resetStreamsCount);
     CPPUNIT_TEST(envelopesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -370,6 +453,59 @@
         peers.assertCallSucceeds();
     }
 
+    /// Guards against requests being handled that make all incomplete messages be discarded, and
+    /// against handling further requests beyond the limit.
+    void handledRequestsAtTheLimit()
+    {
+        HeldRequests held;
+        held.sendRequest(3);
+        held.waitForRequests(1);
+        const std::string message = voteOf(20000);
+        constexpr std::size_t partBytes = 16000;
+        held.client->send(openStream(5) + dataFrames(5, message.substr(0, partBytes), false));
+        section("a request beyond the limit is refused as not handled", [&] {
+            held.sendRequest(7);
+            held.waitFor(resetOf(7, HeldRequests::refusedStream));
+        });
+        section("the incomplete message stays", [&] {
+            held.replies[0](std::string("first answer"));
+            held.waitFor("first answer");
+            held.client->send(dataFrames(5, message.substr(partBytes), true));
+            held.waitForRequests(2);
+            held.replies[1](std::string("second answer"));
+            held.waitFor("second answer");
+        });
+    }
+
+    /// Guards against a client that repeats a request and resets its stream: the handler still
+    /// holds each of the messages.
+    void resetStreamsCount()
+    {
+        HeldRequests held;
+        held.sendRequest(3);
+        held.waitForRequests(1);
+        held.client->send(resetOf(3, HeldRequests::cancel));
+        held.sendRequest(5);
+        held.waitFor(resetOf(5, HeldRequests::refusedStream));
+        section("until the handler has replied", [&] {
+            // The second answer arrives when the first one has been processed.
+            held.client->send(openStream(7) + dataFrames(7, voteOf(1), true));
+            held.waitForRequests(2);
+            held.replies[0](std::string("too late"));
+            held.replies[1](std::string("second answer"));
+            held.waitFor("second answer");
+            held.sendRequest(9);
+            held.waitForRequests(3);
+        });
+        section("also after the connection has ended", [&] {
+            held.client = std::make_unique<RawClient>(held.server.address());
+            held.client->send(recordHelloBytes());
+            held.waitFor("cluster-1");
+            held.sendRequest(3);
+            held.waitFor(resetOf(3, HeldRequests::refusedStream));
+        });
+    }
+
     /// Guards against short input that declares gigabytes of content and makes the decoder allocate
     /// them.
     void envelopesAreBounded()
