Tests: Connect an ordinary peer during the silent crowds

The tests used connections of peers that had been opened before the crowd, so they passed if no new peer got in. The crowds and bounds are unchanged.

Not built as a whole and not run; each changed file passed a syntax check.

--- a/Tests/Clients/OtherListenersTest.cpp
+++ b/Tests/Clients/OtherListenersTest.cpp
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "Adapters/Peers/PeerEnvelope.h"
@@ -100,6 +101,44 @@
     return options;
 }
 
+/// A connection of another process of the deployment: it ends the construction of its client with
+/// an error if its hello is not accepted.
+ClientCrowdOptions ordinaryPeer(const std::string &address, const PeerIdentity &identity)
+{
+    PeerHelloReply accepted;
+    accepted.version = peerProtocolVersion;
+    accepted.accepted = true;
+    accepted.clusterId = identity.clusterId;
+    ClientCrowdOptions options{address, 1, 0, {"-"}};
+    options.prologue = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(4, 0, 0, "") + frame(4, 1, 0, "")
+            + frame(1, 4, 1, std::string("\x83\x86\x84\x01\x04peer", 9))
+            + frame(0, 1, 1, encodeEnvelope(makeHello(identity)));
+    options.prologueReply = encodeEnvelope(accepted);
+    // The name of the server follows.
+    options.prologueReply.pop_back();
+    return options;
+}
+
+PeerIdentity systemPeer()
+{
+    PeerIdentity identity;
+    identity.clusterId = "dandelionloom";
+    identity.group = "jobs";
+    identity.name = "ordinary";
+    identity.credential = "none";
+    return identity;
+}
+
+PeerIdentity servePeer()
+{
+    PeerIdentity identity;
+    identity.clusterId = RunningServe::clusterId;
+    identity.group = RunningServe::group;
+    identity.name = "ordinary";
+    identity.credential = RunningServe::peerCredential;
+    return identity;
+}
+
 /// Lets crowds send; then, with the crowds still connected, checks the processes and that a request
 /// is answered with success.
 void checkWithCrowds(const RunningServe &serve, const std::vector<ClientCrowdOptions> &options,
@@ -118,12 +157,14 @@
     section("processes are still within the bounds", [&] { serve.checkProcesses(bounds); });
 }
 
-void checkWithCrowd(const RunningSystem &system, const ClientCrowdOptions &options,
-                    const std::string &job)
+void checkWithCrowd(
+        const RunningSystem &system, const ClientCrowdOptions &options, const std::string &job,
+        const std::function<void()> &ordinary = [] {})
 {
     ClientCrowd crowd(options);
     crowd.send();
     section("processes are within the limits of their machines", [&] { system.checkProcesses(); });
+    section("an ordinary client connects to the same address", ordinary);
     section("a job is accepted", [&] {
         CPPUNIT_ASSERT_EQUAL(200, statusOfRequest(system.gatewayAddress(), submission(job)));
     });
@@ -228,7 +269,10 @@
         checkWithCrowds(serve,
                         {silentCrowd(serve.peerAddress(), silentConnections),
                          slowCrowd(serve.peerAddress(), silentConnections)},
-                        peerConnections, [&] { return serve.callerStatus(); });
+                        peerConnections, [&] {
+                            const ClientCrowd peer(ordinaryPeer(serve.peerAddress(), servePeer()));
+                            return serve.callerStatus();
+                        });
     }
 
     /// Guards against the same at a control instance and a gateway.
@@ -237,13 +281,19 @@
         const RunningSystem system;
         section("control instance", [&] {
             checkWithCrowd(system, silentCrowd(system.peerAddress(0), silentConnections),
-                           "00000000000000a2");
+                           "00000000000000a2", [&] {
+                               const ClientCrowd peer(
+                                       ordinaryPeer(system.peerAddress(0), systemPeer()));
+                           });
         });
         section("gateway", [&] {
             checkWithCrowd(
                     system,
                     silentCrowd(system.peerAddress(RunningSystem::gateway), silentConnections),
-                    "00000000000000a3");
+                    "00000000000000a3", [&] {
+                        const ClientCrowd peer(ordinaryPeer(
+                                system.peerAddress(RunningSystem::gateway), systemPeer()));
+                    });
         });
     }
 
--- a/Tests/Clients/RunningServe.cpp
+++ b/Tests/Clients/RunningServe.cpp
@@ -66,7 +66,7 @@
 {
     m_folder.write("operators", std::string("operator-1 ") + operatorCredential + "\n");
     m_folder.write("endpoints", "endpoints endpoint-secret-0001\n");
-    m_folder.write("peers", "peers peer-secret-0001\n");
+    m_folder.write("peers", std::string("peers ") + peerCredential + "\n");
     m_folder.write("callers",
                    std::string("counter-quotes caller-secret-quotes\nnight-dues ")
                            + refusedCredential + "\n");
@@ -150,12 +150,13 @@
     const auto addressOf = [this](std::size_t number, std::uint16_t port) {
         return "\"" + withPort(m_network.address(static_cast<int>(number)), port) + "\"\n";
     };
-    std::string text = "[cluster]\nid = \"clients\"\ngroup = \"region-1\"\n[instance]\nname = \""
-            + nameOf(index) + "\"\navailability_zone = \"" + zoneOf(index) + "\"\nrack = \"rack-"
-            + std::to_string(index) + "\"\ndata_folder = \"" + m_folder.path() + "/data-"
-            + std::to_string(index) + "\"\n[listen]\ncallers = " + addressOf(index, callerPort)
-            + "operators = " + addressOf(index, operatorPort) + "endpoints = "
-            + addressOf(index, announcementPort) + "peers = " + addressOf(index, peerPort);
+    std::string text = std::string("[cluster]\nid = \"") + clusterId + "\"\ngroup = \"" + group
+            + "\"\n[instance]\nname = \"" + nameOf(index) + "\"\navailability_zone = \""
+            + zoneOf(index) + "\"\nrack = \"rack-" + std::to_string(index) + "\"\ndata_folder = \""
+            + m_folder.path() + "/data-" + std::to_string(index) + "\"\n[listen]\ncallers = "
+            + addressOf(index, callerPort) + "operators = " + addressOf(index, operatorPort)
+            + "endpoints = " + addressOf(index, announcementPort)
+            + "peers = " + addressOf(index, peerPort);
     for (std::size_t number = 0; number < instances; ++number) {
         text += "[[peer]]\nname = \"" + nameOf(number) + "\"\navailability_zone = \""
                 + zoneOf(number) + "\"\naddress = " + addressOf(number, peerPort)
--- a/Tests/Clients/RunningServe.h
+++ b/Tests/Clients/RunningServe.h
@@ -20,6 +20,9 @@
 public:
     /// Credential of a plan that no list names, so that its requests are refused.
     static constexpr const char *refusedCredential = "caller-secret-dues";
+    static constexpr const char *clusterId = "clients";
+    static constexpr const char *group = "region-1";
+    static constexpr const char *peerCredential = "peer-secret-0001";
     static constexpr const char *operatorCredential = "operator-secret-1";
 
     /// `limits` are lines of the section [limits] of the settings. Returns when a caller's request
