Settings: Require 1024 descriptors for an entry instance

With 256, the listeners' smallest sizes, the queue of operators and the threads for rejections exceeded the limit. With 1024, the listeners use at most 774 of the 824 that are not left for files, by calculation.

Not built as a whole and not run; each changed file passed a syntax check.

--- a/Source/Adapters/Settings/NumberKeys.cpp
+++ b/Source/Adapters/Settings/NumberKeys.cpp
@@ -57,9 +57,9 @@
         NumberKey{"limits", "memory_mb", "MB", 256, 64, 1048576,
                   "Memory of the process. The listeners hold at most shares of it; 64 MB hold the "
                   "program and little more."},
-        NumberKey{"limits", "max_open_files", "descriptors", 4096, 256, 1048576,
+        NumberKey{"limits", "max_open_files", "descriptors", 4096, 1024, 1048576,
                   "Descriptors of the process, of which 200 are left for files. The listeners use "
-                  "at most shares of the others."},
+                  "at most shares of the others; with 1024 these and their queues are 774."},
         NumberKey{"storage", "compact_after_bytes", "bytes", 8388608, 65536, 1073741824,
                   "Bounds the log that a restart reads: 8 MiB are a fraction of a second."},
         NumberKey{"storage", "compact_after_entries", "entries", 10000, 100, 10000000,
