Scheduling: Bound reservations of quota in time

A reservation lasted until its step could start. A task of the team that ran for long kept all competing steps waiting, and steps that fit no worker reserved again and again. A lane was left out as a whole, and got a hold, when only a reservation of another lane stopped its first step. A pass that did not reach the step ended the reservation, and its rank could be that of a step that was gone.

A reservation now lasts until a worker was searched for its step, and at most maxReservedMs. After one that placed no task the time to the next begins anew for the team, and doubles for the lane up to a limit. Nothing is reserved for a step that no recorded worker of the service could hold. A reservation skips single steps, so that later ones of the lane can pass. A hold ends with the step that began it.

When the time of day was set back or a configuration was accepted, the set of changed jobs was overwritten, so that a job that had just ended kept its steps in the lane of an earlier quota, and the look-up of that quota threw. The active jobs are now added to the set, and a team without a quota is allowed.

TeamQuotaTest::useInRandomHistories also checks the use of long-running tasks.

Compiled without code generation; not built, not run.

--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -77,6 +77,10 @@
     /// quota that gets free is kept for the held task; 0 or less for never. Held tasks start within
     /// 3 s if the team's running tasks end within the rest of that time.
     std::int64_t maxQuotaPassedMs = 1500;
+    /// Longest time for which quota is kept for a held task, as the tasks that have the rest of it
+    /// may run for long. Longer than `stallMs` and the stop of a hung run. 0 or less keeps it for
+    /// one placement pass only.
+    std::int64_t maxReservedMs = 5000;
     DemandOptions demand;
     /// Fraction of a task's latency target above which best-effort tasks on the same worker are
     /// paused. Leaves time for the 0.5 s age of a reading and the 0.1 s that pacing takes.
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -119,6 +119,12 @@
         return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
     }
     const WorkerView *view(const std::string &worker) const;
+    /// True if the job is active and waitingSteps() will contain it from the next pass on only.
+    bool isNew(const JobId &job) const
+    {
+        return m_changedJobs.contains(job) && m_activeJobs.contains(job)
+                && !m_waiting.contains(job);
+    }
     /// As of the last placement pass.
     const WaitingSteps &waitingSteps() const { return m_waiting; }
     const RunDurations &durations() const { return m_durations; }
@@ -229,18 +235,26 @@
     void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
     /// Returns false if the quota holds the step, and with it the rest of its lane for this pass.
     bool placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass);
+    /// Places the tasks of a step of which the quota allows the first. Returns false if it holds
+    /// the rest.
+    bool placeTasks(const StepPosition &position, const StepLane &lane, PlacementPass &pass);
     // Quotas of teams.
+    /// Null for a team without a quota.
+    const TaskResources *quotaOf(const std::string &team) const;
     /// True if the quota of the lane's team allows the tasks of the lane that start together.
     bool isAllowedByQuota(const StepLane &lane, PlacementPass &pass) const;
-    /// The same, without the quota that is reserved for another lane. Ends the hold of the lane.
-    bool mayTakeQuota(const StepLane &lane, const StepRank &rank, PlacementPass &pass);
+    /// True if a step at this rank of the lane has to wait for a reservation.
+    bool isReservedForOther(const StepLane &lane, const StepRank &rank) const;
+    static void reportQuotaWait(const StepKey &key, std::uint32_t index, PlacementPass &pass);
     /// Records that the quota holds the lane from the position on, at the task of this index.
     void holdLane(const StepLane &lane, const StepPosition &position, std::uint32_t index,
                   PlacementPass &pass);
-    /// Ends reservations whose steps don't wait any more or could not start.
+    /// True if a recorded worker of the service could hold a task of the step, were it idle.
+    bool fitsSomeWorker(const std::string &service, const StepSpec &step) const;
+    /// Ends the reservation of a lane after a worker was searched for one of its steps.
+    void recordSearch(const StepLane &lane, bool isPlaced, SteadyTimeMs now);
+    /// Ends reservations whose steps don't wait any more, could not start or have waited too long.
     void reviewReservations(SteadyTimeMs now);
-    /// Ends reservations whose steps the quota allowed in this pass and that were not searched.
-    void dropUnusedReservations();
     /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
     /// long-running task that fits on no worker.
     void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -82,7 +82,7 @@
 {
     if (wallNow < m_lastWallTime) {
         // The time of day was set back, so that jobs may be on time or not due again.
-        m_changedJobs = m_activeJobs;
+        m_changedJobs.insert(m_activeJobs.begin(), m_activeJobs.end());
     }
     m_lastWallTime = wallNow;
     while (!m_jobsByDueTime.empty() && m_jobsByDueTime.begin()->first <= wallNow) {
@@ -146,7 +146,6 @@
         PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, 0};
         placeSteps(service, steps, pass);
     }
-    dropUnusedReservations();
 }
 
 void Dispatcher::placeSteps(const std::string &service, const ServiceSteps &steps,
@@ -192,12 +191,32 @@
 
 bool Dispatcher::placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass)
 {
-    const StepKey &key = position.key;
-    const WaitingStep &waiting = m_waiting.at(key);
-    if (!mayTakeQuota(lane, position.rank, pass)) {
-        holdLane(lane, position, waiting.indices.front(), pass);
+    const std::uint32_t index = m_waiting.at(position.key).indices.front();
+    if (!isAllowedByQuota(lane, pass)) {
+        holdLane(lane, position, index, pass);
         return false;
     }
+    if (isReservedForOther(lane, position.rank)) {
+        // A later step of the lane may pass the reservation.
+        ++m_waitCounts.quota;
+        if (m_waiting.takeReport(lane, position)) {
+            reportQuotaWait(position.key, index, pass);
+        }
+        return true;
+    }
+    if (lane.hold) {
+        m_waiting.setHold(lane, std::nullopt);
+    }
+    const std::size_t changes = pass.orders.changes.size();
+    const bool goesOn = placeTasks(position, lane, pass);
+    recordSearch(lane, pass.orders.changes.size() > changes, pass.now);
+    return goesOn;
+}
+
+bool Dispatcher::placeTasks(const StepPosition &position, const StepLane &lane, PlacementPass &pass)
+{
+    const StepKey &key = position.key;
+    const WaitingStep &waiting = m_waiting.at(key);
     const JobRecord &job = *m_state.job(key.job);
     const StepSpec &step = job.spec.steps[key.step];
     const TaskResources need = needOf({key.job, key.occurrence, key.step, 0});
@@ -262,9 +281,7 @@
         const std::uint32_t perWorker = maxTasksPerWorker(step);
         if (!fits(need, worker.capacity - view.longRunningNeed)
             || (perWorker > 0 && runsOfStepOn(view, task) >= perWorker)
-            || (!step.requiredLabel.empty()
-                && std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel)
-                        == worker.labels.end())) {
+            || !hasRequiredLabel(worker, step)) {
             continue;
         }
         const auto share = [](std::int64_t amount, std::int64_t required) {
@@ -325,9 +342,7 @@
         if (!fits(need, freeCapacity) || (tickets != nullptr && !tickets->byWorker.contains(id))) {
             continue;
         }
-        if (!step.requiredLabel.empty()
-            && std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel)
-                    == worker.labels.end()) {
+        if (!hasRequiredLabel(worker, step)) {
             continue;
         }
         if (step.maxPerWorker > 0 && runsOfStepOn(view, task) >= step.maxPerWorker) {
--- a/Source/Scheduling/DispatcherQuota.cpp
+++ b/Source/Scheduling/DispatcherQuota.cpp
@@ -1,19 +1,26 @@
 #include <algorithm>
 
 #include "Scheduling/Dispatcher.h"
+#include "Scheduling/StepFacts.h"
 
 // Quotas of teams in placement: what they hold back, and what is kept for steps that were passed
 // for too long.
 
 namespace dandelionloom {
 
+const TaskResources *Dispatcher::quotaOf(const std::string &team) const
+{
+    const auto found = m_quotas.find(team);
+    return found == m_quotas.end() ? nullptr : &found->second;
+}
+
 bool Dispatcher::isAllowedByQuota(const StepLane &lane, PlacementPass &pass) const
 {
     const auto &[team, need, count] = lane.key;
-    if (team.empty()) {
+    const TaskResources *quota = quotaOf(team);
+    if (quota == nullptr) {
         return true;
     }
-    const TaskResources &quota = m_quotas.at(team);
     std::vector<TaskResources> &held = pass.heldNeeds[team];
     if (std::any_of(held.begin(), held.end(), [&lane](const TaskResources &heldNeed) {
             return fits(heldNeed, lane.key.need);
@@ -21,87 +28,97 @@
         return false;
     }
     const TaskResources use = useOf(team);
-    if (!isWithinQuota(use, need, quota)) {
+    if (!isWithinQuota(use, need, *quota)) {
         held.push_back(need);
         return false;
     }
-    return count == 1 || isGangWithinQuota(use, count, need, quota);
+    return count == 1 || isGangWithinQuota(use, count, need, *quota);
 }
 
-bool Dispatcher::mayTakeQuota(const StepLane &lane, const StepRank &rank, PlacementPass &pass)
+bool Dispatcher::isReservedForOther(const StepLane &lane, const StepRank &rank) const
 {
-    if (lane.key.team.empty()) {
-        return true;
-    }
-    if (isReservedFrom(m_reservations, lane, rank, m_quotas.at(lane.key.team))
-        || !isAllowedByQuota(lane, pass)) {
-        return false;
-    }
-    if (lane.hold) {
-        m_waiting.setHold(lane, std::nullopt);
-        releaseQuota(m_reservations, lane);
-    }
-    return true;
+    const TaskResources *quota = quotaOf(lane.key.team);
+    return quota != nullptr && isReservedFrom(m_reservations, lane, rank, *quota);
+}
+
+void Dispatcher::reportQuotaWait(const StepKey &key, std::uint32_t index, PlacementPass &pass)
+{
+    const std::string task = taskName({key.job, key.occurrence, key.step, index});
+    pass.orders.dispatchDecisions.push_back({"wait", task, 0, {}, "quota", -1});
 }
 
 void Dispatcher::holdLane(const StepLane &lane, const StepPosition &position, std::uint32_t index,
                           PlacementPass &pass)
 {
-    if (!lane.hold || position.rank < lane.hold->rank) {
-        const SteadyTimeMs since = lane.hold ? lane.hold->since : pass.now;
-        m_waiting.setHold(lane, QuotaHold{since, position.rank});
+    if (!lane.hold) {
+        m_waiting.setHold(lane, QuotaHold{pass.now, position});
     }
-    const auto taskOf = [](const StepKey &key, std::uint32_t taskIndex) {
-        return taskName({key.job, key.occurrence, key.step, taskIndex});
-    };
     for (const StepKey &key : m_waiting.takeUnreported(lane, position)) {
-        const std::uint32_t first = key == position.key ? index : m_waiting.at(key).indices.front();
-        pass.orders.dispatchDecisions.push_back({"wait", taskOf(key, first), 0, {}, "quota", -1});
+        const bool isFirst = key == position.key;
+        reportQuotaWait(key, isFirst ? index : m_waiting.at(key).indices.front(), pass);
     }
-    const std::string &team = lane.key.team;
-    const QuotaWait wait{lane.key.need, lane.key.count, pass.now - lane.hold->since};
-    if (reservesQuota(wait, m_state.lastingUseOf(team), m_quotas.at(team),
-                      m_options.maxQuotaPassedMs)
-        && reserveQuota(m_reservations, lane)) {
+    const TaskResources *quota = quotaOf(lane.key.team);
+    const StepKey &key = position.key;
+    const QuotaWait wait{lane.key.need, lane.key.count, passedMs(m_reservations, lane, pass.now)};
+    if (quota != nullptr
+        && reservesQuota(wait, m_state.lastingUseOf(lane.key.team), *quota,
+                         maxPassedMs(lane, m_options.maxQuotaPassedMs))
+        && fitsSomeWorker(lane.service, m_state.job(key.job)->spec.steps[key.step])
+        && reserveQuota(m_reservations, lane, pass.now)) {
+        const std::string task = taskName({key.job, key.occurrence, key.step, index});
         pass.orders.dispatchDecisions.push_back(
-                {"reserve", taskOf(position.key, index), 0, {}, "quota", wait.heldMs});
+                {"reserve", task, 0, {}, "quota", pass.now - lane.hold->since});
     }
 }
 
-void Dispatcher::reviewReservations(SteadyTimeMs now)
+bool Dispatcher::fitsSomeWorker(const std::string &service, const StepSpec &step) const
 {
-    for (auto item = m_reservations.begin(); item != m_reservations.end();) {
-        auto &[team, reservation] = *item;
-        const LaneKey &key = reservation.lane;
-        const StepLane *lane = m_waiting.lane(reservation.service, key);
-        if (lane == nullptr || !lane->hold) {
-            item = m_reservations.erase(item);
-            continue;
-        }
-        const TaskResources &quota = m_quotas.at(team);
-        const QuotaWait wait{key.need, key.count, now - lane->hold->since};
-        if (!reservesQuota(wait, m_state.lastingUseOf(team), quota, m_options.maxQuotaPassedMs)) {
-            item = m_reservations.erase(item);
-            continue;
+    const auto workers = m_workersOfService.find(service);
+    return workers != m_workersOfService.end()
+            && std::any_of(workers->second.begin(), workers->second.end(),
+                           [&step](const Candidate &candidate) {
+                               return fits(reservedNeed(step), candidate.worker->capacity)
+                                       && hasRequiredLabel(*candidate.worker, step);
+                           });
+}
+
+void Dispatcher::recordSearch(const StepLane &lane, bool isPlaced, SteadyTimeMs now)
+{
+    const bool wasReserved = hasReservation(m_reservations, lane);
+    if (isPlaced) {
+        m_waiting.setUnusedReservations(lane, 0);
+        if (wasReserved) {
+            releaseQuota(m_reservations, lane.key.team);
         }
-        reservation.isAvailable = isGangWithinQuota(useOf(team), key.count, key.need, quota);
-        ++item;
+    } else if (wasReserved) {
+        // It is not the quota that the step waits for.
+        m_waiting.setUnusedReservations(lane, lane.unusedReservations + 1);
+        giveUpQuota(m_reservations, lane.key.team, now);
     }
 }
 
-void Dispatcher::dropUnusedReservations()
+void Dispatcher::reviewReservations(SteadyTimeMs now)
 {
-    std::erase_if(m_reservations, [&](const auto &item) {
-        const QuotaReservation &reservation = item.second;
-        if (!reservation.isAvailable) {
-            return false;
+    std::erase_if(m_reservations,
+                  [this](const auto &item) { return quotaOf(item.first) == nullptr; });
+    for (auto &[team, reservation] : m_reservations) {
+        if (!reservation.current) {
+            continue;
         }
-        // No worker was searched for the step, so that it is not the quota that it waits for.
-        if (const StepLane *lane = m_waiting.lane(reservation.service, reservation.lane)) {
-            m_waiting.setHold(*lane, std::nullopt);
+        const QuotaReservation &current = *reservation.current;
+        const LaneKey &key = current.lane;
+        const StepLane *lane = m_waiting.lane(current.service, key);
+        if (lane == nullptr || !lane->hold
+            || !isGangWithinQuota(m_state.lastingUseOf(team), key.count, key.need,
+                                  m_quotas.at(team))) {
+            releaseQuota(m_reservations, team);
+        } else if (now - current.reservedAt >= m_options.maxReservedMs) {
+            // The rank of the step that was held first stays.
+            m_waiting.setHold(*lane, QuotaHold{now, lane->hold->first});
+            m_waiting.setUnusedReservations(*lane, lane->unusedReservations + 1);
+            giveUpQuota(m_reservations, team, now);
         }
-        return true;
-    });
+    }
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -263,7 +263,7 @@
         m_workersOfService.clear();
     } else if (std::holds_alternative<ConfigurationAccepted>(change)) {
         // Queues may be served by other services from now on, and quotas change the lanes of steps.
-        m_changedJobs = m_activeJobs;
+        m_changedJobs.insert(m_activeJobs.begin(), m_activeJobs.end());
         m_quotas = m_state.quotas();
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
         std::erase_if(m_failedOn,
--- a/Source/Scheduling/StepFacts.cpp
+++ b/Source/Scheduling/StepFacts.cpp
@@ -49,6 +49,13 @@
     return need;
 }
 
+bool hasRequiredLabel(const WorkerRecord &worker, const StepSpec &step)
+{
+    return step.requiredLabel.empty()
+            || std::find(worker.labels.begin(), worker.labels.end(), step.requiredLabel)
+            != worker.labels.end();
+}
+
 StepAttributes stepAttributes(const JobRecord &job, const std::vector<std::int64_t> &stepMs,
                               std::uint32_t occurrence, std::uint32_t step)
 {
--- a/Source/Scheduling/StepFacts.h
+++ b/Source/Scheduling/StepFacts.h
@@ -30,6 +30,9 @@
 /// Resources that a task of the step reserves on its worker.
 TaskResources reservedNeed(const StepSpec &step);
 
+/// True if the step requires no label, or one that the worker has.
+bool hasRequiredLabel(const WorkerRecord &worker, const StepSpec &step);
+
 /// The attributes of a step, but for the unfinished work of its occurrence. `stepMs` holds the
 /// expected run time of a task of each step.
 StepAttributes stepAttributes(const JobRecord &job, const std::vector<std::int64_t> &stepMs,
--- a/Source/Scheduling/WaitingSteps.cpp
+++ b/Source/Scheduling/WaitingSteps.cpp
@@ -79,14 +79,14 @@
         entry = {std::move(step), &lane, {}, 0};
         insertInOrder(key, entry, now);
     }
-    // Erased last: a lane that gets its only step back keeps its hold.
-    eraseEmpty(left);
+    // Settled last: a lane that gets its step back keeps its hold.
+    settleLanes(left);
 }
 
 void WaitingSteps::remove(const JobId &job)
 {
     m_reported.erase(job);
-    eraseEmpty(removeSteps(job));
+    settleLanes(removeSteps(job));
 }
 
 void WaitingSteps::clear()
@@ -117,11 +117,24 @@
     return found == steps->second.lanes.end() ? nullptr : &found->second;
 }
 
+bool WaitingSteps::contains(const JobId &job) const
+{
+    const auto first = m_steps.lower_bound({job, 0, 0});
+    return first != m_steps.end() && first->first.job == job;
+}
+
 void WaitingSteps::setHold(const StepLane &lane, std::optional<QuotaHold> hold)
 {
     laneOf(lane.service, lane.key).hold = hold;
 }
 
+void WaitingSteps::setUnusedReservations(const StepLane &lane, std::uint32_t count)
+{
+    if (lane.unusedReservations != count) {
+        laneOf(lane.service, lane.key).unusedReservations = count;
+    }
+}
+
 std::vector<StepKey> WaitingSteps::takeUnreported(const StepLane &lane, const StepPosition &from)
 {
     std::vector<StepKey> taken;
@@ -139,6 +152,12 @@
     return taken;
 }
 
+bool WaitingSteps::takeReport(const StepLane &lane, const StepPosition &position)
+{
+    return !lane.unreported.empty() && laneOf(lane.service, lane.key).unreported.erase(position) > 0
+            && m_reported.insert(position.key.job).second;
+}
+
 StepLane &WaitingSteps::laneOf(const std::string &service, const LaneKey &key)
 {
     const auto [lane, added] = m_byService[service].lanes.try_emplace(key);
@@ -163,10 +182,14 @@
     return lanes;
 }
 
-void WaitingSteps::eraseEmpty(const std::vector<StepLane *> &lanes)
+void WaitingSteps::settleLanes(const std::vector<StepLane *> &lanes)
 {
-    for (const StepLane *lane : lanes) {
+    for (StepLane *lane : lanes) {
         if (!lane->steps.empty()) {
+            const auto first = lane->hold ? m_steps.find(lane->hold->first.key) : m_steps.end();
+            if (first == m_steps.end() || first->second.lane != lane) {
+                lane->hold.reset();
+            }
             continue;
         }
         const auto service = m_byService.find(lane->service);
--- a/Source/Scheduling/WaitingSteps.h
+++ b/Source/Scheduling/WaitingSteps.h
@@ -72,10 +72,12 @@
 /// How long a quota has held a lane.
 struct QuotaHold
 {
-    /// Time at which it began. Since then the quota has allowed no step of the lane.
+    /// Time at which it began, or at which the last reservation for the lane was given up. Since
+    /// then the quota has allowed no step of the lane.
     SteadyTimeMs since = 0;
-    /// Best rank of a step that was held in this time. Ranks get worse while steps are held.
-    StepRank rank;
+    /// Step with which it began, at its rank of that time: ranks get worse while steps are held.
+    /// The hold ends when the step leaves the lane.
+    StepPosition first;
 };
 
 /// Steps of a service that their team's quota holds back all or none. Steps without a quota share
@@ -92,6 +94,8 @@
     Order unreported;
     /// Set while the quota holds the lane, as of the last placement pass that has reached it.
     std::optional<QuotaHold> hold;
+    /// Reservations of quota in a row that placed no task of the lane.
+    std::uint32_t unusedReservations = 0;
 };
 
 /// Waiting steps of a service.
@@ -157,11 +161,16 @@
     const WaitingStep &at(const StepKey &key) const { return m_steps.at(key).step; }
     /// Null if no step of the lane waits.
     const StepLane *lane(const std::string &service, const LaneKey &key) const;
+    /// True if a step of the job waits.
+    bool contains(const JobId &job) const;
     void setHold(const StepLane &lane, std::optional<QuotaHold> hold);
+    void setUnusedReservations(const StepLane &lane, std::uint32_t count);
     /// Returns a step of each job that waits in the lane from the position on and has not been
     /// reported, in placement order. The jobs count as reported until none of their steps waits in
     /// a lane with a quota.
     std::vector<StepKey> takeUnreported(const StepLane &lane, const StepPosition &from);
+    /// The same for one step: true if its job has not been reported before.
+    bool takeReport(const StepLane &lane, const StepPosition &position);
 
 private:
     struct Entry
@@ -175,7 +184,8 @@
     StepLane &laneOf(const std::string &service, const LaneKey &key);
     /// Removes the steps of a job and returns their lanes, which may be empty now.
     std::vector<StepLane *> removeSteps(const JobId &job);
-    void eraseEmpty(const std::vector<StepLane *> &lanes);
+    /// Erases lanes without steps, and ends holds whose first step has left the lane.
+    void settleLanes(const std::vector<StepLane *> &lanes);
     void insertInOrder(const StepKey &key, Entry &entry, WallTimeMs now);
     void removeFromOrder(const StepKey &key, const Entry &entry);
 
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -140,6 +140,8 @@
     std::uint64_t term = 0;
     /// Decisions to let a job wait.
     std::vector<DispatchDecision> waits;
+    /// Decisions to reserve quota for a step.
+    std::vector<DispatchDecision> reservations;
     /// Digest of all placements with their times, in order.
     std::uint64_t placementDigest = 0xcbf29ce484222325;
     /// Time for which starts may still follow a replaced quota: changes and orders on their way.
--- a/Tests/Scheduling/TeamQuotaTest.cpp
+++ b/Tests/Scheduling/TeamQuotaTest.cpp
@@ -45,8 +45,8 @@
     return fleet.runningOf(team).processorMilli;
 }
 
-/// Use of a team, counted from the records of all jobs.
-TaskResources countedUse(const SchedulerState &state, const std::string &team)
+/// Use of a team, counted from the records of all jobs, or that of its long-running tasks only.
+TaskResources countedUse(const SchedulerState &state, const std::string &team, bool longRunning)
 {
     TaskResources use;
     for (const auto &[id, job] : state.jobs()) {
@@ -56,7 +56,8 @@
         for (const OccurrenceRecord &occurrence : job.occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 for (const TaskRecord &task : occurrence.steps[step].tasks) {
-                    if (task.phase == TaskPhase::Assigned) {
+                    if (task.phase == TaskPhase::Assigned
+                        && (!longRunning || job.spec.steps[step].longRunning)) {
                         use = use + job.spec.steps[step].need;
                     }
                 }
@@ -274,8 +275,11 @@
             SchedulerState state;
             const auto check = [&](const SchedulerState &checked) {
                 for (const char *team : {"a", "b"}) {
-                    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
-                                           checked.useOf(team) == countedUse(checked, team));
+                    const std::string message = "seed " + std::to_string(seed);
+                    CPPUNIT_ASSERT_MESSAGE(message,
+                                           checked.useOf(team) == countedUse(checked, team, false));
+                    CPPUNIT_ASSERT_MESSAGE(
+                            message, checked.lastingUseOf(team) == countedUse(checked, team, true));
                 }
                 CPPUNIT_ASSERT(checked.useOf("") == TaskResources{});
             };
--- a/Tests/Scheduling/WaitingStepsTest.cpp
+++ b/Tests/Scheduling/WaitingStepsTest.cpp
@@ -284,7 +284,7 @@
         };
         WaitingSteps steps;
         steps.replace("j", "pricing", {stepIn(small, 1000)}, 1000);
-        steps.setHold(*steps.lane("pricing", small), QuotaHold{70, {}});
+        steps.setHold(*steps.lane("pricing", small), QuotaHold{70, {{}, {"j", 0, 0}}});
         section("a hold outlasts changes of the ranks and of the job", [&] {
             steps.advance(100000);
             steps.replace("j", "pricing", {stepIn(small, 1000)}, 100000);
@@ -292,6 +292,17 @@
             CPPUNIT_ASSERT(lane != nullptr && lane->hold);
             CPPUNIT_ASSERT_EQUAL(SteadyTimeMs(70), lane->hold->since);
         });
+        section("a hold ends with the step that began it, and not with another one", [&] {
+            WaitingStep other = stepOf("other", 0, 1000, 10);
+            other.lane = small;
+            steps.replace("other", "pricing", {other}, 100000);
+            steps.remove("other");
+            CPPUNIT_ASSERT(steps.lane("pricing", small)->hold.has_value());
+            steps.replace("other", "pricing", {other}, 100000);
+            steps.remove("j");
+            CPPUNIT_ASSERT(!steps.lane("pricing", small)->hold);
+            steps.remove("other");
+        });
         section("another lane, another service and no lane", [&] {
             steps.replace("j", "pricing", {stepIn(gang, 1000)}, 100000);
             CPPUNIT_ASSERT(steps.lane("pricing", small) == nullptr);
@@ -336,6 +347,18 @@
             CPPUNIT_ASSERT((taken(large, "j1") == Jobs{"j1"}));
             CPPUNIT_ASSERT(taken(small, "j1").empty());
         });
+        section("a single step, unless its job has been reported", [&] {
+            steps.replace("j4", "pricing", {stepIn("j4", 0, small)}, 1000);
+            for (const char *job : {"j3", "j4"}) {
+                const StepLane &lane = *steps.lane("pricing", small);
+                const auto position = std::find_if(
+                        lane.steps.begin(), lane.steps.end(),
+                        [job](const StepPosition &each) { return each.key.job == JobId(job); });
+                CPPUNIT_ASSERT_EQUAL(std::string(job) == "j4", steps.takeReport(lane, *position));
+                CPPUNIT_ASSERT(!steps.takeReport(lane, *position));
+            }
+            steps.remove("j4");
+        });
         section("not again while a step waits, whatever its rank", [&] {
             steps.replace("j2", "pricing", {stepIn("j2", 1, large)}, 1000);
             steps.advance(100000);
