Scheduling: Count accepted jobs until the waiting steps contain them

A job that was accepted and not recorded yet was lost at the next sum of the waiting work, and until then counted beyond the quota of its team. Accepted jobs are now kept until a placement pass has taken them, for 5 s at most if they are not recorded, and are added after each sum within their team's quota.

Compiled without code generation; not built, not run.

--- a/Source/Scheduling/ServiceLoads.cpp
+++ b/Source/Scheduling/ServiceLoads.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Time after which an accepted job that is not recorded is taken for lost.
+constexpr std::int64_t maxUnrecordedMs = 5000;
+
 /// Number of entries that are placed before a new job of the rank. Jobs of the same rank count.
 std::size_t countBefore(const std::vector<WaitingWork::Entry> &entries, const StepRank &rank)
 {
@@ -92,11 +95,21 @@
     return beginMs >= horizon ? 0 : coreMs * (horizon - beginMs) / (endMs - beginMs);
 }
 
+double takeWithinQuota(WaitingWork &work, const std::string &team, double coreMs,
+                       const TaskResources &need, const TaskResources &maxRunning,
+                       std::int64_t horizonMs)
+{
+    const QuotaTime own = quotaTime(coreMs, need, maxRunning);
+    QuotaTime &earlier = work.quotaTimes[team];
+    const double counted = coreMsWithinQuota(coreMs, earlier, own, horizonMs);
+    earlier = earlier + own;
+    return counted;
+}
+
 WaitingWork waitingWorkOf(const SchedulerState &state, const WaitingSteps &waiting,
                           const ServiceSteps &steps, WallTimeMs now)
 {
     WaitingWork work;
-    std::map<std::string, QuotaTime> quotaTimes;
     const StepKey *previous = nullptr;
     for (StepCursor cursor(steps); !cursor.isAtEnd(); cursor.next()) {
         const StepPosition &position = cursor.position();
@@ -117,10 +130,8 @@
         double coreMs = attributes.remainingWork / milliPerCore;
         const auto quota = state.quotas().find(job->spec.team);
         if (quota != state.quotas().end()) {
-            const QuotaTime own = quotaTime(coreMs, job->spec.steps[key.step].need, quota->second);
-            QuotaTime &earlier = quotaTimes[job->spec.team];
-            coreMs = coreMsWithinQuota(coreMs, earlier, own, usefulDeadline(attributes) - now);
-            earlier = earlier + own;
+            coreMs = takeWithinQuota(work, job->spec.team, coreMs, job->spec.steps[key.step].need,
+                                     quota->second, usefulDeadline(attributes) - now);
         }
         work.add(position.rank, coreMs, latestOnTimeStart(attributes));
     }
@@ -137,7 +148,10 @@
         attributes.remainingWork += static_cast<double>(spec.count)
                 * static_cast<double>(spec.need.processorMilli) * static_cast<double>(stepMs[step]);
     }
-    return {attributes.remainingWork / milliPerCore,
+    return {job.spec.id,
+            job.spec.team,
+            job.spec.steps.empty() ? TaskResources{} : job.spec.steps.front().need,
+            attributes.remainingWork / milliPerCore,
             attributes.jobPathMs,
             now,
             latestOnTimeStart(attributes),
@@ -153,6 +167,7 @@
 void ServiceLoads::beginTerm()
 {
     m_instances.reset();
+    m_accepted.clear();
     m_sumsAt = 0;
 }
 
@@ -168,7 +183,7 @@
         return std::nullopt;
     }
     if (m_sumsAt == 0 || now - m_sumsAt >= m_options.maxAgeMs) {
-        sumUp(job.submittedAt);
+        sumUp(now, job.submittedAt);
         m_sumsAt = now;
     }
     ServiceLoad load;
@@ -192,20 +207,50 @@
     return load;
 }
 
-void ServiceLoads::accepted(const std::string &service, const SubmittedJob &job)
+void ServiceLoads::accepted(const std::string &service, const SubmittedJob &job, SteadyTimeMs now)
 {
     const bool isOfUse = job.rank.group == StepGroup::OnTime || job.rank.group == StepGroup::Late;
-    if (isOfUse) {
-        m_waiting[service].insert(job.rank, job.coreMs, job.onTimeUntil);
+    if (!isOfUse) {
+        return;
+    }
+    const auto [added, isAdded] = m_accepted.try_emplace(job.id, AcceptedJob{service, job, now});
+    if (isAdded) {
+        insert(added->second);
+    }
+}
+
+void ServiceLoads::addAcceptedJobs(SteadyTimeMs now)
+{
+    std::erase_if(m_accepted, [&](const auto &item) {
+        const bool isMissing = m_state.job(item.first) == nullptr
+                ? now - item.second.acceptedAt < maxUnrecordedMs
+                : m_dispatcher.isNew(item.first);
+        return !isMissing;
+    });
+    for (const auto &[id, accepted] : m_accepted) {
+        insert(accepted);
     }
 }
 
-void ServiceLoads::sumUp(WallTimeMs wallNow)
+void ServiceLoads::insert(const AcceptedJob &accepted)
+{
+    const SubmittedJob &job = accepted.job;
+    WaitingWork &work = m_waiting[accepted.service];
+    const auto quota = m_state.quotas().find(job.team);
+    const double coreMs = quota == m_state.quotas().end()
+            ? job.coreMs
+            : takeWithinQuota(work, job.team, job.coreMs, job.need, quota->second,
+                              job.usefulUntil - job.submittedAt);
+    work.insert(job.rank, coreMs, job.onTimeUntil);
+}
+
+void ServiceLoads::sumUp(SteadyTimeMs now, WallTimeMs wallNow)
 {
     m_waiting.clear();
     for (const auto &[service, steps] : m_dispatcher.waitingSteps().byService()) {
         m_waiting[service] = waitingWorkOf(m_state, m_dispatcher.waitingSteps(), steps, wallNow);
     }
+    addAcceptedJobs(now);
     sumUpWorkers();
     sumUpInstances();
 }
--- a/Source/Scheduling/ServiceLoads.h
+++ b/Source/Scheduling/ServiceLoads.h
@@ -22,6 +22,17 @@
     std::int64_t maxAgeMs = 100;
 };
 
+/// Time in milliseconds for which work takes the whole of its team's quota, by resource; 0 for a
+/// resource without a limit.
+struct QuotaTime
+{
+    double processorMs = 0;
+    double memoryMs = 0;
+    double acceleratorMs = 0;
+
+    double longestMs() const { return std::max({processorMs, memoryMs, acceleratorMs}); }
+};
+
 /// Unfinished work of the waiting jobs of a service, in placement order.
 struct WaitingWork
 {
@@ -36,6 +47,8 @@
         WallTimeMs onTimeUntil = 0;
     };
     std::vector<Entry> entries;
+    /// Time of the entries' work by team, for teams with a quota.
+    std::map<std::string, QuotaTime> quotaTimes;
 
     /// Adds a job behind the others.
     void add(const StepRank &rank, double coreMs, WallTimeMs onTimeUntil);
@@ -52,17 +65,6 @@
                                        std::int64_t capacityMilli, WallTimeMs now) const;
 };
 
-/// Time in milliseconds for which work takes the whole of its team's quota, by resource; 0 for a
-/// resource without a limit.
-struct QuotaTime
-{
-    double processorMs = 0;
-    double memoryMs = 0;
-    double acceleratorMs = 0;
-
-    double longestMs() const { return std::max({processorMs, memoryMs, acceleratorMs}); }
-};
-
 QuotaTime operator+(const QuotaTime &left, const QuotaTime &right);
 
 /// Time of the work of tasks that each require `need`, by its core-milliseconds. A task that is
@@ -77,6 +79,11 @@
 double coreMsWithinQuota(double coreMs, const QuotaTime &earlier, const QuotaTime &own,
                          std::int64_t horizonMs);
 
+/// The same for a job behind all others of its team. Adds its time to those of the work.
+double takeWithinQuota(WaitingWork &work, const std::string &team, double coreMs,
+                       const TaskResources &need, const TaskResources &maxRunning,
+                       std::int64_t horizonMs);
+
 /// Sums up the waiting steps of a service. Work beyond its team's share and work that is too late
 /// to be of use is left out, as it is placed after all jobs within their share, and so is what its
 /// team's quota holds back until then.
@@ -86,6 +93,10 @@
 /// Facts of a job that is about to be accepted.
 struct SubmittedJob
 {
+    JobId id;
+    std::string team;
+    /// Resources of a task of its first step, by which its use of the team's quota is estimated.
+    TaskResources need;
     double coreMs = 0;
     std::int64_t pathMs = 0;
     WallTimeMs submittedAt = 0;
@@ -114,12 +125,21 @@
     /// missing.
     std::optional<ServiceLoad> loadOf(const std::string &service, const SubmittedJob &job,
                                       bool withinShare, SteadyTimeMs now);
-    /// Adds an accepted job to the loads of the following ones, until the next sum contains it.
-    void accepted(const std::string &service, const SubmittedJob &job);
+    /// Adds an accepted job to the loads of the following ones, until the sums contain it.
+    void accepted(const std::string &service, const SubmittedJob &job, SteadyTimeMs now);
     std::int64_t ageMs(SteadyTimeMs now) const { return now - m_sumsAt; }
 
 private:
-    void sumUp(WallTimeMs wallNow);
+    struct AcceptedJob
+    {
+        std::string service;
+        SubmittedJob job;
+        SteadyTimeMs acceptedAt = 0;
+    };
+    void sumUp(SteadyTimeMs now, WallTimeMs wallNow);
+    /// Adds the accepted jobs that the waiting steps don't contain yet, and forgets the others.
+    void addAcceptedJobs(SteadyTimeMs now);
+    void insert(const AcceptedJob &accepted);
     void sumUpWorkers();
     void sumUpInstances();
 
@@ -130,6 +150,8 @@
     /// Time of the sums below; 0 without any.
     SteadyTimeMs m_sumsAt = 0;
     std::map<std::string, WaitingWork> m_waiting;
+    /// Accepted jobs that may still be missing in the waiting steps.
+    std::map<JobId, AcceptedJob> m_accepted;
     /// Thousandths of a core for tasks that end by themselves.
     std::map<std::string, std::int64_t> m_capacityMilli;
     /// Unused thousandths of a core of instances that can change their pool, by the service of
--- a/Source/Scheduling/SubmissionReview.cpp
+++ b/Source/Scheduling/SubmissionReview.cpp
@@ -65,7 +65,7 @@
     facts.load = *load;
     const SubmissionDecision decision = decideSubmission(facts, options);
     if (withinShare && decision.verdict == SubmissionVerdict::Accepted) {
-        sources.loads.accepted(job.queue.service, submitted);
+        sources.loads.accepted(job.queue.service, submitted, now);
     }
     return {decision, load};
 }
--- a/Tests/Scheduling/ServiceLoadsTest.cpp
+++ b/Tests/Scheduling/ServiceLoadsTest.cpp
@@ -14,6 +14,22 @@
 const TaskResources fourCores{4000, 0, 0};
 const TaskResources oneCore{1000, 512, 0};
 
+/// A job of 2 core-seconds that is of use for 4.5 s.
+SubmittedJob submittedOf(const std::string &id, const std::string &team)
+{
+    SubmittedJob job;
+    job.id = id;
+    job.team = team;
+    job.need = oneCore;
+    job.coreMs = 2000;
+    job.pathMs = 500;
+    job.submittedAt = 10000;
+    job.onTimeUntil = 11000;
+    job.usefulUntil = 14500;
+    job.rank = {StepGroup::OnTime, 1, 2000 * milliPerCore};
+    return job;
+}
+
 /// Core-milliseconds that count of equal jobs of a team, in placement order.
 double countedOf(int jobs, double coreMs, const TaskResources &need, const TaskResources &quota)
 {
@@ -37,6 +53,8 @@
     CPPUNIT_TEST(largeTasks);
     CPPUNIT_TEST(heldBacklog);
     CPPUNIT_TEST(insertedWork);
+    CPPUNIT_TEST(acceptedJobs);
+    CPPUNIT_TEST(acceptedJobsWithQuota);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,6 +182,79 @@
             CPPUNIT_ASSERT_DOUBLES_EQUAL(1050, work.totalCoreMs(), tolerance);
         });
     }
+
+    /// Guards against an accepted job that doesn't count between the next sum and its record, and
+    /// against one that counts for ever or twice.
+    void acceptedJobs()
+    {
+        SchedulerState state;
+        Dispatcher dispatcher(state, {});
+        ServiceLoads loads(state, dispatcher);
+        loads.listed({});
+        const auto ahead = [&](SteadyTimeMs now) {
+            const auto load = loads.loadOf("s", submittedOf("next", ""), true, now);
+            CPPUNIT_ASSERT(load.has_value());
+            return load->aheadCoreMs;
+        };
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, ahead(1000), tolerance);
+        loads.accepted("s", submittedOf("a", ""), 1000);
+        loads.accepted("s", submittedOf("b", ""), 1000);
+        loads.accepted("s", submittedOf("b", ""), 1010);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, ahead(1050), tolerance);
+        section("also after the next sums", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, ahead(1200), tolerance);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(4000, ahead(1400), tolerance);
+        });
+        section("until it is recorded", [&] {
+            JobAccepted accepted;
+            accepted.spec.id = "a";
+            accepted.spec.steps.resize(1);
+            state.apply(accepted);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(2000, ahead(1600), tolerance);
+        });
+        section("or taken for lost", [&] {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(2000, ahead(5900), tolerance);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0, ahead(6100), tolerance);
+        });
+        section("a job that is recorded and not yet among the waiting steps counts", [&] {
+            dispatcher.beginTerm(7000);
+            JobAccepted accepted;
+            accepted.spec.id = "c";
+            accepted.spec.steps.resize(1);
+            accepted.atMs = 10000;
+            loads.accepted("s", submittedOf("c", ""), 7000);
+            state.apply(accepted);
+            dispatcher.applied(accepted, 7000);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(2000, ahead(7200), tolerance);
+        });
+    }
+
+    /// Guards against accepted jobs that count beyond what their team's quota lets run until the
+    /// next sum.
+    void acceptedJobsWithQuota()
+    {
+        SchedulerState state;
+        ConfigurationAccepted configured;
+        configured.configuration.teams.resize(1);
+        configured.configuration.teams[0].name = "held";
+        configured.configuration.teams[0].maxRunning = fourCores;
+        state.apply(configured);
+        const Dispatcher dispatcher(state, {});
+        ServiceLoads loads(state, dispatcher);
+        loads.listed({});
+        const auto ahead = [&](SteadyTimeMs now) {
+            return loads.loadOf("s", submittedOf("next", "free"), true, now)->aheadCoreMs;
+        };
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, ahead(1000), tolerance);
+        for (int job = 0; job < 40; ++job) {
+            loads.accepted("s", submittedOf("held" + std::to_string(job), "held"), 1000);
+        }
+        // A quota of four cores runs nine of them in 4.5 s.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(18000, ahead(1050), tolerance);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(18000, ahead(1200), tolerance);
+        loads.accepted("s", submittedOf("free", "free"), 1200);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20000, ahead(1250), tolerance);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServiceLoadsTest);
