Tests: Check that no team starves beside small jobs

ContendedLoadTest::smallAndLargeJobs and smallAndLargeJobsBeyondShares demanded equal core time of two teams. This contradicts the design: shares count jobs, and within a group the least work goes first. While both teams wait, each now must have jobs done in each 5 s, as hotTeam demands; that both wait at the same time is checked as before.

By reading, smallAndLargeJobs fails: the small jobs that are on time are within their share and alone exceed the pool, so that the large ones get no capacity. The check stays as it is.

costOfSubmissions puts the waiting and the submitted jobs into one service, as costs linear in the jobs of a service did not show with 16; the bound stays. The replay visits the waiting steps by StepCursor; it did not compile.

Compiled without code generation; not built, not run.

--- a/Tests/Scheduling/ContendedLoad.cpp
+++ b/Tests/Scheduling/ContendedLoad.cpp
@@ -181,8 +181,11 @@
     {
         std::set<std::string> waiting;
         for (const auto &[name, steps] : m_fleet.dispatcher->waitingSteps().byService()) {
-            for (const StepPosition &position : steps) {
-                waiting.insert(m_fleet.state.job(position.key.job)->spec.team);
+            for (StepCursor cursor(steps); !cursor.isAtEnd(); cursor.next()) {
+                const JobRecord *job = m_fleet.state.job(cursor.position().key.job);
+                if (job != nullptr) {
+                    waiting.insert(job->spec.team);
+                }
             }
         }
         if (waiting.size() < m_teams.size()) {
--- a/Tests/Scheduling/ContendedLoadTest.cpp
+++ b/Tests/Scheduling/ContendedLoadTest.cpp
@@ -224,12 +224,12 @@
         CPPUNIT_ASSERT(together <= std::max(1, refused / 10));
     }
 
-    /// Guards against a team that gets less of the pool than another one of its weight because its
-    /// jobs are large, while both are within their shares.
-    void smallAndLargeJobs() { compareCoreTime(50); }
+    /// Guards against a team that gets nothing done because its jobs are larger than those of
+    /// another one, while both are within their shares.
+    void smallAndLargeJobs() { checkNobodyStarves(50); }
 
     /// The same while both send more than their shares.
-    void smallAndLargeJobsBeyondShares() { compareCoreTime(5); }
+    void smallAndLargeJobsBeyondShares() { checkNobodyStarves(5); }
 
     /// Guards against a caller that waits for a refusal, and against a refused job that is recorded
     /// all the same.
@@ -259,7 +259,7 @@
     }
 
     /// Guards against decisions on submissions that cost more with each team or waiting job: 300
-    /// a second, with 690 teams, 64 queues and 2,000 waiting jobs.
+    /// a second, with 690 teams, 64 queues and 2,000 waiting jobs of one service.
     void costOfSubmissions()
     {
         constexpr int queueCount = 64;
@@ -269,12 +269,16 @@
         constexpr int seconds = 3;
         // The jobs that run at once are not among the waiting ones.
         constexpr int submittedJobs = waitingJobs + 200;
+        // The queues are spread over the services in turn.
+        const auto queueOfOneService = [](int job) {
+            return job % (queueCount / serviceCount) * serviceCount;
+        };
         FleetSimulation fleet(seed);
         fleet.stepMs = 10;
         fleet.durationOf = [](const TaskKey &) { return 60000; };
         setUpLargeFleet(fleet, queueCount, serviceCount, teamCount);
         for (int job = 0; job < submittedJobs; ++job) {
-            fleet.submit("w" + std::to_string(job), "q" + std::to_string(job % queueCount),
+            fleet.submit("w" + std::to_string(job), "q" + std::to_string(queueOfOneService(job)),
                          {shortStep(8)}, "team" + std::to_string(job % teamCount));
         }
         fleet.run(500);
@@ -297,7 +301,7 @@
         double used = 0;
         const auto decide = [&](int number) {
             const QueueConfig *queue = fleet.state.queueFor(
-                    "host", "/q" + std::to_string(number % queueCount) + "/job");
+                    "host", "/q" + std::to_string(queueOfOneService(number)) + "/job");
             CPPUNIT_ASSERT(queue != nullptr);
             const KeyDecision key =
                     checkKey(directory, *queue, "key" + std::to_string(number * 7 % teamCount));
@@ -336,7 +340,7 @@
     /// Processor time that the decisions may take, of the third of a core that a leader has.
     static constexpr double maxDecisionCores = 0.05;
 
-    static void compareCoreTime(std::int64_t weight)
+    static void checkNobodyStarves(std::int64_t weight)
     {
         const ContendedResult result = replay(smallAndLarge(weight));
         print("small jobs", countsOfRow(result, "small"));
@@ -348,7 +352,9 @@
         const double large = coreMs.contains("bulk0") ? coreMs.at("bulk0") : 0;
         std::cout << "\n  core-ms while both wait: small " << small << ", large " << large;
         CPPUNIT_ASSERT(small + large >= leastCoreMs);
-        CPPUNIT_ASSERT(std::min(small, large) >= 0.8 * std::max(small, large));
+        for (const char *team : {"small0", "bulk0"}) {
+            CPPUNIT_ASSERT_MESSAGE(team, fewestEndsInFiveSeconds(result, team) > 0);
+        }
     }
 
     static void setUpLargeFleet(FleetSimulation &fleet, int queueCount, int serviceCount,
