Runtime: Ask an instance that is named as the leader at once

The search asked one instance each 400 ms, and an answer that names the leader led to the same instance once more, as odd attempts go to the others in turn.

Change: an instance that the answer names is asked at once, at most once an interval, and the interval is 200 ms while no leader answers.

--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t attemptTimeoutMs = 900;
 
 constexpr Milliseconds locateInterval{400};
+/// The interval while no leader answers. All calls are refused until it is found.
+constexpr Milliseconds searchInterval{200};
 constexpr Milliseconds locateTimeout{350};
 
 /// Delay that is suggested to refused callers. By then an election is over, and the load balancer
@@ -180,7 +182,7 @@
     forwarded->reply(answer);
 }
 
-void LeaderClient::locate()
+void LeaderClient::sendLocate()
 {
     const std::string to = target(m_locateAttempts);
     const std::weak_ptr<LeaderClient *> alive = m_alive;
@@ -196,13 +198,20 @@
                              });
                          });
     }
+}
+
+void LeaderClient::locate()
+{
+    m_followedHint = false;
+    sendLocate();
     const bool ready = isReady(steadyTimeNow());
     if (ready != m_wasReady) {
         m_wasReady = ready;
         m_log.event(LogSeverity::Info, "leader-client",
                     ready ? "leader " + m_leader + " answers" : "no leader answers");
     }
-    m_loop.startTimer(locateInterval, [alive] {
+    const std::weak_ptr<LeaderClient *> alive = m_alive;
+    m_loop.startTimer(ready ? locateInterval : searchInterval, [alive] {
         if (const auto client = alive.lock()) {
             (*client)->locate();
         }
@@ -234,6 +243,13 @@
         if (m_leader == target || m_leader.empty()) {
             m_leader = answer.leader == target ? std::string() : answer.leader;
         }
+        const bool isHint = !m_leader.empty() && m_leader == answer.leader;
+        if (isHint && !m_followedHint) {
+            // Even attempts go to the known leader.
+            m_followedHint = true;
+            m_locateAttempts += m_locateAttempts % 2;
+            sendLocate();
+        }
     }
 }
 
--- a/Source/Runtime/LeaderClient.h
+++ b/Source/Runtime/LeaderClient.h
@@ -55,7 +55,9 @@
     void retry(const std::shared_ptr<ForwardedCall> &forwarded);
     void onAnswer(const std::shared_ptr<ForwardedCall> &forwarded, const std::string &target,
                   const PeerResult &result);
+    /// Asks once, and again after the interval.
     void locate();
+    void sendLocate();
     void onLocated(const std::string &target, const PeerResult &result);
     /// Instance for the attempt that follows `attempts` earlier ones; empty if none is known.
     std::string target(std::uint32_t attempts) const;
@@ -72,6 +74,9 @@
     bool m_searching = false;
     std::uint32_t m_locateAttempts = 0;
     bool m_locating = false;
+    /// An instance that the last answer named as the leader was asked at once, which happens once
+    /// an interval.
+    bool m_followedHint = false;
 };
 
 } // namespace dandelionloom
--- a/Tests/Gateway/LeaderClientTest.cpp
+++ b/Tests/Gateway/LeaderClientTest.cpp
@@ -14,13 +14,13 @@
 
 namespace {
 
-/// A gateway's leader client and two control instances, of which "a" is the leader.
+/// A gateway's leader client and two control instances, "a" and "b".
 struct LeaderClientFixture
 {
-    LeaderClientFixture()
+    explicit LeaderClientFixture(const std::string &leaderName = "a") : leader(leaderName)
     {
-        addControlInstance("a", true);
-        addControlInstance("b", false);
+        addControlInstance("a", leader == "a");
+        addControlInstance("b", leader == "b");
         transport = network.transport("gateway");
         network.setUp("gateway", true);
         client = std::make_unique<LeaderClient>(loop, *transport, log, [](const std::string &) {});
@@ -41,9 +41,10 @@
         controls.push_back(network.transport(name));
         controls.back()->setHandler(
                 PeerMessageKind::Locate,
-                [this, leads](const std::string &, const std::string &,
-                              const PeerTransport::Reply &reply) {
-                    reply(packMessage(LocateAnswer{leads && !silent, "a", {"a", "b"}}));
+                [this, name, leads](const std::string &, const std::string &,
+                                    const PeerTransport::Reply &reply) {
+                    signal.change([&] { located.push_back(name); });
+                    reply(packMessage(LocateAnswer{leads && !silent, leader, {"a", "b"}}));
                 });
         controls.back()->setHandler(
                 PeerMessageKind::JobCall,
@@ -51,7 +52,7 @@
                               const PeerTransport::Reply &reply) {
                     JobCallAnswer answer =
                             makeAnswer(leads ? outcome.load() : JobCallOutcome::NotLeader, "");
-                    answer.leader = "a";
+                    answer.leader = leader;
                     const bool isLost = leads && lostAnswers.load() > 0 && lostAnswers-- > 0;
                     if (!(leads && silent) && !isLost) {
                         reply(packMessage(answer));
@@ -85,6 +86,10 @@
         return received;
     }
 
+    const std::string leader;
+    Signal signal;
+    /// The instances that were asked for the leader, in sequence.
+    std::vector<std::string> located;
     FakePeerNetwork network;
     /// The leader receives calls and doesn't answer.
     std::atomic<bool> silent{false};
@@ -95,7 +100,6 @@
     std::unique_ptr<PeerTransport> transport;
     EventLoop loop;
     LogRecorder log;
-    Signal signal;
     std::unique_ptr<LeaderClient> client;
 };
 
@@ -105,6 +109,7 @@
 {
     CPPUNIT_TEST_SUITE(LeaderClientTest);
     CPPUNIT_TEST(findsTheLeader);
+    CPPUNIT_TEST(asksANamedLeaderAtOnce);
     CPPUNIT_TEST(failsFastWithoutLeader);
     CPPUNIT_TEST(reportsUnknownOutcome);
     CPPUNIT_TEST(refusesOnlyWhatWasNotAccepted);
@@ -119,6 +124,19 @@
         CPPUNIT_ASSERT(gateway.call(2000).outcome == JobCallOutcome::Done);
     }
 
+    /// Guards against calls that are refused although an instance has named the leader: it was
+    /// asked only two intervals later.
+    void asksANamedLeaderAtOnce()
+    {
+        LeaderClientFixture gateway("b");
+        gateway.waitUntilReady(true);
+        std::vector<std::string> asked;
+        gateway.signal.change([&] { asked = gateway.located; });
+        CPPUNIT_ASSERT(asked.size() >= 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), asked[0]);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), asked[1]);
+    }
+
     /// Guards against holding calls until their deadline when the gateway's zone is partitioned
     /// from the leader. Such calls were refused only after 3 s.
     void failsFastWithoutLeader()
