--- a/Source/Adapters/Http/HttpListener.cpp
+++ b/Source/Adapters/Http/HttpListener.cpp
@@ -1,5 +1,7 @@
 #include "Adapters/Http/HttpListener.h"
 
+#include <algorithm>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
@@ -7,56 +9,66 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/Net/TCPServerParams.h>
 
-#include <algorithm>
-#include <array>
+#include "Adapters/Http/SocketInput.h"
 
 namespace dandelionloom {
 
 namespace {
 
-/// Threads for connections above the limit, which get an error response before they are closed.
+/// Threads for connections above the limit: they close another one, or get an error response.
 constexpr std::size_t rejectionThreads = 8;
 constexpr int listenBacklog = 256;
-
-/// Limits of the lingering close: how long and how many bytes are read from a rejected client.
-/// Closing a connection with unread input resets it, and the client could lose the response.
-constexpr Milliseconds lingerTimeout{500};
-constexpr std::size_t maxLingerBytes = 256 * 1024;
+/// Accepted connections that wait for a thread. They hold descriptors, so a listener with few
+/// connections has a short queue.
+constexpr std::size_t connectionsPerQueued = 4;
+constexpr std::size_t minQueued = 8;
 
 Poco::Timespan timespan(Milliseconds duration)
 {
     return {duration.count() * Poco::Timespan::MILLISECONDS};
 }
 
-/// Reads from a socket until a deadline.
+/// Reads from a socket until a deadline, and counts the bytes read.
 class DeadlineSource
 {
 public:
-    explicit DeadlineSource(Poco::Net::StreamSocket &socket) : m_socket(socket) { }
+    DeadlineSource(Poco::Net::StreamSocket &socket, ConnectionSet &connections)
+        : m_socket(socket), m_connections(connections)
+    { }
 
     void setTimeout(Milliseconds timeout) { m_deadline = steadyTimeNow() + timeout.count(); }
 
     int read(char *buffer, int size)
     {
         const SteadyTimeMs remainingMs = m_deadline - steadyTimeNow();
-        if (remainingMs <= 0
-            || !m_socket.poll(timespan(Milliseconds(remainingMs)),
-                              Poco::Net::Socket::SELECT_READ)) {
+        if (remainingMs <= 0 || !waitForInput(m_socket, remainingMs)) {
             throw Poco::TimeoutException();
         }
-        return m_socket.receiveBytes(buffer, size);
+        const int count = m_socket.receiveBytes(buffer, size);
+        if (count <= 0) {
+            return count;
+        }
+        const AddBytesResult result =
+                m_connections.addBytes(m_socket, static_cast<std::size_t>(count));
+        m_withoutRoom = result == AddBytesResult::NoRoom;
+        return result == AddBytesResult::Added ? count : 0;
     }
 
+    /// True if reading has ended because requests that are handled hold all bytes of the limit.
+    bool withoutRoom() const { return m_withoutRoom; }
+
 private:
     Poco::Net::StreamSocket &m_socket;
+    ConnectionSet &m_connections;
     SteadyTimeMs m_deadline = 0;
+    bool m_withoutRoom = false;
 };
 
 class Connection : public Poco::Net::TCPServerConnection
 {
 public:
     Connection(const Poco::Net::StreamSocket &socket, const HttpLimits &limits,
-               HttpHandler &handler, detail::ConnectionSet &connections)
+               HttpHandler &handler, ConnectionSet &connections)
         : TCPServerConnection(socket), m_limits(limits), m_handler(handler),
           m_connections(connections)
     { }
@@ -64,7 +76,7 @@
     void run() override
     {
         try {
-            if (!m_connections.add(socket(), m_limits.maxConnections)) {
+            if (!m_connections.add(socket(), Milliseconds(0))) {
                 reject(m_handler.makeErrorResponse({503, "too-many-connections"}));
                 return;
             }
@@ -79,15 +91,19 @@
 private:
     void serve()
     {
-        DeadlineSource source(socket());
+        DeadlineSource source(socket(), m_connections);
         ByteReader reader([&](char *buffer, int size) { return source.read(buffer, size); });
         for (std::size_t count = 0; count < m_limits.maxRequestsPerConnection; ++count) {
             source.setTimeout(count == 0 ? m_limits.headTimeout : m_limits.keepAliveTimeout);
-            if (!m_connections.setIdle(socket(), true)) {
+            if (count != 0 && !setPhase(ConnectionPhase::Idle)) {
                 return;
             }
             const ReadStatus status = reader.waitForByte();
-            if (!m_connections.setIdle(socket(), false) || status != ReadStatus::Ok) {
+            if (source.withoutRoom()) {
+                reject(tooManyBytes());
+                return;
+            }
+            if (!setPhase(ConnectionPhase::Reading) || status != ReadStatus::Ok) {
                 return;
             }
             const bool last = count + 1 == m_limits.maxRequestsPerConnection;
@@ -97,13 +113,25 @@
         }
     }
 
+    HttpResponse tooManyBytes()
+    {
+        return m_handler.makeErrorResponse({503, "too-many-buffered-bytes"});
+    }
+
+    HttpResponse refusal(const DeadlineSource &source, const HttpRequestError &error)
+    {
+        return source.withoutRoom() ? tooManyBytes() : m_handler.makeErrorResponse(error);
+    }
+
+    bool setPhase(ConnectionPhase phase) { return m_connections.setPhase(socket(), phase); }
+
     /// Returns true if the connection accepts another request.
     bool serveRequest(DeadlineSource &source, ByteReader &reader, bool last)
     {
         source.setTimeout(m_limits.headTimeout);
         Result<HttpHead, HttpRequestError> head = readHead(reader, m_limits);
         if (!isOk(head)) {
-            reject(m_handler.makeErrorResponse(errorOf(head)));
+            reject(refusal(source, errorOf(head)));
             return false;
         }
         HttpHead request = takeValue(std::move(head));
@@ -118,11 +146,14 @@
         }
         Result<std::string, HttpRequestError> body = readBody(reader, request, m_limits);
         if (!isOk(body)) {
-            reject(m_handler.makeErrorResponse(errorOf(body)));
+            reject(refusal(source, errorOf(body)));
             return false;
         }
         const bool keepAlive = request.keepAlive && !last;
         const bool isHeadRequest = request.method == "HEAD";
+        if (!setPhase(ConnectionPhase::Handling)) {
+            return false;
+        }
         const HttpResponse response = m_handler.handle(valueOf(principal), std::move(request),
                                                        takeValue(std::move(body)));
         sendResponse(response, keepAlive, isHeadRequest);
@@ -138,16 +169,8 @@
         }
         sendResponse(response, false, false);
         socket().shutdownSend();
-        DeadlineSource source(socket());
-        source.setTimeout(lingerTimeout);
-        std::array<char, 4096> discarded;
-        for (std::size_t bytes = 0; bytes < maxLingerBytes;) {
-            const int count = source.read(discarded.data(), static_cast<int>(discarded.size()));
-            if (count <= 0) {
-                return;
-            }
-            bytes += static_cast<std::size_t>(count);
-        }
+        setPhase(ConnectionPhase::Lingering);
+        discardInput(socket());
     }
 
     void sendResponse(const HttpResponse &response, bool keepAlive, bool isHeadRequest)
@@ -167,6 +190,8 @@
         if (!isHeadRequest && !bodiless) {
             bytes += response.body;
         }
+        setPhase(ConnectionPhase::Sending);
+        m_connections.addBytes(socket(), bytes.size());
         sendAll(bytes);
     }
 
@@ -188,19 +213,19 @@
                 throw Poco::TimeoutException();
             }
             sent += static_cast<std::size_t>(count);
+            m_connections.noteProgress(socket());
         }
     }
 
     const HttpLimits &m_limits;
     HttpHandler &m_handler;
-    detail::ConnectionSet &m_connections;
+    ConnectionSet &m_connections;
 };
 
 class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-    ConnectionFactory(const HttpLimits &limits, HttpHandler &handler,
-                      detail::ConnectionSet &connections)
+    ConnectionFactory(const HttpLimits &limits, HttpHandler &handler, ConnectionSet &connections)
         : m_limits(limits), m_handler(handler), m_connections(connections)
     { }
 
@@ -212,74 +237,22 @@
 private:
     const HttpLimits &m_limits;
     HttpHandler &m_handler;
-    detail::ConnectionSet &m_connections;
+    ConnectionSet &m_connections;
 };
 
 } // namespace
 
-namespace detail {
-
-bool ConnectionSet::add(const Poco::Net::StreamSocket &socket, std::size_t limit)
-{
-    const std::lock_guard lock(m_mutex);
-    if (m_stopping || m_sockets.size() >= limit) {
-        return false;
-    }
-    m_sockets.insert(socket);
-    return true;
-}
-
-void ConnectionSet::remove(const Poco::Net::StreamSocket &socket)
-{
-    const std::lock_guard lock(m_mutex);
-    m_idle.erase(socket);
-    m_sockets.erase(socket);
-    m_changed.notify_all();
-}
-
-bool ConnectionSet::setIdle(const Poco::Net::StreamSocket &socket, bool idle)
-{
-    const std::lock_guard lock(m_mutex);
-    if (idle) {
-        m_idle.insert(socket);
-    } else {
-        m_idle.erase(socket);
-    }
-    return !m_stopping;
-}
-
-void ConnectionSet::stop(Milliseconds limit)
-{
-    const auto shutDown = [](const std::set<Poco::Net::StreamSocket> &sockets) {
-        for (Poco::Net::StreamSocket socket : sockets) {
-            try {
-                socket.shutdown();
-            } catch (const Poco::Exception &) {
-                // The client has already closed the connection.
-            }
-        }
-    };
-    std::unique_lock lock(m_mutex);
-    m_stopping = true;
-    shutDown(m_idle);
-    const auto empty = [&] { return m_sockets.empty(); };
-    if (!m_changed.wait_for(lock, limit, empty)) {
-        shutDown(m_sockets);
-        m_changed.wait(lock, empty);
-    }
-}
-
-} // namespace detail
-
 HttpListener::HttpListener(const std::string &address, const HttpLimits &limits,
                            HttpHandler &handler)
-    : m_limits(limits), m_threads(2, static_cast<int>(limits.maxConnections + rejectionThreads))
+    : m_limits(limits), m_connections({limits.maxConnections, limits.maxBufferedBytes}),
+      m_threads(2, static_cast<int>(limits.maxConnections + rejectionThreads))
 {
     m_socket.bind(Poco::Net::SocketAddress(address), true, false);
     m_socket.listen(listenBacklog);
     auto *parameters = new Poco::Net::TCPServerParams;
     parameters->setMaxThreads(static_cast<int>(limits.maxConnections + rejectionThreads));
-    parameters->setMaxQueued(listenBacklog);
+    parameters->setMaxQueued(
+            static_cast<int>(std::max(limits.maxConnections / connectionsPerQueued, minQueued)));
     m_server = std::make_unique<Poco::Net::TCPServer>(
             new ConnectionFactory(m_limits, handler, m_connections), m_threads, m_socket,
             parameters);
--- a/Source/Adapters/Peers/PeerServer.cpp
+++ b/Source/Adapters/Peers/PeerServer.cpp
@@ -4,9 +4,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <cstring>
+#include <functional>
+#include <utility>
 
 #include "Adapters/Peers/PeerEnvelope.h"
 
@@ -30,6 +33,43 @@
 
 } // namespace
 
+/// Counts the bytes of a request until its handler has replied, or has dropped the reply function.
+class PeerServer::UnansweredRequest
+{
+public:
+    UnansweredRequest(std::weak_ptr<PeerServer *> server, std::shared_ptr<EventLoop> loop,
+                      std::size_t bytes)
+        : m_server(std::move(server)), m_loop(std::move(loop)), m_bytes(bytes)
+    { }
+    ~UnansweredRequest()
+    {
+        finish([](PeerServer &) {});
+    }
+    UnansweredRequest(const UnansweredRequest &) = delete;
+    UnansweredRequest &operator=(const UnansweredRequest &) = delete;
+
+    /// Ends the count and runs the function on the loop's thread. Only the first call has an
+    /// effect. Thread-safe.
+    void finish(std::function<void(PeerServer &)> reply)
+    {
+        if (m_finished.exchange(true)) {
+            return;
+        }
+        m_loop->post([server = m_server, bytes = m_bytes, reply = std::move(reply)] {
+            if (const std::shared_ptr<PeerServer *> self = server.lock()) {
+                (*self)->m_unansweredBytes -= bytes;
+                reply(**self);
+            }
+        });
+    }
+
+private:
+    const std::weak_ptr<PeerServer *> m_server;
+    const std::shared_ptr<EventLoop> m_loop;
+    const std::size_t m_bytes;
+    std::atomic<bool> m_finished = false;
+};
+
 PeerServer::PeerServer(std::shared_ptr<EventLoop> loop, PeerContext context,
                        const Handlers &handlers)
     : m_loop(std::move(loop)), m_context(context), m_handlers(handlers),
@@ -91,7 +131,7 @@
 
 void PeerServer::addConnection(int descriptor, const std::string &address)
 {
-    if (m_connections.size() >= m_context.options.maxConnections) {
+    if (!makeRoom()) {
         logRefusal(address,
                    "expected at most " + std::to_string(m_context.options.maxConnections)
                            + " connections, found one more");
@@ -113,11 +153,13 @@
     events.bytesTransferred = [this](std::size_t received, std::size_t sent) {
         m_context.traffic.wireBytes(received, sent);
     };
+    events.heldBytesChanged = [this, id](std::size_t bytes) { onHeldBytes(id, bytes); };
     events.outputDrained = [] {};
     events.closed = [this, id](const std::string &reason) { onClosed(id, reason); };
     Http2Limits limits = http2Limits(m_context.options);
     limits.maxBodyBytes = maxHelloBytes;
     limits.maxBufferedBytes = maxHelloBytes;
+    m_withoutHello.insert(id);
     InboundConnection &inbound = m_connections[id];
     inbound.address = address;
     inbound.connection = std::make_shared<Http2Connection>(*m_loop, descriptor, Http2Role::Server,
@@ -131,6 +173,68 @@
     connection->open();
 }
 
+bool PeerServer::makeRoom()
+{
+    if (m_connections.size() < m_context.options.maxConnections) {
+        return true;
+    }
+    if (m_withoutHello.empty()) {
+        return false;
+    }
+    const std::shared_ptr<Http2Connection> oldest =
+            m_connections.at(*m_withoutHello.begin()).connection;
+    oldest->close("expected a hello before the limit of connections was reached, found none that "
+                  "was accepted");
+    return true;
+}
+
+void PeerServer::onHeldBytes(std::uint64_t id, std::size_t bytes)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end()) {
+        return;
+    }
+    m_heldBytes = m_heldBytes - found->second.heldBytes + bytes;
+    found->second.heldBytes = bytes;
+    if (m_context.options.maxHeldBytes == 0 || m_discarding) {
+        return;
+    }
+    m_discarding = true;
+    while (m_heldBytes > heldBytesLimit() && discardMessage()) { }
+    m_discarding = false;
+}
+
+std::size_t PeerServer::heldBytesLimit() const
+{
+    // Unanswered requests alone must not make all other messages be discarded.
+    const std::size_t limit = m_context.options.maxHeldBytes;
+    const std::size_t reserved = std::min(limit, 2 * m_context.options.maxMessageBytes);
+    return std::max(limit - std::min(limit, m_unansweredBytes), reserved);
+}
+
+bool PeerServer::discardMessage()
+{
+    const auto largest = std::max_element(
+            m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
+                return left.second.connection->heldBytes() < right.second.connection->heldBytes();
+            });
+    if (largest == m_connections.end()) {
+        return false;
+    }
+    const std::string address = largest->second.address;
+    const std::shared_ptr<Http2Connection> connection = largest->second.connection;
+    const std::uint64_t id = largest->first;
+    if (!connection->discardLargestMessage()) {
+        return false;
+    }
+    // A connection that delivers messages reports its bytes only afterwards.
+    onHeldBytes(id, connection->heldBytes());
+    logRefusal(address,
+               "expected at most " + std::to_string(m_context.options.maxHeldBytes)
+                       + " bytes of messages on all connections, found more");
+    return true;
+}
+
 void PeerServer::onMessage(std::uint64_t id, std::int32_t stream, std::string body)
 {
     const auto found = m_connections.find(id);
@@ -143,8 +247,11 @@
         return;
     }
     onHello(inbound, stream, body);
-    if (!inbound.name.empty()) {
-        m_loop->cancelTimer(inbound.timer);
+    // The hello may have closed the connection.
+    const auto accepted = m_connections.find(id);
+    if (accepted != m_connections.end() && !accepted->second.name.empty()) {
+        m_withoutHello.erase(id);
+        m_loop->cancelTimer(accepted->second.timer);
         checkIdleTimeout(id);
     }
 }
@@ -194,20 +301,15 @@
     }
     const auto kind = static_cast<PeerMessageKind>(request->kind);
     m_context.traffic.received(kind, body.size());
-    const auto answered = std::make_shared<std::atomic<bool>>(false);
-    const std::weak_ptr<PeerServer *> alive = m_alive;
-    const std::shared_ptr<EventLoop> loop = m_loop;
-    const PeerTransport::Reply reply = [alive, loop, answered, id, stream,
-                                        kind](PeerResult result) {
-        if (answered->exchange(true)) {
-            return;
-        }
-        loop->post([alive, id, stream, kind, result = std::move(result)] {
-            if (const std::shared_ptr<PeerServer *> server = alive.lock()) {
-                (*server)->respond(id, stream, kind, result);
-            }
-        });
-    };
+    const std::size_t limit = m_context.options.maxHeldBytes;
+    if (limit != 0 && m_unansweredBytes + body.size() > limit) {
+        logRefusal(inbound.address,
+                   "expected at most " + std::to_string(limit)
+                           + " bytes of requests that are handled, found more");
+        inbound.connection->refuseStream(stream);
+        return;
+    }
+    const PeerTransport::Reply reply = replyTo(id, stream, kind, body.size());
     try {
         m_handlers[request->kind](inbound.name, std::move(request->body), reply);
     } catch (const std::exception &exception) {
@@ -216,6 +318,23 @@
                                     + " failed: " + exception.what());
         reply(PeerError{PeerErrorKind::NoAnswer, "the handler failed"});
     }
+    // The request takes room that other messages may have used.
+    const auto found = m_connections.find(id);
+    if (found != m_connections.end()) {
+        onHeldBytes(id, found->second.connection->heldBytes());
+    }
+}
+
+PeerTransport::Reply PeerServer::replyTo(std::uint64_t id, std::int32_t stream,
+                                         PeerMessageKind kind, std::size_t bytes)
+{
+    m_unansweredBytes += bytes;
+    const auto request = std::make_shared<UnansweredRequest>(m_alive, m_loop, bytes);
+    return [request, id, stream, kind](PeerResult result) {
+        request->finish([id, stream, kind, result = std::move(result)](PeerServer &server) {
+            server.respond(id, stream, kind, result);
+        });
+    };
 }
 
 void PeerServer::respond(std::uint64_t id, std::int32_t stream, PeerMessageKind kind,
@@ -249,9 +368,14 @@
     m_loop->cancelTimer(found->second.timer);
     const InboundConnection inbound = std::move(found->second);
     m_connections.erase(found);
+    m_withoutHello.erase(id);
+    m_heldBytes -= inbound.heldBytes;
     if (m_stopped || inbound.refusedHelloStream != 0) {
         return;
     }
+    if (inbound.name.empty() && !isLogDue(inbound.address, reason)) {
+        return;
+    }
     const std::string name = inbound.name.empty() ? "without hello" : "from " + inbound.name;
     const bool expected = !inbound.name.empty() && inbound.connection->openStreams() == 0;
     m_context.log.event(expected ? LogSeverity::Debug : LogSeverity::Warning, "peers",
@@ -273,18 +397,26 @@
 }
 
 void PeerServer::logRefusal(const std::string &address, const std::string &message)
+{
+    if (isLogDue(address, message)) {
+        m_context.log.event(LogSeverity::Error, "peers",
+                            "connection from " + address + ": " + message);
+    }
+}
+
+bool PeerServer::isLogDue(const std::string &address, const std::string &message)
 {
     const SteadyTimeMs now = steadyTimeNow();
     const std::string key = hostOf(address) + " " + message;
     const auto found = m_lastRefusalLogAt.find(key);
     if (found != m_lastRefusalLogAt.end() && now - found->second < refusalLogIntervalMs) {
-        return;
+        return false;
     }
     if (m_lastRefusalLogAt.size() >= maxTrackedRefusals) {
         m_lastRefusalLogAt.clear();
     }
     m_lastRefusalLogAt[key] = now;
-    m_context.log.event(LogSeverity::Error, "peers", "connection from " + address + ": " + message);
+    return true;
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -73,6 +73,14 @@
     /// that move into the pool arrive within it, and it is well below the 3 s after which the task
     /// counts as neglected.
     std::int64_t spreadWaitMs = 2000;
+    /// Time for which other tasks of a team may pass one that the team's quota holds. After it, the
+    /// quota that gets free is kept for the held task; 0 or less for never. Held tasks start within
+    /// 3 s if the team's running tasks end within the rest of that time.
+    std::int64_t maxQuotaPassedMs = 1500;
+    /// Longest time for which quota is kept for a held task, as the tasks that have the rest of it
+    /// may run for long. Longer than `stallMs` and the stop of a hung run. 0 or less keeps it for
+    /// one placement pass only.
+    std::int64_t maxReservedMs = 5000;
     DemandOptions demand;
     /// Fraction of a task's latency target above which best-effort tasks on the same worker are
     /// paused. Leaves time for the 0.5 s age of a reading and the 0.1 s that pacing takes.
@@ -81,6 +89,14 @@
     std::int64_t paceRestoreMs = 3000;
 };
 
+/// Upper bound of the time for which a lease is valid after the last renewal.
+inline std::int64_t longestLeaseMs(const DispatchOptions &options)
+{
+    return static_cast<std::int64_t>(
+            static_cast<double>(options.maxLeaseMs + options.leaseExpiryMarginMs)
+            / (1 - options.clockDrift));
+}
+
 /// Entry of a worker's list of running tasks.
 struct RunningRun
 {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,9 +11,12 @@
 #include "Model/Result.h"
 #include "Scheduling/DemandTracker.h"
 #include "Scheduling/DispatchTypes.h"
+#include "Scheduling/DisruptionBudgets.h"
+#include "Scheduling/QuotaReservations.h"
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/TeamQuota.h"
+#include "Scheduling/UnassignedRuns.h"
 #include "Scheduling/WaitingSteps.h"
 #include "Scheduling/WorkerView.h"
 
@@ -92,7 +94,10 @@
     std::size_t shortRunsOn(const std::string &worker) const;
     /// Names a task whose step would exceed its disruption budget (maxUnavailable) if the worker
     /// were taken out of service, with the numbers; empty if no budget would be exceeded.
-    std::string disruptionBudgetViolation(const std::string &worker, SteadyTimeMs now) const;
+    std::string disruptionBudgetViolation(const std::string &worker, SteadyTimeMs now) const
+    {
+        return m_disruptionBudgets.violation(worker, now);
+    }
     /// Stops one long-running task on the worker that the disruption budget allows to be
     /// unavailable, so that it starts on another worker. For workers that hold more tasks of a step
     /// than its budget permits. False if no task can be evicted now.
@@ -114,6 +119,12 @@
         return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
     }
     const WorkerView *view(const std::string &worker) const;
+    /// True if the job is active and waitingSteps() will contain it from the next pass on only.
+    bool isNew(const JobId &job) const
+    {
+        return m_changedJobs.contains(job) && m_activeJobs.contains(job)
+                && !m_waiting.contains(job);
+    }
     /// As of the last placement pass.
     const WaitingSteps &waitingSteps() const { return m_waiting; }
     const RunDurations &durations() const { return m_durations; }
@@ -167,28 +178,6 @@
         std::uint32_t failedSearches = 0;
     };
 
-    /// Availability of the tasks of a long-running step.
-    struct StepAvailability
-    {
-        struct OnWorker
-        {
-            std::uint32_t tasks = 0;
-            std::uint32_t unavailable = 0;
-        };
-        /// Tasks that are unavailable anywhere.
-        std::uint32_t unavailable = 0;
-        /// Tasks by worker, without those that are being stopped.
-        std::map<std::string, OnWorker> onWorker;
-    };
-    /// A wave asks for the steps of some hundred workers in one pass, so that results are kept
-    /// until something changes.
-    const StepAvailability &availabilityOf(const StepKey &step, SteadyTimeMs now) const;
-    void forgetAvailability() { m_availability.clear(); }
-    /// Numbers of tasks of the task's step that are unavailable elsewhere, and that are on this
-    /// worker.
-    std::pair<std::uint32_t, std::uint32_t>
-    disruptionBudgetUsage(const TaskKey &task, const std::string &worker, SteadyTimeMs now) const;
-
     // Runs and leases. The cost of a change must depend only on what it affects: a deployment of
     // 350 workers has about 2,000 changes a second.
     /// Rebuilds the runs of a worker from SchedulerState, for a new incarnation or a new term.
@@ -243,13 +232,29 @@
     /// Brings m_waiting up to date with the changed jobs and the time.
     void updateWaitingSteps(WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
-    void placeSteps(const std::string &service, const WaitingSteps::Order &steps,
-                    PlacementPass &pass);
-    void placeStep(const WaitingStep &waiting, PlacementPass &pass);
-    /// True if the quota of the job's team allows `count` more tasks of the step at once.
-    bool isAllowedByQuota(const JobRecord &job, const StepSpec &step, std::uint32_t count,
-                          PlacementPass &pass) const;
-    void recordQuotaWait(const TaskKey &task, PlacementPass &pass);
+    void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
+    /// Returns false if the quota holds the step, and with it the rest of its lane for this pass.
+    bool placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass);
+    /// Places the tasks of a step of which the quota allows the first. Returns false if it holds
+    /// the rest.
+    bool placeTasks(const StepPosition &position, const StepLane &lane, PlacementPass &pass);
+    // Quotas of teams.
+    /// Null for a team without a quota.
+    const TaskResources *quotaOf(const std::string &team) const;
+    /// True if the quota of the lane's team allows the tasks of the lane that start together.
+    bool isAllowedByQuota(const StepLane &lane, PlacementPass &pass) const;
+    /// True if a step at this rank of the lane has to wait for a reservation.
+    bool isReservedForOther(const StepLane &lane, const StepRank &rank) const;
+    static void reportQuotaWait(const StepKey &key, std::uint32_t index, PlacementPass &pass);
+    /// Records that the quota holds the lane from the position on, at the task of this index.
+    void holdLane(const StepLane &lane, const StepPosition &position, std::uint32_t index,
+                  PlacementPass &pass);
+    /// True if a recorded worker of the service could hold a task of the step, were it idle.
+    bool fitsSomeWorker(const std::string &service, const StepSpec &step) const;
+    /// Ends the reservation of a lane after a worker was searched for one of its steps.
+    void recordSearch(const StepLane &lane, bool isPlaced, SteadyTimeMs now);
+    /// Ends reservations whose steps don't wait any more, could not start or have waited too long.
+    void reviewReservations(SteadyTimeMs now);
     /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
     /// long-running task that fits on no worker.
     void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
@@ -277,24 +282,10 @@
         std::string team;
         TaskResources need;
     };
-    using RunKey = std::pair<TaskKey, std::uint32_t>;
-    struct UnassignedRun
-    {
-        TeamNeed use;
-        SteadyTimeMs countedAt = 0;
-    };
 
-    // Runs that may go on although they are not assigned any more.
+    /// Counts a run that may go on although it is not assigned any more.
     void countUnassignedRun(const std::string &worker, const TaskKey &task, std::uint32_t run,
                             SteadyTimeMs now);
-    void forgetUnassignedRuns(
-            const std::string &worker,
-            const std::function<bool(const RunKey &, const UnassignedRun &)> &hasEnded);
-    void forgetUnlistedRuns(const std::string &worker, const RenewAnswer &list,
-                            SteadyTimeMs renewSentAt);
-    void forgetExpiredRuns(SteadyTimeMs now);
-    /// Upper bound of the time for which a lease is valid after the last renewal.
-    std::int64_t longestLeaseMs() const;
 
     const SchedulerState &m_state;
     const DispatchOptions m_options;
@@ -311,13 +302,10 @@
     /// Assignments that are proposed and not yet applied.
     std::map<TaskKey, TeamNeed> m_proposed;
     TeamUse m_proposedUse;
-    /// Runs that a worker may have although they are not assigned to it, by worker.
-    std::map<std::string, std::map<RunKey, UnassignedRun>> m_unassignedRuns;
-    TeamUse m_unassignedUse;
+    UnassignedRuns m_unassignedRuns;
     std::map<std::string, TaskResources> m_quotas;
     WaitCounts m_waitCounts;
-    /// Jobs with a step that waits for the quota, which is logged once.
-    std::set<JobId> m_waitingForQuota;
+    QuotaReservations m_reservations;
     /// Numbers of the ends that are proposed and not yet applied, by worker.
     std::map<std::string, std::set<std::uint64_t>> m_pendingEnds;
     /// Worker and number of each proposed end, by run.
@@ -334,9 +322,7 @@
     /// targets.
     std::set<std::string> m_workersToReview;
     std::set<std::string> m_maintenanceDue;
-    /// Results of availabilityOf() at m_availabilityAt.
-    mutable std::map<StepKey, StepAvailability> m_availability;
-    mutable SteadyTimeMs m_availabilityAt = 0;
+    DisruptionBudgets m_disruptionBudgets;
     std::vector<JobChange> m_changes;
     /// Stops of runs that a worker lists although they are not assigned to it.
     std::vector<StopOrder> m_orphanStops;
