Http: Reserve the rest of a body once its first part has arrived

Since only 64 KiB were reserved for a body, its string grew by doubling, to up to twice the bytes that the limit counts, and each copy stayed with the allocator of its thread.

Change: the whole length is reserved when 64 KiB have arrived. A client that declares a length and sends nothing still takes none of it.

--- a/Source/Adapters/Http/HttpHead.cpp
+++ b/Source/Adapters/Http/HttpHead.cpp
@@ -189,6 +189,20 @@
     }
 }
 
+ReadStatus readSizedBody(ByteReader &reader, std::string &body, std::size_t length)
+{
+    // A client may declare a length and send nothing.
+    const std::size_t first = std::min(length, maxReservedBodyBytes);
+    body.reserve(first);
+    const ReadStatus status = reader.readExactly(body, first);
+    if (status != ReadStatus::Ok) {
+        return status;
+    }
+    // A string that grows by itself takes up to twice the bytes that the listeners count.
+    body.reserve(length);
+    return reader.readExactly(body, length - first);
+}
+
 } // namespace
 
 Result<HttpHead, HttpRequestError> readHead(ByteReader &reader, const HttpLimits &limits)
@@ -225,10 +239,8 @@
                                                const HttpLimits &limits)
 {
     std::string body;
-    // A client may declare a length and send nothing.
-    body.reserve(std::min(head.contentLength.value_or(0), maxReservedBodyBytes));
     const ReadStatus status = head.contentLength
-            ? reader.readExactly(body, *head.contentLength)
+            ? readSizedBody(reader, body, *head.contentLength)
             : readChunkedBody(reader, body, limits.maxBodyBytes);
     if (status == ReadStatus::Malformed) {
         return HttpRequestError{400, "bad-chunk"};
