Scheduling: Log what a long-running task waits for

A long-running task that doesn't run can't be explained from the log: its placements and ends have the severity of those of short tasks, of which a peak drops tens of thousands of lines, and nothing tells what it waits for. So the hypotheses on the reported incident could not be told apart.

The leader logs each long-running task that has had no worker for 2 s with the last obstacle, logs placements and ends of such tasks with the severity info, logs stalled runs, and exports the longest wait and the age of the oldest renewal in flight. No decision changes.

Ruled out: a log line for each pass, which a backlog would make a hundred a second.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -383,14 +383,14 @@
     }
     if (now >= m_nextGauges) {
         m_nextGauges = now + gaugeIntervalMs;
-        exportQuotaGauges();
+        exportGauges(now);
     }
     proposeChanges(now);
     const SteadyTimeMs end = steadyTimeNow();
     m_nextStepAmongAnswers = end + std::max(end - now, minPauseAmongAnswersMs);
 }
 
-void JobService::exportQuotaGauges()
+void JobService::exportGauges(SteadyTimeMs now)
 {
     const auto exportResources = [this](const std::string &name, const std::string &team,
                                         const TaskResources &resources) {
@@ -416,6 +416,13 @@
         m_metrics.gauge("dandelionloom_waiting_steps", std::string("reason=\"") + reason + "\"",
                         count);
     }
+    const LongRunningWaits &longRunning = m_dispatcher.longRunningWaits();
+    m_metrics.gauge("dandelionloom_long_running_waiting", "",
+                    static_cast<double>(longRunning.size()));
+    m_metrics.gauge("dandelionloom_long_running_longest_wait_seconds", "",
+                    static_cast<double>(longRunning.longestMs(now)) / 1000);
+    m_metrics.gauge("dandelionloom_oldest_renewal_seconds", "",
+                    static_cast<double>(m_dispatcher.oldestRenewalMs(now)) / 1000);
 }
 
 void JobService::scheduleIdleStep()
@@ -487,8 +494,8 @@
 void JobService::logDecisions(const std::vector<DispatchDecision> &dispatchDecisions)
 {
     for (const DispatchDecision &note : dispatchDecisions) {
-        const bool isFrequent =
-                note.decision == "place" || note.decision == "end" || note.decision == "wait";
+        const bool isFrequent = !note.longRunning
+                && (note.decision == "place" || note.decision == "end" || note.decision == "wait");
         m_log.line(isFrequent ? LogSeverity::Debug : LogSeverity::Info, note.decision,
                    {{"task", note.task},
                     {"run", static_cast<std::int64_t>(note.run)},
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -114,7 +114,7 @@
     void sendAfterCommit(const std::string &instance, const std::string &worker,
                          std::function<void(bool)> send);
     void logDecisions(const std::vector<DispatchDecision> &dispatchDecisions);
-    void exportQuotaGauges();
+    void exportGauges(SteadyTimeMs now);
 
     /// Must be called whenever the configuration applied here may have changed.
     void rebuildTeams();
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -225,6 +225,8 @@
     std::string reason;
     /// Age in milliseconds of the worker's answer on which the decision is based; -1 without one.
     std::int64_t inputAgeMs = -1;
+    /// The decision concerns a long-running task: such decisions are rare.
+    bool longRunning = false;
 };
 
 /// Actions for the caller to carry out. Changes must be proposed to the journal in this order.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -59,6 +59,7 @@
     m_unassignedRuns.clear();
     m_quotas.clear();
     m_waitCounts = {};
+    m_longRunningWaits.clear();
     m_reservations.clear();
     m_pendingEnds.clear();
     m_endSources.clear();
@@ -455,6 +456,17 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+std::int64_t Dispatcher::oldestRenewalMs(SteadyTimeMs now) const
+{
+    std::int64_t oldest = 0;
+    for (const auto &[id, view] : m_workers) {
+        if (view.renewalInFlight) {
+            oldest = std::max(oldest, now - view.renewSentAt);
+        }
+    }
+    return oldest;
+}
+
 bool Dispatcher::hasStarted(const JobRecord &job) const
 {
     return job.started || m_startedJobs.contains(job.spec.id);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,6 +12,7 @@
 #include "Scheduling/DemandTracker.h"
 #include "Scheduling/DispatchTypes.h"
 #include "Scheduling/DisruptionBudgets.h"
+#include "Scheduling/LongRunningWaits.h"
 #include "Scheduling/QuotaReservations.h"
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
@@ -135,6 +136,10 @@
     const std::map<std::string, TaskResources> &quotas() const { return m_quotas; }
     /// What the waiting steps waited for in the last placement pass.
     const WaitCounts &waitCounts() const { return m_waitCounts; }
+    /// Long-running tasks that had no worker after the last placement pass.
+    const LongRunningWaits &longRunningWaits() const { return m_longRunningWaits; }
+    /// Age of the renewal that has waited longest for its answer, in milliseconds; 0 if none waits.
+    std::int64_t oldestRenewalMs(SteadyTimeMs now) const;
 
 private:
     struct Tickets
@@ -233,6 +238,12 @@
     void updateWaitingSteps(WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
     void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
+    /// Records why the first task of a long-running step got no worker; nothing for other steps.
+    void recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now);
+    /// The same for the steps of a service that has no worker for tasks.
+    void recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now);
+    /// Logs the long-running tasks that have waited for long.
+    void reportLongRunningWaits(SteadyTimeMs now);
     /// Returns false if the quota holds the step, and with it the rest of its lane for this pass.
     bool placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass);
     /// Places the tasks of a step of which the quota allows the first. Returns false if it holds
@@ -261,6 +272,8 @@
     /// True if a task that requires no more has found no worker in this pass.
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
+    /// True while a task of the step waits rather than exceed the disruption budget on a worker.
+    bool isSpreadKept(const JobRecord &job, const StepSpec &step, WallTimeMs wallNow) const;
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
                                             WallTimeMs wallNow) const;
@@ -305,6 +318,7 @@
     UnassignedRuns m_unassignedRuns;
     std::map<std::string, TaskResources> m_quotas;
     WaitCounts m_waitCounts;
+    LongRunningWaits m_longRunningWaits;
     QuotaReservations m_reservations;
     /// Numbers of the ends that are proposed and not yet applied, by worker.
     std::map<std::string, std::set<std::uint64_t>> m_pendingEnds;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -251,6 +251,8 @@
             || job->spec.steps[task.step].gang) {
             continue;
         }
+        m_decisions.push_back(
+                {"stalled", taskName(task), run.run, id, "no-progress", now - run.progressAt});
         run.stopping = true;
         view.avoidUntil = now + m_options.quarantineMs;
         m_failedOn[task] = id;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -141,11 +141,60 @@
         Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
             m_waitCounts.capacity += static_cast<std::uint32_t>(steps.size());
+            recordMissingWorkers(steps, now);
             continue;
         }
         PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, 0};
         placeSteps(service, steps, pass);
     }
+    reportLongRunningWaits(now);
+}
+
+void Dispatcher::recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now)
+{
+    for (const auto &[key, lane] : steps.lanes) {
+        // The groups that may hold long-running steps; the others may hold a large backlog.
+        for (const StepGroup group : {StepGroup::LongRunning, StepGroup::BestEffort}) {
+            const StepPosition first{{group, std::numeric_limits<std::int64_t>::min(),
+                                      -std::numeric_limits<double>::infinity()},
+                                     {}};
+            for (auto position = lane.steps.lower_bound(first);
+                 position != lane.steps.end() && position->rank.group == group; ++position) {
+                recordObstacle(position->key, PlacementObstacle::NoWorker, now);
+            }
+        }
+    }
+}
+
+void Dispatcher::recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now)
+{
+    if (m_state.job(key.job)->spec.steps[key.step].longRunning) {
+        const std::vector<std::uint32_t> &indices = m_waiting.at(key).indices;
+        const auto waits = std::find_if(indices.begin(), indices.end(), [&](std::uint32_t index) {
+            return !m_proposed.contains({key.job, key.occurrence, key.step, index});
+        });
+        if (waits != indices.end()) {
+            m_longRunningWaits.record({key.job, key.occurrence, key.step, *waits}, obstacle, now);
+        }
+    }
+}
+
+void Dispatcher::reportLongRunningWaits(SteadyTimeMs now)
+{
+    m_longRunningWaits.keepOnly([this](const TaskKey &task) {
+        const JobRecord *job = m_state.job(task.job);
+        return job != nullptr && job->phase == JobPhase::Active
+                && m_state.task(task)->phase == TaskPhase::Pending && !m_proposed.contains(task);
+    });
+    for (const LongRunningWaits::Wait &wait : m_longRunningWaits.takeReports(now)) {
+        m_decisions.push_back({"long-running-waits",
+                               taskName(wait.task),
+                               0,
+                               {},
+                               std::string(placementObstacleNames.name(wait.obstacle)),
+                               wait.waitedMs,
+                               true});
+    }
 }
 
 void Dispatcher::placeSteps(const std::string &service, const ServiceSteps &steps,
@@ -199,6 +248,7 @@
     if (isReservedForOther(lane, position.rank)) {
         // A later step of the lane may pass the reservation.
         ++m_waitCounts.quota;
+        recordObstacle(position.key, PlacementObstacle::Quota, pass.now);
         if (m_waiting.takeReport(lane, position)) {
             reportQuotaWait(position.key, index, pass);
         }
@@ -222,6 +272,7 @@
     const TaskResources need = needOf({key.job, key.occurrence, key.step, 0});
     if (isKnownUnmet(pass, step, need)) {
         ++m_waitCounts.capacity;
+        recordObstacle(key, PlacementObstacle::SmallerNeedUnmet, pass.now);
         return true;
     }
     const Tickets *tickets = nullptr;
@@ -230,6 +281,7 @@
         if (tickets == nullptr) {
             ++pass.failedSearches;
             ++m_waitCounts.advice;
+            recordObstacle(key, PlacementObstacle::Advice, pass.now);
             return true;
         }
     }
@@ -249,6 +301,9 @@
         if (!worker) {
             ++pass.failedSearches;
             ++m_waitCounts.capacity;
+            const bool isSpread = isSpreadKept(job, step, pass.wallNow);
+            recordObstacle(key, isSpread ? PlacementObstacle::Spread : PlacementObstacle::Capacity,
+                           pass.now);
             if (step.longRunning) {
                 holdWorkerFor(task, pass);
             }
@@ -324,6 +379,12 @@
     });
 }
 
+bool Dispatcher::isSpreadKept(const JobRecord &job, const StepSpec &step, WallTimeMs wallNow) const
+{
+    return step.longRunning && step.maxUnavailable > 0
+            && wallNow - job.acceptedAtMs < m_options.spreadWaitMs;
+}
+
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
                                                     const Candidates &candidates,
                                                     const Tickets *tickets,
@@ -362,7 +423,7 @@
         if (step.longRunning && step.maxUnavailable > 0
             && runsOfStepOn(view, task) >= step.maxUnavailable) {
             // Maintenance of the worker would exceed the disruption budget of the step.
-            if (wallNow - job.acceptedAtMs < m_options.spreadWaitMs) {
+            if (isSpreadKept(job, step, wallNow)) {
                 continue;
             }
             score -= spreadViolationPenalty;
@@ -428,7 +489,7 @@
     orders.changes.emplace_back(RunAssigned{task, run, worker});
     orders.dispatchDecisions.push_back({"place", taskName(task), run, worker,
                                         step.longRunning ? "lasting" : "room",
-                                        now - m_workers.at(worker).renewedAt});
+                                        now - m_workers.at(worker).renewedAt, step.longRunning});
 }
 
 const Dispatcher::Tickets *Dispatcher::ticketsFor(const WaitingStep &waiting, PlacementPass &pass)
--- a/Source/Scheduling/DispatcherQuota.cpp
+++ b/Source/Scheduling/DispatcherQuota.cpp
@@ -53,6 +53,7 @@
     if (!lane.hold) {
         m_waiting.setHold(lane, QuotaHold{pass.now, position});
     }
+    recordObstacle(position.key, PlacementObstacle::Quota, pass.now);
     for (const StepKey &key : m_waiting.takeUnreported(lane, position)) {
         const bool isFirst = key == position.key;
         reportQuotaWait(key, isFirst ? index : m_waiting.at(key).indices.front(), pass);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -158,7 +158,8 @@
     const auto started = m_startedAt.find(ended.task);
     m_decisions.push_back({"end", taskName(ended.task), ended.run, worker,
                            std::string(runOutcomeNames.name(ended.runOutcome)),
-                           started == m_startedAt.end() ? -1 : now - started->second});
+                           started == m_startedAt.end() ? -1 : now - started->second,
+                           isLongRunning(ended.task)});
     if (ended.runOutcome == RunOutcome::Done) {
         view.failuresInRow = 0;
         view.failedJobs.clear();
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -223,6 +223,8 @@
                 + std::to_string(now) + ";");
         } else if (decision.decision == "wait") {
             waits.push_back(decision);
+        } else if (decision.decision == "long-running-waits") {
+            longRunningWaits.push_back(decision);
         } else if (decision.decision == "reserve") {
             reservations.push_back(decision);
         }
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -140,6 +140,8 @@
     std::uint64_t term = 0;
     /// Decisions to let a job wait.
     std::vector<DispatchDecision> waits;
+    /// Reports of long-running tasks that have waited for long.
+    std::vector<DispatchDecision> longRunningWaits;
     /// Decisions to reserve quota for a step.
     std::vector<DispatchDecision> reservations;
     /// Digest of all placements with their times, in order.
