Http: Don't send orders to instances after the leader's lease

The lease was checked when the record of the order was committed, but not when the call got a connection and its bytes were written. The provider knows fencing tokens by instance, so it accepts the earlier leader's until the present one has ordered something.

An order carries the end of the lease, and the client ends a call as not sent when it would be sent later. Ruled out: a longer pause after orders of earlier leaders, as a suspension has no bound.

EventedHttpTest::callsOfASuspendedProcess, with the check disabled: "assertion failed, errorKinds[0] == NotSent, in section: a call whose connection is established too late is not sent".

--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::size_t readBytes = 16 * 1024;
 
+constexpr const char *tooLateMessage = "the time for sending the call is over";
+
 std::string renderRequest(const HttpCall &call)
 {
     std::string text = call.method + " " + call.path + " HTTP/1.1\r\n";
@@ -118,10 +120,24 @@
     }
 }
 
+bool EventedHttpClient::isTooLate(std::uint64_t call) const
+{
+    const SteadyTimeMs sendUntil = m_calls.at(call).call.sendUntil;
+    return sendUntil != 0 && steadyTimeNow() > sendUntil;
+}
+
 void EventedHttpClient::dispatchWaiting(const std::string &address)
 {
     ConnectionPool &pool = m_pools[address];
     while (!pool.waiting.empty()) {
+        if (isTooLate(pool.waiting.front())) {
+            const std::uint64_t late = pool.waiting.front();
+            pool.waiting.pop_front();
+            m_loop.post([this, late] {
+                completeCall(late, HttpCallError{HttpCallErrorKind::NotSent, tooLateMessage});
+            });
+            continue;
+        }
         if (!pool.idle.empty()) {
             const std::uint64_t connection = pool.idle.back();
             pool.idle.pop_back();
@@ -206,6 +222,10 @@
 void EventedHttpClient::sendRequest(std::uint64_t id)
 {
     Connection &connection = *m_connections.at(id);
+    if (connection.call != 0 && !connection.anySent && isTooLate(connection.call)) {
+        closeConnection(id, tooLateMessage);
+        return;
+    }
     while (!connection.output.empty()) {
         const ssize_t count = ::send(connection.descriptor, connection.output.data(),
                                      connection.output.size(), MSG_NOSIGNAL);
--- a/Source/Adapters/Http/EventedHttpClient.h
+++ b/Source/Adapters/Http/EventedHttpClient.h
@@ -37,6 +37,9 @@
     HttpHeaders headers;
     std::string body;
     Milliseconds timeout{1000};
+    /// Time after which the call is not sent any more but ends as not sent; 0 for none. For calls
+    /// that need a permission which runs out.
+    SteadyTimeMs sendUntil = 0;
 };
 
 struct HttpClientLimits
@@ -94,6 +97,7 @@
         std::size_t openConnections = 0;
     };
 
+    bool isTooLate(std::uint64_t call) const;
     void dispatchWaiting(const std::string &address);
     bool openConnection(const std::string &address);
     void assignCall(std::uint64_t connection, std::uint64_t call);
--- a/Source/Ports/InstanceProvider.h
+++ b/Source/Ports/InstanceProvider.h
@@ -8,6 +8,7 @@
 
 #include "Model/EnumNames.h"
 #include "Model/Result.h"
+#include "Model/Time.h"
 #include "Scheduling/JobTypes.h"
 
 namespace dandelionloom {
@@ -49,11 +50,15 @@
 inline constexpr EnumNames<InstanceFault, 7> instanceFaultNames{
         {"no-answer", "not-sent", "fenced", "busy", "not-of-wave", "invalid", "throttled"}};
 
-/// Issuer of an order, with its fencing token. The provider checks the token per instance.
+/// Issuer of an order, with its fencing token. The provider checks the token per instance, so it
+/// accepts that of an earlier leader until a later one has ordered something for the instance.
 struct OrderAuthority
 {
     std::string holder;
     std::uint64_t fence = 0;
+    /// End of the issuer's lease. An order must not be sent after it: another leader may use the
+    /// instance by then.
+    SteadyTimeMs validUntil = 0;
 };
 
 /// Client of the provider that owns the instances. Each callback runs exactly once, on the caller's
--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -579,31 +579,33 @@
               std::back_inserter(m_unproposedChanges));
 }
 
+OrderAuthority JobService::orderAuthority() const
+{
+    return {m_options.name, m_status.term, m_journal->lease().until};
+}
+
 void JobService::carryOut(const MaintenanceOrders &orders)
 {
     logDecisions(orders.dispatchDecisions);
     const std::weak_ptr<JobService *> alive = m_alive;
-    const OrderAuthority authority{m_options.name, m_status.term};
     for (const MaintenanceOrder &order : orders.begin) {
-        sendAfterCommit(
-                order.instance, order.worker, [this, alive, authority, order](bool leaseHeld) {
-                    if (!leaseHeld || m_lagMs > maxPlanningLagMs
-                        || !m_maintenance.mayBegin(order, steadyTimeNow())) {
-                        m_maintenance.answered(order, InstanceFault::NotSent, steadyTimeNow());
-                        return;
-                    }
-                    m_instances.beginMaintenance(
-                            order.instance, order.wave, authority,
-                            [alive, order](std::optional<InstanceFault> fault) {
-                                if (const auto service = alive.lock()) {
-                                    (*service)->m_maintenance.answered(order, fault,
-                                                                       steadyTimeNow());
-                                    (*service)->listAfterOrder();
-                                    (*service)->m_nextMaintenance = 0;
-                                    (*service)->scheduleFlush();
-                                }
-                            });
-                });
+        sendAfterCommit(order.instance, order.worker, [this, alive, order](bool leaseHeld) {
+            if (!leaseHeld || m_lagMs > maxPlanningLagMs
+                || !m_maintenance.mayBegin(order, steadyTimeNow())) {
+                m_maintenance.answered(order, InstanceFault::NotSent, steadyTimeNow());
+                return;
+            }
+            m_instances.beginMaintenance(order.instance, order.wave, orderAuthority(),
+                                         [alive, order](std::optional<InstanceFault> fault) {
+                                             if (const auto service = alive.lock()) {
+                                                 (*service)->m_maintenance.answered(
+                                                         order, fault, steadyTimeNow());
+                                                 (*service)->listAfterOrder();
+                                                 (*service)->m_nextMaintenance = 0;
+                                                 (*service)->scheduleFlush();
+                                             }
+                                         });
+        });
     }
     m_unproposedChanges.insert(m_unproposedChanges.end(), orders.changes.begin(),
                                orders.changes.end());
@@ -613,24 +615,21 @@
 {
     logDecisions(orders.dispatchDecisions);
     const std::weak_ptr<JobService *> alive = m_alive;
-    const OrderAuthority authority{m_options.name, m_status.term};
     for (const MoveOrder &order : orders.moves) {
-        sendAfterCommit(order.instance, order.worker,
-                        [this, alive, authority, order](bool leaseHeld) {
-                            if (!leaseHeld || m_lagMs > maxPlanningLagMs
-                                || !m_balancer.mayMove(order, steadyTimeNow())) {
-                                m_balancer.answered(order, InstanceFault::NotSent, steadyTimeNow());
-                                return;
-                            }
-                            m_instances.move(order.instance, order.pool, authority,
-                                             [alive, order](std::optional<InstanceFault> fault) {
-                                                 if (const auto service = alive.lock()) {
-                                                     (*service)->m_balancer.answered(
-                                                             order, fault, steadyTimeNow());
-                                                     (*service)->scheduleFlush();
-                                                 }
-                                             });
-                        });
+        sendAfterCommit(order.instance, order.worker, [this, alive, order](bool leaseHeld) {
+            if (!leaseHeld || m_lagMs > maxPlanningLagMs
+                || !m_balancer.mayMove(order, steadyTimeNow())) {
+                m_balancer.answered(order, InstanceFault::NotSent, steadyTimeNow());
+                return;
+            }
+            m_instances.move(order.instance, order.pool, orderAuthority(),
+                             [alive, order](std::optional<InstanceFault> fault) {
+                                 if (const auto service = alive.lock()) {
+                                     (*service)->m_balancer.answered(order, fault, steadyTimeNow());
+                                     (*service)->scheduleFlush();
+                                 }
+                             });
+        });
     }
     m_unproposedChanges.insert(m_unproposedChanges.end(), orders.changes.begin(),
                                orders.changes.end());
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -107,6 +107,8 @@
     /// ordered instance has ended.
     void listAfterOrder();
     void carryOut(DispatchOrders orders);
+    /// Valid while the present leader lease lasts.
+    OrderAuthority orderAuthority() const;
     void carryOut(const MaintenanceOrders &orders);
     void carryOut(const BalanceOrders &orders);
     /// Proposes a record of the order and calls `send` once it is applied; see
--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST_SUITE(EventedHttpTest);
     CPPUNIT_TEST(connectionReuse);
     CPPUNIT_TEST(errorKinds);
+    CPPUNIT_TEST(callsOfASuspendedProcess);
     CPPUNIT_TEST(malformedRequestsAreRejected);
     CPPUNIT_TEST(drainAnswersPendingRequests);
     CPPUNIT_TEST(chunksInSeveralReads);
@@ -228,6 +229,53 @@
         });
     }
 
+    /// Guards against an order that is sent after the permission for it has run out, because the
+    /// process was suspended between the decision and the sending (chamdakam-loom-grown scale-2:
+    /// AVAIL).
+    void callsOfASuspendedProcess()
+    {
+        std::vector<std::string> received;
+        std::vector<EventedHttpServer::Respond> unanswered;
+        ClientAndServer http(
+                [&](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                    received.push_back(request.path);
+                    unanswered.push_back(respond);
+                });
+        const auto callAndSuspend = [&http](const std::string &path) {
+            http.loop.runAndWait([&] {
+                HttpCall call{http.address, "POST", path, {}, {}, Milliseconds(3000)};
+                call.sendUntil = steadyTimeNow() + 20;
+                http.client->call(call, [&http](const EventedHttpClient::Result &result) {
+                    http.callbackSignal.change(
+                            [&] { http.errorKinds.push_back(errorOf(result).kind); });
+                });
+                while (steadyTimeNow() <= call.sendUntil) { }
+            });
+        };
+        section("a call whose connection is established too late is not sent", [&] {
+            callAndSuspend("/late");
+            CPPUNIT_ASSERT(
+                    http.callbackSignal.waitFor([&] { return http.errorKinds.size() == 1; }));
+            CPPUNIT_ASSERT(http.errorKinds[0] == HttpCallErrorKind::NotSent);
+        });
+        section("nor is one that gets a free connection too late", [&] {
+            http.call("/first");
+            http.call("/second");
+            CPPUNIT_ASSERT(http.waitUntil([&] { return received.size() == 2; }));
+            callAndSuspend("/waiting");
+            http.loop.runAndWait([&] { unanswered[0]({200, {}, "first"}); });
+            CPPUNIT_ASSERT(
+                    http.callbackSignal.waitFor([&] { return http.errorKinds.size() == 2; }));
+            CPPUNIT_ASSERT(http.errorKinds[1] == HttpCallErrorKind::NotSent);
+        });
+        section("later calls are sent as before", [&] {
+            http.call("/third");
+            CPPUNIT_ASSERT(http.waitUntil([&] { return received.size() == 3; }));
+            CPPUNIT_ASSERT_EQUAL(std::string("/third"), received[2]);
+            http.loop.runAndWait([&] { unanswered[2]({200, {}, "third"}); });
+        });
+    }
+
     /// Guards against request smuggling: requests that two HTTP implementations would delimit
     /// differently.
     void malformedRequestsAreRejected()
