Scheduling: Record a listed end also while a loss is being recorded

A task could start again although its worker had listed its run as done, and the worker's list of ended runs had been acknowledged up to that end.

The loss of a run was proposed, because its lease had expired or its worker had refused the start twice. If the worker listed the run as done before the loss was committed, the end was not proposed, as the run had a proposed end already; and when the loss was applied, the number of the listed end counted as recorded. The end was acknowledged and forgotten.

A listed end is now always proposed, and its number is acknowledged only once the listed end itself is applied.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -61,7 +61,7 @@
     m_waitCounts = {};
     m_reservations.clear();
     m_pendingEnds.clear();
-    m_endSources.clear();
+    m_listedEnds.clear();
     m_proposedEnds.clear();
     m_workerOfTask.clear();
     m_workersWithStarts.clear();
@@ -216,8 +216,12 @@
         return;
     }
     m_pendingEnds[worker].insert(row.number);
-    m_endSources[{row.task, row.run}] = {worker, row.number};
-    proposeEnd(row.task, row.run, row.runOutcome, row.checkpoint);
+    m_listedEnds[{row.task, row.run}] = {worker, row.number, row.runOutcome};
+    // Proposed even if the run is being recorded as lost: the task may be done, and the worker
+    // forgets the end once it is acknowledged.
+    m_proposedEnds.insert({row.task, row.run});
+    m_changes.emplace_back(
+            RunEnded{row.task, row.run, row.runOutcome, row.checkpoint, wallTimeNow()});
 }
 
 void Dispatcher::onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -282,6 +282,13 @@
         std::string team;
         TaskResources need;
     };
+    /// End of a run that a worker has listed.
+    struct ListedEnd
+    {
+        std::string worker;
+        std::uint64_t number = 0;
+        RunOutcome runOutcome = RunOutcome::Done;
+    };
 
     /// Counts a run that may go on although it is not assigned any more.
     void countUnassignedRun(const std::string &worker, const TaskKey &task, std::uint32_t run,
@@ -308,8 +315,8 @@
     QuotaReservations m_reservations;
     /// Numbers of the ends that are proposed and not yet applied, by worker.
     std::map<std::string, std::set<std::uint64_t>> m_pendingEnds;
-    /// Worker and number of each proposed end, by run.
-    std::map<RunKey, std::pair<std::string, std::uint64_t>> m_endSources;
+    /// Listed ends that are proposed and not yet applied, by run.
+    std::map<RunKey, ListedEnd> m_listedEnds;
     std::set<RunKey> m_proposedEnds;
     /// Worker of each assigned run in WorkerView::runs.
     std::map<TaskKey, std::string> m_workerOfTask;
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -183,12 +183,15 @@
 {
     const RunKey key{ended.task, ended.run};
     m_proposedEnds.erase(key);
-    if (const auto source = m_endSources.extract(key)) {
-        const auto &[worker, number] = source.mapped();
-        const auto numbers = m_pendingEnds.find(worker);
+    const auto listed = m_listedEnds.find(key);
+    // A listed end stays unacknowledged until it is applied itself, also if the loss of the run
+    // was proposed before.
+    if (listed != m_listedEnds.end() && listed->second.runOutcome == ended.runOutcome) {
+        const auto numbers = m_pendingEnds.find(listed->second.worker);
         if (numbers != m_pendingEnds.end()) {
-            numbers->second.erase(number);
+            numbers->second.erase(listed->second.number);
         }
+        m_listedEnds.erase(listed);
     }
     const auto entry = m_workerOfTask.find(ended.task);
     const RunView *run =
