Scheduling: Start no run of a task that is listed as done

Found by reading: a task could start after an earlier run of it had been listed as done.

A run is recorded as lost and its task assigned again. If the second worker can't be reached for a while and the first one comes back and lists its run as done, the start was sent until that end was committed: only proposed ends of the second run were looked for. During an election a commit takes seconds.

No start is sent now for a task of which a listed run as done is not recorded yet.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -224,6 +224,22 @@
             RunEnded{row.task, row.run, row.runOutcome, row.checkpoint, wallTimeNow()});
 }
 
+bool Dispatcher::isListedAsDone(const TaskKey &task) const
+{
+    const JobRecord *job = m_state.job(task.job);
+    if (job == nullptr || job->spec.steps[task.step].longRunning
+        || job->spec.steps[task.step].gang) {
+        return false;
+    }
+    for (auto end = m_listedEnds.lower_bound({task, 0});
+         end != m_listedEnds.end() && end->first.first == task; ++end) {
+        if (end->second.runOutcome == RunOutcome::Done) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void Dispatcher::onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
                               RunView &run)
 {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -272,6 +272,9 @@
     const Tickets *ticketsFor(const WaitingStep &waiting, PlacementPass &pass);
     TaskResources needOf(const TaskKey &task) const;
     bool isLongRunning(const TaskKey &task) const;
+    /// True if a worker has listed a run of the task as done, so that it needs no other run, and
+    /// this end is not recorded yet.
+    bool isListedAsDone(const TaskKey &task) const;
     bool isBestEffort(const TaskKey &task) const;
     static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
     bool hasLatencyTarget(const WorkerView &view) const;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -128,8 +128,9 @@
             continue;
         }
         // A run with a proposed end must not be started: its task may already be assigned again
-        // when the start arrives.
-        if (!canSend || now < run.nextSendAt || m_proposedEnds.contains({task, run.run})) {
+        // when the start arrives. Nor may any run of a task that is listed as done.
+        if (!canSend || now < run.nextSendAt || m_proposedEnds.contains({task, run.run})
+            || isListedAsDone(task)) {
             pending = true;
             continue;
         }
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Scheduling/FleetSimulation.h"
+#include "Support/Section.h"
 
 using namespace dandelionloom;
 using namespace dandelionloom::test;
@@ -30,6 +31,7 @@
 {
     CPPUNIT_TEST_SUITE(LostRunsTest);
     CPPUNIT_TEST(endListedDuringLoss);
+    CPPUNIT_TEST(endListedBeforeNextStart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +53,38 @@
         fleet.runUntil("the job", 4000, [&] { return isCompleted(fleet, "a"); });
         CPPUNIT_ASSERT_EQUAL(8U, fleet.starts);
     }
+
+    /// Guards against the start of a run that was assigned before an earlier run of the task was
+    /// listed as done, while that end is being recorded.
+    void endListedBeforeNextStart()
+    {
+        FleetSimulation fleet(42);
+        fleet.durationOf = [](const TaskKey &) { return 1000; };
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.runUntil("the start", 1000, [&] { return fleet.starts == 1; });
+        const bool isOnFirst = !fleet.workers.at("w1").running.empty();
+        const std::string first = isOnFirst ? "w1" : "w2";
+        const std::string second = isOnFirst ? "w2" : "w1";
+        fleet.run(300);
+        fleet.workers.at(first).partitioned = true;
+        fleet.runUntil("the second run", 12000,
+                       [&] { return !fleet.dispatcher->view(second)->reserved.empty(); });
+        fleet.workers.at(second).partitioned = true;
+        fleet.run(100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.dispatcher->view(second)->runs.size());
+        section("the first worker lists the end of its run", [&] {
+            fleet.commitMs = 2000;
+            fleet.workers.at(first).partitioned = false;
+            fleet.runUntil("its answer", 2000,
+                           [&] { return fleet.dispatcher->view(first)->renewFailures == 0; });
+        });
+        section("before the end is recorded, the second worker can be reached", [&] {
+            fleet.workers.at(second).partitioned = false;
+            fleet.runUntil("the job", 4000, [&] { return isCompleted(fleet, "a"); });
+            CPPUNIT_ASSERT_EQUAL(1U, fleet.starts);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
