Scheduling: Wait for the announcement of a restarted worker

Found by reading: tasks could be placed on a worker that had restarted under its id as a worker of another service, or without their label.

If a renewal of the new incarnation was answered before its announcement arrived, it was recorded with the service, labels and capacity of the earlier one.

LostRunsTest::restartWithOtherService failed before: expected 0 starts, actual 1. DispatcherTest::restartWhileDraining looked at the record that is no longer made; it now requires that there is none, and that the announcement adds a worker that does not drain.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -120,15 +120,11 @@
     if (list.startTimeMs != 0 && record->startTimeMs != 0
         && list.startTimeMs != record->startTimeMs) {
         if (list.startTimeMs > record->startTimeMs) {
-            WorkerRecord restarted = *record;
-            restarted.startTimeMs = list.startTimeMs;
-            restarted.draining = false;
-            m_changes.emplace_back(WorkerJoined{restarted});
+            // The next incarnation may have another service, capacity and labels, which its
+            // announcement tells.
+            m_changes.emplace_back(WorkerLeft{worker, record->startTimeMs});
             m_decisions.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
-            const bool cordoned = view.cordoned;
-            removeWorker(worker);
-            m_workers[worker].cordoned = cordoned;
-            m_workers[worker].nextRenewAt = now + m_options.retryMs;
+            view.nextRenewAt = now + m_options.retryMs;
             return;
         }
         view.nextRenewAt = now + m_options.retryMs;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -230,6 +230,13 @@
         for (const JobChange &change : fleet.dispatcher->step(fleet.now, fleet.now).changes) {
             fleet.state.apply(change);
         }
+        CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
+        WorkerRecord restarted = leaving;
+        restarted.startTimeMs = answer.startTimeMs;
+        restarted.draining = false;
+        for (const JobChange &change : fleet.dispatcher->announced({restarted, 1, -1}, fleet.now)) {
+            fleet.state.apply(change);
+        }
         CPPUNIT_ASSERT_EQUAL(answer.startTimeMs, fleet.state.worker("w1")->startTimeMs);
         CPPUNIT_ASSERT(!fleet.state.worker("w1")->draining);
     }
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST_SUITE(LostRunsTest);
     CPPUNIT_TEST(endListedDuringLoss);
     CPPUNIT_TEST(endListedBeforeNextStart);
+    CPPUNIT_TEST(restartWithOtherService);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +86,29 @@
             CPPUNIT_ASSERT_EQUAL(1U, fleet.starts);
         });
     }
+
+    /// Guards against starts on a worker that has restarted under its id with another service and
+    /// whose renewal is answered before its announcement arrives.
+    void restartWithOtherService()
+    {
+        FleetSimulation fleet(43);
+        setUpFleet(fleet, 1);
+        fleet.workers.at("w1").record.startTimeMs += 1;
+        fleet.workers.at("w1").record.service = "stock";
+        fleet.run(3000);
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.run(3000);
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.starts);
+        CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
+        section("its announcement adds it", [&] {
+            for (const JobChange &change :
+                 fleet.dispatcher->announced({fleet.workers.at("w1").record, 1, -1}, fleet.now)) {
+                fleet.state.apply(change);
+                fleet.dispatcher->applied(change, fleet.now);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("stock"), fleet.state.worker("w1")->service);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
