--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -62,7 +62,7 @@
     m_longRunningWaits.clear();
     m_reservations.clear();
     m_pendingEnds.clear();
-    m_endSources.clear();
+    m_listedEnds.clear();
     m_proposedEnds.clear();
     m_workerOfTask.clear();
     m_workersWithStarts.clear();
@@ -121,15 +121,11 @@
     if (list.startTimeMs != 0 && record->startTimeMs != 0
         && list.startTimeMs != record->startTimeMs) {
         if (list.startTimeMs > record->startTimeMs) {
-            WorkerRecord restarted = *record;
-            restarted.startTimeMs = list.startTimeMs;
-            restarted.draining = false;
-            m_changes.emplace_back(WorkerJoined{restarted});
+            // The next incarnation may have another service, capacity and labels, which its
+            // announcement tells.
+            m_changes.emplace_back(WorkerLeft{worker, record->startTimeMs});
             m_decisions.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
-            const bool cordoned = view.cordoned;
-            removeWorker(worker);
-            m_workers[worker].cordoned = cordoned;
-            m_workers[worker].nextRenewAt = now + m_options.retryMs;
+            view.nextRenewAt = now + m_options.retryMs;
             return;
         }
         view.nextRenewAt = now + m_options.retryMs;
@@ -217,8 +213,28 @@
         return;
     }
     m_pendingEnds[worker].insert(row.number);
-    m_endSources[{row.task, row.run}] = {worker, row.number};
-    proposeEnd(row.task, row.run, row.runOutcome, row.checkpoint);
+    m_listedEnds[{row.task, row.run}] = {worker, row.number, row.runOutcome};
+    // Proposed even if the run is being recorded as lost: the task may be done, and the worker
+    // forgets the end once it is acknowledged.
+    m_proposedEnds.insert({row.task, row.run});
+    m_changes.emplace_back(
+            RunEnded{row.task, row.run, row.runOutcome, row.checkpoint, wallTimeNow()});
+}
+
+bool Dispatcher::isListedAsDone(const TaskKey &task) const
+{
+    const JobRecord *job = m_state.job(task.job);
+    if (job == nullptr || job->spec.steps[task.step].longRunning
+        || job->spec.steps[task.step].gang) {
+        return false;
+    }
+    for (auto end = m_listedEnds.lower_bound({task, 0});
+         end != m_listedEnds.end() && end->first.first == task; ++end) {
+        if (end->second.runOutcome == RunOutcome::Done) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void Dispatcher::onMissingRun(const std::string &worker, WorkerView &view, const TaskKey &task,
--- /dev/null
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -0,0 +1,114 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Scheduling/FleetSimulation.h"
+#include "Support/Section.h"
+
+using namespace dandelionloom;
+using namespace dandelionloom::test;
+
+namespace {
+
+void setUpFleet(FleetSimulation &fleet, int workers)
+{
+    fleet.configure({queueOf("quotes", "pricing")}, {"pricing", "stock"});
+    for (int index = 0; index < workers; ++index) {
+        fleet.addWorker("pricing");
+    }
+    fleet.start();
+    fleet.run(100);
+}
+
+bool isCompleted(const FleetSimulation &fleet, const std::string &job)
+{
+    return fleet.state.job(job) != nullptr && fleet.phaseOf(job) == JobPhase::Completed;
+}
+
+} // namespace
+
+/// Runs that are recorded as lost although their workers go on, and what these list later.
+class LostRunsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LostRunsTest);
+    CPPUNIT_TEST(endListedDuringLoss);
+    CPPUNIT_TEST(endListedBeforeNextStart);
+    CPPUNIT_TEST(restartWithOtherService);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a task that starts again because its end was listed while the loss of the run
+    /// was being recorded, and was acknowledged without being recorded.
+    void endListedDuringLoss()
+    {
+        FleetSimulation fleet(41);
+        fleet.durationOf = [](const TaskKey &) { return 1500; };
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {shortStep(8)});
+        fleet.runUntil("the starts", 1000, [&] { return fleet.starts == 8; });
+        fleet.run(300);
+        fleet.workers.at("w1").partitioned = true;
+        fleet.commitMs = 400;
+        fleet.runUntil("the loss", 12000,
+                       [&] { return fleet.dispatcher->view("w1")->leasesExpired; });
+        fleet.workers.at("w1").partitioned = false;
+        fleet.runUntil("the job", 4000, [&] { return isCompleted(fleet, "a"); });
+        CPPUNIT_ASSERT_EQUAL(8U, fleet.starts);
+    }
+
+    /// Guards against the start of a run that was assigned before an earlier run of the task was
+    /// listed as done, while that end is being recorded.
+    void endListedBeforeNextStart()
+    {
+        FleetSimulation fleet(42);
+        fleet.durationOf = [](const TaskKey &) { return 1000; };
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.runUntil("the start", 1000, [&] { return fleet.starts == 1; });
+        const bool isOnFirst = !fleet.workers.at("w1").running.empty();
+        const std::string first = isOnFirst ? "w1" : "w2";
+        const std::string second = isOnFirst ? "w2" : "w1";
+        fleet.run(300);
+        fleet.workers.at(first).partitioned = true;
+        fleet.runUntil("the second run", 12000,
+                       [&] { return !fleet.dispatcher->view(second)->reserved.empty(); });
+        fleet.workers.at(second).partitioned = true;
+        fleet.run(100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.dispatcher->view(second)->runs.size());
+        section("the first worker lists the end of its run", [&] {
+            fleet.commitMs = 2000;
+            fleet.workers.at(first).partitioned = false;
+            fleet.runUntil("its answer", 2000,
+                           [&] { return fleet.dispatcher->view(first)->renewFailures == 0; });
+        });
+        section("before the end is recorded, the second worker can be reached", [&] {
+            fleet.workers.at(second).partitioned = false;
+            fleet.runUntil("the job", 4000, [&] { return isCompleted(fleet, "a"); });
+            CPPUNIT_ASSERT_EQUAL(1U, fleet.starts);
+        });
+    }
+
+    /// Guards against starts on a worker that has restarted under its id with another service and
+    /// whose renewal is answered before its announcement arrives.
+    void restartWithOtherService()
+    {
+        FleetSimulation fleet(43);
+        setUpFleet(fleet, 1);
+        fleet.workers.at("w1").record.startTimeMs += 1;
+        fleet.workers.at("w1").record.service = "stock";
+        fleet.run(3000);
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.run(3000);
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.starts);
+        CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
+        section("its announcement adds it", [&] {
+            for (const JobChange &change :
+                 fleet.dispatcher->announced({fleet.workers.at("w1").record, 1, -1}, fleet.now)) {
+                fleet.state.apply(change);
+                fleet.dispatcher->applied(change, fleet.now);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("stock"), fleet.state.worker("w1")->service);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
