Scheduling: Count tasks of workers that don't answer as unavailable

The disruption budgets now require that no renewal has failed since the last answer, as placement does.

Tests, before the change: PlannersTest::workerWithoutAnswer "assertion failed: !disruptionBudgetViolation(occupiedWorkers[1]).empty()"; DisruptionBudgetsTest::atBudget "expected: a.0.0.1: 1 unavailable elsewhere ..., actual: (empty)".

--- a/Source/Scheduling/DisruptionBudgets.cpp
+++ b/Source/Scheduling/DisruptionBudgets.cpp
@@ -33,7 +33,8 @@
         const WorkerRecord *record = m_state.worker(entry);
         const bool stopping = run != nullptr && run->stopping;
         const bool available = run != nullptr && record != nullptr && !record->draining
-                && !view->second.leaving && view->second.hasRecentAnswer(now, m_maxAnswerAgeMs)
+                && !view->second.leaving && view->second.renewFailures == 0
+                && view->second.hasRecentAnswer(now, m_maxAnswerAgeMs)
                 && run->state == RunState::Running && !stopping && run->percent >= 100;
         availability.unavailable += available ? 0 : 1;
         if (!stopping) {
--- a/Tests/Scheduling/DisruptionBudgetsTest.cpp
+++ b/Tests/Scheduling/DisruptionBudgetsTest.cpp
@@ -206,6 +206,11 @@
             CPPUNIT_ASSERT_EQUAL(violation,
                                  violationIf([](Fleet &fleet) { fleet.views.erase("w1"); }));
         });
+        section("its worker has left a renewal unanswered, however recent its last answer is", [&] {
+            CPPUNIT_ASSERT_EQUAL(violation, violationIf([](Fleet &fleet) {
+                                     fleet.views.at("w1").renewFailures = 1;
+                                 }));
+        });
         section("its worker has been silent for too long", [&] {
             const auto silentFor = [&](std::int64_t ageMs) {
                 return violationIf(
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(workerOverDisruptionBudget);
     CPPUNIT_TEST(recentlyStartedTask);
     CPPUNIT_TEST(retriedOrder);
+    CPPUNIT_TEST(workerWithoutAnswer);
     CPPUNIT_TEST(unansweredOrder);
     CPPUNIT_TEST(replacedWorker);
     CPPUNIT_TEST(moveOfReplacedWorker);
@@ -467,6 +468,34 @@
                                 .empty());
     }
 
+    /// Guards against maintenance that ends a task while another one of its step is gone: an order
+    /// of an earlier leader had shut down its worker, whose last answer was still recent
+    /// (chamdakam-loom-grown scale-2: AVAIL).
+    void workerWithoutAnswer()
+    {
+        FleetSimulation fleet(24);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        for (int index = 0; index < 5; ++index) {
+            fleet.addWorker("pricing");
+        }
+        fleet.start();
+        fleet.run(100);
+        fleet.submit("a", "quotes", {longRunningStep(4, 1)});
+        fleet.run(1500);
+        const std::vector<std::string> occupiedWorkers = workersWithTasks(fleet);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), occupiedWorkers.size());
+        CPPUNIT_ASSERT_EQUAL(
+                std::string(),
+                fleet.dispatcher->disruptionBudgetViolation(occupiedWorkers[1], fleet.now));
+        fleet.crash(occupiedWorkers[0]);
+        fleet.runUntil("an unanswered renewal", 2000, [&] {
+            return fleet.dispatcher->view(occupiedWorkers[0])->renewFailures > 0;
+        });
+        CPPUNIT_ASSERT(fleet.dispatcher->hasRecentAnswer(occupiedWorkers[0], fleet.now));
+        CPPUNIT_ASSERT(!fleet.dispatcher->disruptionBudgetViolation(occupiedWorkers[1], fleet.now)
+                                .empty());
+    }
+
     /// Guards against tasks that count as available although an unanswered order may be ending
     /// them, because a repetition of the order was not sent or refused (chamdakam-loom-large
     /// scale-2: AVAIL).
