Scheduling: Count unavailable tasks of the same worker before an eviction

An eviction could end a task at work while another one of its step, on the same worker, was starting up after an order had ended its last run.

The check left out all tasks of the worker, which is right for maintenance, as that ends them all. It now counts every other task of the step. A task that makes no progress on a worker that answers may be evicted in any case, so that two of them on a hung worker don't hold up its maintenance.

Test, before the change: evictionBesideUnavailableTask "expected: a.0.0.1, actual: a.0.0.0". tasksNotEvicted expected an eviction beyond the budget: one task at work is stopped while the other one of two is unconfirmed, with a budget of one. It now has three tasks and a budget of two, and still shows that the unconfirmed one is passed over.

--- a/Source/Scheduling/DisruptionBudgets.cpp
+++ b/Source/Scheduling/DisruptionBudgets.cpp
@@ -8,6 +8,31 @@
     : m_state(state), m_workers(workers), m_maxAnswerAgeMs(maxAnswerAgeMs)
 { }
 
+const RunView *DisruptionBudgets::findRun(const std::string &worker, const TaskKey &task) const
+{
+    const auto view = m_workers.find(worker);
+    if (view == m_workers.end()) {
+        return nullptr;
+    }
+    const auto run = view->second.runs.find(task);
+    return run == view->second.runs.end() ? nullptr : &run->second;
+}
+
+bool DisruptionBudgets::isAvailable(const std::string &worker, const RunView &run,
+                                    SteadyTimeMs now) const
+{
+    const WorkerRecord *record = m_state.worker(worker);
+    const WorkerView &view = m_workers.at(worker);
+    return record != nullptr && !record->draining && !view.leaving && view.renewFailures == 0
+            && view.hasRecentAnswer(now, m_maxAnswerAgeMs) && run.state == RunState::Running
+            && !run.stopping && run.percent >= 100;
+}
+
+bool DisruptionBudgets::isStalled(const std::string &worker, const RunView &run) const
+{
+    return run.percent < 100 && m_workers.at(worker).renewedAt - run.progressAt >= m_maxAnswerAgeMs;
+}
+
 const DisruptionBudgets::StepAvailability &DisruptionBudgets::availabilityOf(const StepKey &step,
                                                                              SteadyTimeMs now) const
 {
@@ -23,21 +48,10 @@
     const auto &tasks = m_state.job(step.job)->occurrences[step.occurrence].steps[step.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const std::string &entry = tasks[index].worker;
-        const auto view = m_workers.find(entry);
-        const RunView *run = nullptr;
-        if (view != m_workers.end()) {
-            const auto found =
-                    view->second.runs.find({step.job, step.occurrence, step.step, index});
-            run = found == view->second.runs.end() ? nullptr : &found->second;
-        }
-        const WorkerRecord *record = m_state.worker(entry);
-        const bool stopping = run != nullptr && run->stopping;
-        const bool available = run != nullptr && record != nullptr && !record->draining
-                && !view->second.leaving && view->second.renewFailures == 0
-                && view->second.hasRecentAnswer(now, m_maxAnswerAgeMs)
-                && run->state == RunState::Running && !stopping && run->percent >= 100;
+        const RunView *run = findRun(entry, {step.job, step.occurrence, step.step, index});
+        const bool available = run != nullptr && isAvailable(entry, *run, now);
         availability.unavailable += available ? 0 : 1;
-        if (!stopping) {
+        if (run == nullptr || !run->stopping) {
             StepAvailability::OnWorker &here = availability.onWorker[entry];
             ++here.tasks;
             here.unavailable += available ? 0 : 1;
@@ -73,9 +87,18 @@
             continue;
         }
         const StepSpec &step = job->spec.steps[task.step];
-        const Usage usage = usageOf(task, worker, now);
-        if (step.longRunning && usage.onWorker > step.maxUnavailable
-            && usage.unavailableElsewhere < step.maxUnavailable) {
+        if (!step.longRunning || m_state.task(task)->worker != worker
+            || usageOf(task, worker, now).onWorker <= step.maxUnavailable) {
+            continue;
+        }
+        // Unlike maintenance, an eviction ends one task only, so that the others on this worker
+        // count as well.
+        const StepAvailability &availability =
+                availabilityOf({task.job, task.occurrence, task.step}, now);
+        const std::uint32_t unavailableOthers =
+                availability.unavailable - (isAvailable(worker, run, now) ? 0 : 1);
+        if (step.maxUnavailable > 0
+            && (unavailableOthers < step.maxUnavailable || isStalled(worker, run))) {
             return task;
         }
     }
--- a/Source/Scheduling/DisruptionBudgets.h
+++ b/Source/Scheduling/DisruptionBudgets.h
@@ -27,7 +27,8 @@
     /// with the numbers; empty if no budget would be exceeded.
     std::string violation(const std::string &worker, SteadyTimeMs now) const;
     /// A task that may be stopped so that it starts on another worker, on a worker that holds more
-    /// tasks of its step than the budget permits; unset if there is none.
+    /// tasks of its step than the budget permits; unset if there is none. Unless the task makes no
+    /// progress at all, the stop keeps the step within its budget.
     std::optional<TaskKey> taskToEvict(const std::string &worker, SteadyTimeMs now) const;
 
 private:
@@ -51,6 +52,12 @@
         std::uint32_t onWorker = 0;
     };
 
+    /// The run of a task on a worker, or nullptr if the leader knows of none.
+    const RunView *findRun(const std::string &worker, const TaskKey &task) const;
+    bool isAvailable(const std::string &worker, const RunView &run, SteadyTimeMs now) const;
+    /// True if the run is not at work, and no answer of the worker for a while has shown progress.
+    /// Two such runs on a hung worker must not hold its maintenance up.
+    bool isStalled(const std::string &worker, const RunView &run) const;
     /// A wave asks for the steps of some hundred workers in one pass, so that results are kept
     /// until something changes.
     const StepAvailability &availabilityOf(const StepKey &step, SteadyTimeMs now) const;
--- a/Tests/Scheduling/DisruptionBudgetsTest.cpp
+++ b/Tests/Scheduling/DisruptionBudgetsTest.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(atBudget);
     CPPUNIT_TEST(tasksBeingStopped);
     CPPUNIT_TEST(evictions);
+    CPPUNIT_TEST(evictionBesideUnavailableTask);
     CPPUNIT_TEST(tasksNotEvicted);
     CPPUNIT_TEST(keptResults);
     CPPUNIT_TEST_SUITE_END();
@@ -282,6 +283,46 @@
         });
     }
 
+    /// Guards against an eviction that ends a task that is at work while another one of its step,
+    /// on the same worker, is unavailable.
+    void evictionBesideUnavailableTask()
+    {
+        Fleet fleet({"w1", "w2"});
+        fleet.submit("a", 3, 1);
+        fleet.assign("a", 0, "w1");
+        fleet.assign("a", 1, "w1");
+        fleet.assign("a", 2, "w2");
+        section("the one that starts up is evicted, as no other one is unavailable then", [&] {
+            fleet.runOf("a", 1).percent = 50;
+            fleet.budgets.forgetAvailability();
+            CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), fleet.evicted("w1"));
+        });
+        section("none is, if one starts up that can't be evicted", [&] {
+            fleet.runOf("a", 1).state = RunState::Sent;
+            fleet.budgets.forgetAvailability();
+            CPPUNIT_ASSERT_EQUAL(none, fleet.evicted("w1"));
+        });
+        section("once it is available, either may be", [&] {
+            fleet.runOf("a", 1).state = RunState::Running;
+            fleet.runOf("a", 1).percent = 100;
+            fleet.budgets.forgetAvailability();
+            CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.0"), fleet.evicted("w1"));
+        });
+        section("none is while two start up", [&] {
+            for (const std::uint32_t index : {0, 1}) {
+                fleet.runOf("a", index).percent = 50;
+                fleet.runOf("a", index).progressAt = now - maxAnswerAgeMs + 1;
+            }
+            fleet.budgets.forgetAvailability();
+            CPPUNIT_ASSERT_EQUAL(none, fleet.evicted("w1"));
+        });
+        section("unless they make no progress: a hung worker could never be maintained", [&] {
+            fleet.runOf("a", 1).progressAt = now - maxAnswerAgeMs;
+            fleet.budgets.forgetAvailability();
+            CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), fleet.evicted("w1"));
+        });
+    }
+
     /// Guards against stopping tasks that hold no worker up, or that can't be stopped now.
     void tasksNotEvicted()
     {
@@ -299,9 +340,10 @@
         });
         section("not confirmed, or of an ended job", [] {
             Fleet fleet({"w1"});
-            fleet.submit("a", 2, 1);
+            fleet.submit("a", 3, 2);
             fleet.assign("a", 0, "w1");
             fleet.assign("a", 1, "w1");
+            fleet.assign("a", 2, "w1");
             fleet.runOf("a", 0).state = RunState::Unknown;
             fleet.budgets.forgetAvailability();
             CPPUNIT_ASSERT_EQUAL(std::string("a.0.0.1"), fleet.evicted("w1"));
