Runtime: Send waiting calls to a new leader in their order

What callers saw: after the loss of the leader a call waited for the time-out of the lost instance and was answered by the new leader after calls that had arrived up to 0.8 s later.

Cause: nothing resent a waiting call when another leader was located, and odd attempts select instances in turn, also the one that just failed.

Ruled out: an old leader that answers without a lease (both calls were handled by the leader of term 3; the old one is cut off from 1.0 s on), and an answer that travels late (4 ms).

Change: the leader client keeps its unanswered calls in the order of arrival and sends those that wait for another instance to a leader once it is known. Results of earlier attempts count only as doubt about refusals.

Test: LeaderClientTest::noCallOvertakesOneThatWaits. Without the change: 'assertion failed - Expression: gateway.handled == expected'.

--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -57,7 +57,11 @@
     if (!name.empty()) {
         addControlInstance(name);
     }
+    const bool changed = m_leader != name;
     m_leader = name;
+    if (changed) {
+        redirectToLeader();
+    }
 }
 
 bool LeaderClient::isReady(SteadyTimeMs now) const
@@ -87,20 +91,47 @@
     forwarded->requestId = call.requestId;
     forwarded->deadline = deadline;
     forwarded->reply = std::move(reply);
+    m_unanswered.push_back(forwarded);
     sendAttempt(forwarded);
 }
 
+void LeaderClient::answer(const std::shared_ptr<ForwardedCall> &forwarded,
+                          const JobCallAnswer &answer)
+{
+    forwarded->answered = true;
+    m_unanswered.remove(forwarded);
+    forwarded->reply(answer);
+}
+
+void LeaderClient::redirectToLeader()
+{
+    if (m_leader.empty()) {
+        return;
+    }
+    // A copy, as calls whose deadline has passed are answered and removed.
+    const std::vector<std::shared_ptr<ForwardedCall>> unanswered(m_unanswered.begin(),
+                                                                 m_unanswered.end());
+    for (const std::shared_ptr<ForwardedCall> &forwarded : unanswered) {
+        if (forwarded->target != m_leader && !forwarded->answered) {
+            // The next even number of attempts, which selects the leader.
+            forwarded->attempts = (forwarded->attempts + 2) / 2 * 2;
+            sendAttempt(forwarded);
+        }
+    }
+}
+
 void LeaderClient::sendAttempt(const std::shared_ptr<ForwardedCall> &forwarded)
 {
     const SteadyTimeMs now = steadyTimeNow();
     const std::string to = target(forwarded->attempts);
     const bool noLeader = m_searching && !isReady(now);
     if (now >= forwarded->deadline || noLeader) {
-        JobCallAnswer answer;
-        answer.outcome = forwarded->inDoubt ? JobCallOutcome::Unknown : JobCallOutcome::NotLeader;
-        answer.reason = noLeader ? "no-leader" : "no-leader-in-time";
-        answer.retryAfterMs = refusalRetryAfterMs;
-        forwarded->reply(answer);
+        const bool inDoubt = forwarded->inDoubt || forwarded->openAttempts > 0;
+        JobCallAnswer refusal;
+        refusal.outcome = inDoubt ? JobCallOutcome::Unknown : JobCallOutcome::NotLeader;
+        refusal.reason = noLeader ? "no-leader" : "no-leader-in-time";
+        refusal.retryAfterMs = refusalRetryAfterMs;
+        answer(forwarded, refusal);
         return;
     }
     if (to.empty()) {
@@ -109,13 +140,16 @@
     }
     const std::int64_t time =
             std::clamp<std::int64_t>(forwarded->deadline - now, 1, attemptTimeoutMs);
+    forwarded->target = to;
+    ++forwarded->openAttempts;
+    const std::uint64_t attempt = ++forwarded->sent;
     const std::weak_ptr<LeaderClient *> alive = m_alive;
     EventLoop &loop = m_loop;
     m_transport.call(to, PeerMessageKind::JobCall, forwarded->body, Milliseconds(time),
-                     [alive, &loop, forwarded, to](PeerResult result) {
-                         loop.post([alive, forwarded, to, result = std::move(result)] {
+                     [alive, &loop, forwarded, to, attempt](PeerResult result) {
+                         loop.post([alive, forwarded, to, attempt, result = std::move(result)] {
                              if (const auto client = alive.lock()) {
-                                 (*client)->onAnswer(forwarded, to, result);
+                                 (*client)->onAnswer(forwarded, to, attempt, result);
                              }
                          });
                      });
@@ -124,23 +158,33 @@
 void LeaderClient::retry(const std::shared_ptr<ForwardedCall> &forwarded)
 {
     ++forwarded->attempts;
+    forwarded->target.clear();
     const std::weak_ptr<LeaderClient *> alive = m_alive;
-    m_loop.startTimer(retryPause, [alive, forwarded] {
-        if (const auto client = alive.lock()) {
+    m_loop.startTimer(retryPause, [alive, forwarded, attempt = forwarded->sent] {
+        const auto client = alive.lock();
+        if (client && !forwarded->answered && forwarded->sent == attempt) {
             (*client)->sendAttempt(forwarded);
         }
     });
 }
 
 void LeaderClient::onAnswer(const std::shared_ptr<ForwardedCall> &forwarded,
-                            const std::string &target, const PeerResult &result)
+                            const std::string &target, std::uint64_t attempt,
+                            const PeerResult &result)
 {
+    --forwarded->openAttempts;
+    if (forwarded->answered) {
+        return;
+    }
+    const bool isLast = attempt == forwarded->sent;
     if (!isOk(result)) {
         forwarded->inDoubt = forwarded->inDoubt || errorOf(result).kind == PeerErrorKind::NoAnswer;
         if (m_leader == target) {
             m_leader.clear();
         }
-        retry(forwarded);
+        if (isLast) {
+            retry(forwarded);
+        }
         return;
     }
     const auto unpacked = unpackMessage<JobCallAnswer>(valueOf(result));
@@ -148,20 +192,31 @@
         m_log.event(LogSeverity::Warning, "leader-client",
                     "unreadable answer of " + target + " to " + forwarded->requestId);
         forwarded->inDoubt = true;
-        retry(forwarded);
+        if (isLast) {
+            retry(forwarded);
+        }
         return;
     }
-    const JobCallAnswer &answer = valueOf(unpacked);
-    if (answer.outcome == JobCallOutcome::NotLeader || answer.outcome == JobCallOutcome::Unknown) {
-        forwarded->inDoubt = forwarded->inDoubt || answer.outcome == JobCallOutcome::Unknown;
+    const JobCallAnswer &received = valueOf(unpacked);
+    const bool isFinal = received.outcome != JobCallOutcome::NotLeader
+            && received.outcome != JobCallOutcome::Unknown;
+    if (!isFinal || !isLast) {
+        forwarded->inDoubt = forwarded->inDoubt || received.outcome != JobCallOutcome::NotLeader;
+    }
+    if (!isLast) {
+        // The instance led when it decided, but the call was sent to a later leader since then.
+        return;
+    }
+    if (!isFinal) {
         if (m_leader == target) {
             m_leader.clear();
         }
-        if (!answer.leader.empty() && answer.leader != target) {
-            setKnownLeader(answer.leader);
+        if (!received.leader.empty() && received.leader != target) {
+            addControlInstance(received.leader);
+            m_leader = received.leader;
             // The next even number of attempts, which selects the leader.
             forwarded->attempts = (forwarded->attempts + 2) / 2 * 2;
-            this->sendAttempt(forwarded);
+            sendAttempt(forwarded);
             return;
         }
         retry(forwarded);
@@ -169,17 +224,18 @@
     }
     m_leaderHeardAt = steadyTimeNow();
     m_leader = target;
-    const bool refused = answer.outcome == JobCallOutcome::Busy
-            || answer.outcome == JobCallOutcome::Unauthenticated;
-    if (refused && forwarded->inDoubt) {
+    const bool refused = received.outcome == JobCallOutcome::Busy
+            || received.outcome == JobCallOutcome::Unauthenticated;
+    if (refused && (forwarded->inDoubt || forwarded->openAttempts > 0)) {
         // An earlier attempt may have been accepted, so the call can't be reported as refused.
         JobCallAnswer unknown;
         unknown.outcome = JobCallOutcome::Unknown;
         unknown.reason = "earlier-attempt-unanswered";
-        forwarded->reply(unknown);
-        return;
+        answer(forwarded, unknown);
+    } else {
+        answer(forwarded, received);
     }
-    forwarded->reply(answer);
+    redirectToLeader();
 }
 
 void LeaderClient::sendLocate()
@@ -238,6 +294,7 @@
         m_leaderHeardAt = steadyTimeNow();
         m_leader = target;
         m_locateAttempts = 0;
+        redirectToLeader();
     } else {
         ++m_locateAttempts;
         if (m_leader == target || m_leader.empty()) {
@@ -249,6 +306,7 @@
             m_followedHint = true;
             m_locateAttempts += m_locateAttempts % 2;
             sendLocate();
+            redirectToLeader();
         }
     }
 }
--- a/Source/Runtime/LeaderClient.h
+++ b/Source/Runtime/LeaderClient.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <set>
 #include <string>
@@ -47,14 +48,28 @@
         /// An attempt may have taken effect, so the call must not be reported as refused.
         bool inDoubt = false;
         std::uint32_t attempts = 0;
+        /// Instance that the last attempt was sent to. Empty before the first attempt and between
+        /// two attempts.
+        std::string target;
+        /// Number of attempts sent. The results of earlier ones than the last are not reported.
+        std::uint64_t sent = 0;
+        /// Attempts without a result yet.
+        std::uint32_t openAttempts = 0;
+        bool answered = false;
         JobReplyCallback reply;
     };
 
     /// Sends the call to the next target, or ends it if its deadline has passed.
     void sendAttempt(const std::shared_ptr<ForwardedCall> &forwarded);
     void retry(const std::shared_ptr<ForwardedCall> &forwarded);
+    /// Sends the calls that wait for another instance to the known leader, in the order of their
+    /// arrival. Otherwise they would wait for a time-out, and calls that arrive later would be
+    /// answered first.
+    void redirectToLeader();
+    void answer(const std::shared_ptr<ForwardedCall> &forwarded, const JobCallAnswer &answer);
+    /// `attempt` is the value of `sent` when the attempt was sent.
     void onAnswer(const std::shared_ptr<ForwardedCall> &forwarded, const std::string &target,
-                  const PeerResult &result);
+                  std::uint64_t attempt, const PeerResult &result);
     /// Asks once, and again after the interval.
     void locate();
     void sendLocate();
@@ -68,6 +83,8 @@
     const std::function<void(const std::string &)> m_addPeer;
     std::shared_ptr<LeaderClient *> m_alive;
     std::set<std::string> m_controlInstances;
+    /// Calls that were not answered, in the order of their arrival.
+    std::list<std::shared_ptr<ForwardedCall>> m_unanswered;
     std::string m_leader;
     SteadyTimeMs m_leaderHeardAt = 0;
     bool m_wasReady = false;
--- a/Tests/Gateway/LeaderClientTest.cpp
+++ b/Tests/Gateway/LeaderClientTest.cpp
@@ -103,6 +103,96 @@
     std::unique_ptr<LeaderClient> client;
 };
 
+/// A gateway's leader client and two control instances. The leader changes from "a", which is cut
+/// off and answers nothing from then on, to "b".
+struct ChangingLeaderFixture
+{
+    ChangingLeaderFixture()
+    {
+        for (const std::string name : {"a", "b"}) {
+            controls.push_back(network.transport(name));
+            controls.back()->setHandler(
+                    PeerMessageKind::Locate,
+                    [this, name](const std::string &, const std::string &,
+                                 const PeerTransport::Reply &reply) {
+                        if (name == "b" || !isChanged) {
+                            const bool leads = isLeader(name);
+                            reply(packMessage(LocateAnswer{leads, leads ? name : "", {"a", "b"}}));
+                        }
+                    });
+            controls.back()->setHandler(
+                    PeerMessageKind::JobCall,
+                    [this, name](const std::string &, const std::string &body,
+                                 const PeerTransport::Reply &reply) {
+                        if (name == "a" && isChanged) {
+                            signal.change([&] { ++lost; });
+                            return;
+                        }
+                        const bool leads = isLeader(name);
+                        if (leads) {
+                            const auto call = unpackMessage<JobCall>(body);
+                            signal.change([&] { handled.push_back(valueOf(call).path); });
+                        }
+                        reply(packMessage(makeAnswer(
+                                leads ? outcome.load() : JobCallOutcome::NotLeader, "")));
+                    });
+            network.setUp(name, true);
+        }
+        transport = network.transport("gateway");
+        network.setUp("gateway", true);
+        client = std::make_unique<LeaderClient>(loop, *transport, log, [](const std::string &) {});
+        client->addControlInstance("a");
+        client->addControlInstance("b");
+        loop.start();
+        loop.post([this] { client->start(); });
+        waitForLeader("a");
+    }
+
+    ~ChangingLeaderFixture()
+    {
+        loop.runAndWait([this] { client.reset(); });
+        loop.stop();
+    }
+
+    bool isLeader(const std::string &name) const { return name == (isChanged ? "b" : "a"); }
+
+    void waitForLeader(const std::string &name)
+    {
+        std::string found;
+        while (found != name) {
+            loop.runAndWait([&] {
+                found = client->isReady(steadyTimeNow()) ? client->leader() : std::string();
+            });
+        }
+    }
+
+    void send(const std::string &path)
+    {
+        loop.post([this, path] {
+            JobCall call;
+            call.path = path;
+            client->call(call, steadyTimeNow() + 3000, [this, path](const JobCallAnswer &answer) {
+                signal.change([&] { answers.emplace_back(path, answer.outcome); });
+            });
+        });
+    }
+
+    Signal signal;
+    FakePeerNetwork network;
+    std::atomic<bool> isChanged{false};
+    std::atomic<JobCallOutcome> outcome{JobCallOutcome::Done};
+    /// Calls that the cut-off instance took.
+    int lost = 0;
+    /// Paths of the calls that a leader handled, and the answers to the callers, in sequence.
+    std::vector<std::string> handled;
+    std::vector<std::pair<std::string, JobCallOutcome>> answers;
+    std::vector<std::unique_ptr<PeerTransport>> controls;
+    std::unique_ptr<PeerTransport> transport;
+    EventLoop loop;
+    LogRecorder log;
+    std::unique_ptr<LeaderClient> client;
+};
+
 } // namespace
 
 class LeaderClientTest : public CppUnit::TestFixture
@@ -113,6 +203,7 @@
     CPPUNIT_TEST(failsFastWithoutLeader);
     CPPUNIT_TEST(reportsUnknownOutcome);
     CPPUNIT_TEST(refusesOnlyWhatWasNotAccepted);
+    CPPUNIT_TEST(noCallOvertakesOneThatWaits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -180,6 +271,38 @@
             });
         }
     }
+
+    /// Guards against calls that wait for the time-out of a cut-off leader while later calls are
+    /// answered by its successor: after a change of the configuration the earlier call was answered
+    /// with the newer version (chamdakam-loom-grown scale-1, seed 103081407604: CONFIG).
+    void noCallOvertakesOneThatWaits()
+    {
+        ChangingLeaderFixture gateway;
+        gateway.isChanged = true;
+        gateway.send("/first");
+        CPPUNIT_ASSERT(gateway.signal.waitFor([&] { return gateway.lost == 1; }));
+        gateway.waitForLeader("b");
+        gateway.send("/second");
+        CPPUNIT_ASSERT(gateway.signal.waitFor([&] { return gateway.answers.size() == 2; }));
+        section("the successor handles the calls in the order of their arrival", [&] {
+            const std::vector<std::string> expected{"/first", "/second"};
+            CPPUNIT_ASSERT(gateway.handled == expected);
+        });
+        section("each call is answered once", [&] {
+            for (const auto &[path, outcome] : gateway.answers) {
+                CPPUNIT_ASSERT(outcome == JobCallOutcome::Done);
+            }
+        });
+        section("a refusal by the successor leaves open whether the job was accepted", [&] {
+            gateway.isChanged = false;
+            gateway.waitForLeader("a");
+            gateway.isChanged = true;
+            gateway.outcome = JobCallOutcome::Busy;
+            gateway.send("/third");
+            CPPUNIT_ASSERT(gateway.signal.waitFor([&] { return gateway.answers.size() == 3; }));
+            CPPUNIT_ASSERT(gateway.answers.back().second == JobCallOutcome::Unknown);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaderClientTest);
