Scheduling: Bring an instance for a long-running task that waits

A long-running task waited for as long as the free capacity of its pool was in pieces, while idle instances of other pools could have moved into it: what waits counted as no demand.

Ruled out: asking at once (a full pool mostly has room within a second). A task that needs a label or advice asks for none, as an instance of another pool may not do.

LongRunningTasksTest::fragmentedPool, before: "timed out after 3000 ms waiting for the long-running task"; passes now.

--- a/Source/Scheduling/DemandTracker.cpp
+++ b/Source/Scheduling/DemandTracker.cpp
@@ -97,6 +97,29 @@
                     need.memoryMb * known->second.processorMilli / known->second.memoryMb);
 }
 
+std::uint32_t DemandTracker::workersFor(const std::string &service,
+                                        const std::vector<WaitingTasks> &waiting) const
+{
+    const auto known = m_workerCapacity.find(service);
+    if (known == m_workerCapacity.end()) {
+        return 0;
+    }
+    const TaskResources &capacity = known->second;
+    std::int64_t milli = 0;
+    std::uint32_t workers = 0;
+    for (const WaitingTasks &tasks : waiting) {
+        if (!fits(tasks.need, capacity)) {
+            continue;
+        }
+        milli += tasks.count * dominantMilli(service, tasks.need);
+        const std::uint32_t perWorker = tasks.maxPerWorker == 0 ? tasks.count : tasks.maxPerWorker;
+        workers = std::max({workers, (tasks.count + perWorker - 1) / perWorker, 1U});
+    }
+    const std::int64_t instanceMilli = std::max<std::int64_t>(capacity.processorMilli, 1);
+    return std::max(workers,
+                    static_cast<std::uint32_t>((milli + instanceMilli - 1) / instanceMilli));
+}
+
 double DemandTracker::expectedCoreMs(const JobRecord &job) const
 {
     if (job.spec.repeatCount > 0) {
--- a/Source/Scheduling/DemandTracker.h
+++ b/Source/Scheduling/DemandTracker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
@@ -33,6 +34,18 @@
     bool turnUnknown = false;
     /// Workers required by the long-running step with the widest spread.
     std::uint32_t longRunningSpread = 0;
+    /// Further workers required by long-running tasks that have waited for a worker for long.
+    std::uint32_t longRunningMissing = 0;
+};
+
+/// Tasks of a long-running step that wait for a worker.
+struct WaitingTasks
+{
+    /// Resources that each of them reserves.
+    TaskResources need;
+    std::uint32_t count = 0;
+    /// Maximum number of tasks of the step per worker; 0 for no limit.
+    std::uint32_t maxPerWorker = 0;
 };
 
 struct DemandOptions
@@ -62,6 +75,9 @@
     /// Thousandths of a core that the resources take of a worker of the service, by the resource of
     /// which they need the largest part.
     std::int64_t dominantMilli(const std::string &service, const TaskResources &need) const;
+    /// Number of idle workers of the service that hold the tasks; 0 if none can hold one of them.
+    std::uint32_t workersFor(const std::string &service,
+                             const std::vector<WaitingTasks> &waiting) const;
     /// Demand of each service that has jobs, by service name.
     std::map<std::string, ServiceDemand> demands(const std::set<JobId> &activeJobs,
                                                  SteadyTimeMs now, WallTimeMs wallNow);
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Scheduling/StepFacts.h"
+
 // Leadership terms and the answers of workers. Announcements and applied changes are handled in
 // DispatcherRuns.cpp, placement in DispatcherPlacement.cpp and orders to workers in
 // DispatcherOrders.cpp.
@@ -456,6 +458,46 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+std::map<std::string, ServiceDemand> Dispatcher::demands(SteadyTimeMs now)
+{
+    std::map<std::string, ServiceDemand> demands =
+            m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
+    addLongRunningDemand(demands, now);
+    return demands;
+}
+
+void Dispatcher::addLongRunningDemand(std::map<std::string, ServiceDemand> &demands,
+                                      SteadyTimeMs now) const
+{
+    std::map<StepKey, std::uint32_t> counts;
+    for (const LongRunningWaits::Wait &wait :
+         m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now)) {
+        // Other obstacles remain with an instance of another pool.
+        if (wait.obstacle == PlacementObstacle::Capacity
+            || wait.obstacle == PlacementObstacle::SmallerNeedUnmet
+            || wait.obstacle == PlacementObstacle::NoWorker) {
+            ++counts[{wait.task.job, wait.task.occurrence, wait.task.step}];
+        }
+    }
+    std::map<std::string, std::vector<WaitingTasks>> waiting;
+    for (const auto &[key, count] : counts) {
+        const JobRecord *job = m_state.job(key.job);
+        if (job == nullptr) {
+            continue;
+        }
+        // Whether a worker on another instance has the label or is allowed by the advice is not
+        // known. Further instances would be asked for without an end if none is.
+        const StepSpec &step = job->spec.steps[key.step];
+        if (step.requiredLabel.empty() && !job->queue.needsAdvice) {
+            waiting[serviceOf(m_state, *job)].push_back(
+                    {reservedNeed(step), count, maxTasksPerWorker(step)});
+        }
+    }
+    for (const auto &[service, tasks] : waiting) {
+        demands[service].longRunningMissing = m_demand.workersFor(service, tasks);
+    }
+}
+
 std::int64_t Dispatcher::oldestRenewalMs(SteadyTimeMs now) const
 {
     std::int64_t oldest = 0;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -115,10 +115,7 @@
         return m_demand.dominantMilli(worker.service, view.longRunningNeed);
     }
     /// Demand of each service that has jobs, by service name.
-    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now)
-    {
-        return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
-    }
+    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now);
     const WorkerView *view(const std::string &worker) const;
     /// True if the job is active and waitingSteps() will contain it from the next pass on only.
     bool isNew(const JobId &job) const
@@ -238,10 +235,13 @@
     void updateWaitingSteps(WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
     void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
-    /// Records why the first task of a long-running step got no worker; nothing for other steps.
+    /// Records why the waiting tasks of a long-running step got no worker; nothing for other steps.
     void recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now);
     /// The same for the steps of a service that has no worker for tasks.
     void recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now);
+    /// Adds the workers for long-running tasks that have waited for long.
+    void addLongRunningDemand(std::map<std::string, ServiceDemand> &demands,
+                              SteadyTimeMs now) const;
     /// Logs the long-running tasks that have waited for long.
     void reportLongRunningWaits(SteadyTimeMs now);
     /// Returns false if the quota holds the step, and with it the rest of its lane for this pass.
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -168,13 +168,13 @@
 
 void Dispatcher::recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now)
 {
-    if (m_state.job(key.job)->spec.steps[key.step].longRunning) {
-        const std::vector<std::uint32_t> &indices = m_waiting.at(key).indices;
-        const auto waits = std::find_if(indices.begin(), indices.end(), [&](std::uint32_t index) {
-            return !m_proposed.contains({key.job, key.occurrence, key.step, index});
-        });
-        if (waits != indices.end()) {
-            m_longRunningWaits.record({key.job, key.occurrence, key.step, *waits}, obstacle, now);
+    if (!m_state.job(key.job)->spec.steps[key.step].longRunning) {
+        return;
+    }
+    for (const std::uint32_t index : m_waiting.at(key).indices) {
+        const TaskKey task{key.job, key.occurrence, key.step, index};
+        if (!m_proposed.contains(task)) {
+            m_longRunningWaits.record(task, obstacle, now);
         }
     }
 }
--- a/Source/Scheduling/LongRunningWaits.cpp
+++ b/Source/Scheduling/LongRunningWaits.cpp
@@ -35,6 +35,18 @@
     return reports;
 }
 
+std::vector<LongRunningWaits::Wait> LongRunningWaits::longerThan(std::int64_t milliseconds,
+                                                                SteadyTimeMs now) const
+{
+    std::vector<Wait> waits;
+    for (const auto &[task, entry] : m_waits) {
+        if (now - entry.since >= milliseconds) {
+            waits.push_back({task, entry.obstacle, now - entry.since});
+        }
+    }
+    return waits;
+}
+
 std::int64_t LongRunningWaits::longestMs(SteadyTimeMs now) const
 {
     std::int64_t longest = 0;
--- a/Source/Scheduling/LongRunningWaits.h
+++ b/Source/Scheduling/LongRunningWaits.h
@@ -47,6 +47,8 @@
     /// Returns the tasks that have waited for a report interval since their first record or since
     /// they were returned last.
     std::vector<Wait> takeReports(SteadyTimeMs now);
+    /// Tasks that have waited for at least the given time.
+    std::vector<Wait> longerThan(std::int64_t milliseconds, SteadyTimeMs now) const;
     std::size_t size() const { return m_waits.size(); }
     /// Wait of the task that waits longest, in milliseconds; 0 if none waits.
     std::int64_t longestMs(SteadyTimeMs now) const;
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -87,6 +87,7 @@
         pool.standby = service.standby;
         const ServiceDemand &demand = demands[service.name];
         pool.longRunningSpread = demand.longRunningSpread;
+        pool.longRunningMissing = demand.longRunningMissing;
         pool.backlogCoreMs = demand.backlogCoreMs;
         pool.runnableMilli = demand.runnableMilli;
         pool.arrivingMilli = demand.arrivingMilli;
@@ -103,6 +104,7 @@
         PoolStatus &status = pool->second;
         if (moving != m_progress.end()) {
             ++status.instances;
+            ++status.arriving;
             continue;
         }
         if (instance.state != InstanceState::InService || m_maintenance.isBusy(id)) {
--- a/Source/Scheduling/PoolDemand.cpp
+++ b/Source/Scheduling/PoolDemand.cpp
@@ -74,7 +74,12 @@
             std::max(backlogMilli,
                      static_cast<double>(pool.arrivingMilli) * options.arrivalHeadroom)
             + static_cast<double>(pool.longRunningMilli);
-    return std::max({instancesFor(coresMilli, pool), pool.pinned, pool.longRunningSpread, 1U});
+    // The capacity of the present instances is of no use to these tasks, however much there is.
+    const std::uint32_t extended = pool.longRunningMissing == 0
+            ? 0
+            : pool.instances - pool.arriving + pool.longRunningMissing;
+    return std::max(
+            {instancesFor(coresMilli, pool), pool.pinned, pool.longRunningSpread, extended, 1U});
 }
 
 std::uint32_t wantedInstances(const PoolStatus &pool, const PoolDemandOptions &options)
--- a/Source/Scheduling/PoolDemand.h
+++ b/Source/Scheduling/PoolDemand.h
@@ -38,10 +38,14 @@
     bool standby = false;
     /// Instances in service or moving into the pool.
     std::uint32_t instances = 0;
+    /// Those of them that move into the pool.
+    std::uint32_t arriving = 0;
     /// Instances that hold long-running tasks and therefore stay.
     std::uint32_t pinned = 0;
     /// Workers required by the long-running step with the widest spread.
     std::uint32_t longRunningSpread = 0;
+    /// Further workers required by long-running tasks that have waited for a worker for long.
+    std::uint32_t longRunningMissing = 0;
     /// Instances without any task, which can move immediately.
     std::uint32_t empty = 0;
     /// Instances with short tasks only, which can move once these have ended.
