Scheduling: Move long-running tasks off hung workers

A long-running task that started on a hung worker stayed there at 0 percent: stalled runs were stopped, except long-running ones. They are stopped as well while below 100 percent, when they are unavailable anyway. Paused tasks are left out; the time without progress begins when they resume.

LongRunningTasksTest::hungWorker, before: "timed out after 6000 ms waiting for the move"; passes now. pausedTask guards the exception.

--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -241,14 +241,20 @@
 {
     for (auto &[task, run] : view.runs) {
         // A hung worker can still pass its health check. Its tasks make no progress at all, whereas
-        // the percentage of a slow task advances.
-        if (run.state != RunState::Running || run.stopping || run.percent >= 100 || run.reading != 0
-            || now - run.progressAt <= m_options.stallMs) {
+        // the percentage of a slow task advances. A paused task makes none either, for as long as
+        // its worker is over a latency target.
+        if (run.state != RunState::Running || run.stopping || run.percent >= 100
+            || run.pacePercent == 0 || now - run.progressAt <= m_options.stallMs) {
             continue;
         }
+        // A long-running task is unavailable until it reaches 100 percent, so that stopping it
+        // before takes nothing from a disruption budget.
         const JobRecord *job = m_state.job(task.job);
-        if (job == nullptr || job->spec.steps[task.step].longRunning
-            || job->spec.steps[task.step].gang) {
+        if (job == nullptr || job->spec.steps[task.step].gang) {
+            continue;
+        }
+        // Of a task with a latency target the reading is a latency, which shows no work.
+        if (run.reading != 0 && job->spec.steps[task.step].targetMs == 0) {
             continue;
         }
         m_decisions.push_back(
@@ -290,6 +296,8 @@
             continue;
         }
         run.pacePercent = percent;
+        // A resumed task gets the whole time to make progress again.
+        run.progressAt = now;
         orders.paces.push_back({id, address, task, run.run, percent});
         orders.dispatchDecisions.push_back({"pace", taskName(task), run.run, id,
                                             percent == 0 ? "target-pressed" : "target-relieved",
--- a/Tests/Scheduling/LongRunningTasksTest.cpp
+++ b/Tests/Scheduling/LongRunningTasksTest.cpp
@@ -43,6 +43,8 @@
 {
     CPPUNIT_TEST_SUITE(LongRunningTasksTest);
     CPPUNIT_TEST(fragmentedPool);
+    CPPUNIT_TEST(hungWorker);
+    CPPUNIT_TEST(pausedTask);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +99,57 @@
             CPPUNIT_ASSERT_EQUAL(0U, fleet.moves);
         });
     }
+
+    /// Guards against a long-running task that starts on a hung worker and stays there at 0 percent.
+    void hungWorker()
+    {
+        FleetSimulation fleet(45);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        fleet.addWorker("pricing");
+        fleet.addWorker("pricing");
+        fleet.start();
+        fleet.run(100);
+        for (const auto &[id, worker] : fleet.workers) {
+            fleet.workers.at(id).hangsAllRuns = id == "w1";
+        }
+        fleet.submit("a", "quotes", {longRunningStep(4, 0)});
+        const auto runsAt = [&fleet](const std::string &worker) {
+            return fleet.workers.at(worker).running.size();
+        };
+        section("its tasks move to a worker that is not", [&] {
+            fleet.run(100);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(4), runsAt("w1"));
+            fleet.runUntil("the move", 6000, [&] { return runsAt("w2") == 4; });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), runsAt("w1"));
+        });
+        section("tasks that are available stay, whether they make progress or not", [&] {
+            fleet.run(10000);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(4), runsAt("w2"));
+            CPPUNIT_ASSERT_EQUAL(8U, fleet.starts);
+        });
+    }
+
+    /// Guards against the stop of a task that makes no progress because it is paused.
+    void pausedTask()
+    {
+        FleetSimulation fleet(46);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        const std::string worker = fleet.addWorker("pricing");
+        fleet.start();
+        fleet.run(100);
+        // Above the share of the target at which best-effort tasks are paused.
+        StepSpec serving = longRunningStep(1, 0);
+        serving.targetMs = 10;
+        fleet.submit("serving", "quotes", {serving});
+        fleet.run(2000);
+        fleet.workers.at(worker).hangsAllRuns = true;
+        StepSpec filler = longRunningStep(1, 0);
+        filler.bestEffort = true;
+        fleet.submit("filler", "quotes", {filler});
+        fleet.run(10000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("filler"));
+        CPPUNIT_ASSERT_EQUAL(2U, fleet.starts);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningTasksTest);
