Scheduling: Measure the wait for a spread on the leader's steady clock

A long-running task waits up to 2 s for a worker that keeps its step spread. The wait compared the time of day of two instances, so that a clock set back after the acceptance made it as much longer. It begins when this leader applies the acceptance, or with its term.

LongRunningTasksTest::timeOfDaySetBack, before: "timed out after 500 ms waiting for the second task"; passes now.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -80,6 +80,7 @@
     m_failedOn.clear();
     m_startedAt.clear();
     m_activeJobs.clear();
+    m_acceptedAt.clear();
     m_startedJobs.clear();
     m_changedJobs.clear();
     m_waiting.clear();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -273,10 +273,10 @@
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
     /// True while a task of the step waits rather than exceed the disruption budget on a worker.
-    bool isSpreadKept(const JobRecord &job, const StepSpec &step, WallTimeMs wallNow) const;
+    bool isSpreadKept(const JobRecord &job, const StepSpec &step, SteadyTimeMs now) const;
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
-                                            WallTimeMs wallNow) const;
+                                            SteadyTimeMs now) const;
     bool placeGang(const JobRecord &job, const WaitingStep &waiting, const Tickets *tickets,
                    PlacementPass &pass);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
@@ -352,6 +352,8 @@
     /// Set until the first step of a term, which knows the time of day.
     bool m_turnsUnknown = false;
     std::set<JobId> m_activeJobs;
+    /// Times at which active jobs with long-running tasks were accepted in this term.
+    std::map<JobId, SteadyTimeMs> m_acceptedAt;
     /// Active jobs with a task that a worker has confirmed in this term.
     std::set<JobId> m_startedJobs;
     /// Numbers of pending jobs by queue, and the time of the count; 0 if there is none.
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -297,11 +297,11 @@
             holdLane(lane, position, index, pass);
             return false;
         }
-        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
+        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.now);
         if (!worker) {
             ++pass.failedSearches;
             ++m_waitCounts.capacity;
-            const bool isSpread = isSpreadKept(job, step, pass.wallNow);
+            const bool isSpread = isSpreadKept(job, step, pass.now);
             recordObstacle(key, isSpread ? PlacementObstacle::Spread : PlacementObstacle::Capacity,
                            pass.now);
             if (step.longRunning) {
@@ -379,16 +379,22 @@
     });
 }
 
-bool Dispatcher::isSpreadKept(const JobRecord &job, const StepSpec &step, WallTimeMs wallNow) const
+bool Dispatcher::isSpreadKept(const JobRecord &job, const StepSpec &step, SteadyTimeMs now) const
 {
-    return step.longRunning && step.maxUnavailable > 0
-            && wallNow - job.acceptedAtMs < m_options.spreadWaitMs;
+    if (!step.longRunning || step.maxUnavailable == 0) {
+        return false;
+    }
+    // The time of day of the acceptance is that of another instance, and either may be set.
+    const auto accepted = m_acceptedAt.find(job.spec.id);
+    const SteadyTimeMs since =
+            accepted == m_acceptedAt.end() ? m_termStartedAt : accepted->second;
+    return now - since < m_options.spreadWaitMs;
 }
 
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
                                                     const Candidates &candidates,
                                                     const Tickets *tickets,
-                                                    WallTimeMs wallNow) const
+                                                    SteadyTimeMs now) const
 {
     const StepSpec &step = job.spec.steps[task.step];
     const TaskResources need = reservedNeed(step);
@@ -423,7 +429,7 @@
         if (step.longRunning && step.maxUnavailable > 0
             && runsOfStepOn(view, task) >= step.maxUnavailable) {
             // Maintenance of the worker would exceed the disruption budget of the step.
-            if (isSpreadKept(job, step, wallNow)) {
+            if (isSpreadKept(job, step, now)) {
                 continue;
             }
             score -= spreadViolationPenalty;
@@ -458,7 +464,7 @@
     std::uint32_t run = 0;
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
-        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
+        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.now);
         if (!worker) {
             break;
         }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -129,6 +129,9 @@
         return;
     }
     m_changedJobs.insert(accepted.spec.id);
+    if (dandelionloom::isLongRunning(job->spec)) {
+        m_acceptedAt[accepted.spec.id] = now;
+    }
     m_demand.onJobAccepted(*job, now);
 }
 
@@ -227,6 +230,7 @@
     m_changedJobs.insert(ended.task.job);
     if (job == nullptr || job->phase != JobPhase::Active) {
         m_activeJobs.erase(ended.task.job);
+        m_acceptedAt.erase(ended.task.job);
         m_startedJobs.erase(ended.task.job);
     }
     queueStopsOfEndedJob(ended.task.job);
@@ -249,6 +253,7 @@
     } else if (const auto *cancelled = std::get_if<JobCancelled>(&change)) {
         m_changedJobs.insert(cancelled->job);
         m_activeJobs.erase(cancelled->job);
+        m_acceptedAt.erase(cancelled->job);
         m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -240,18 +240,18 @@
     spec.steps = std::move(steps);
     spec.team = team;
     spec.beyondShare = beyondShare;
-    propose(JobAccepted{spec, *state.queue(queue), now});
+    propose(JobAccepted{spec, *state.queue(queue), now + wallOffsetMs});
 }
 
 void FleetSimulation::cancel(const std::string &id)
 {
-    propose(JobCancelled{id, now});
+    propose(JobCancelled{id, now + wallOffsetMs});
 }
 
 void FleetSimulation::startWave(const std::vector<std::string> &waveInstances,
                                 std::uint32_t maxAtOnce)
 {
-    propose(WaveStarted{{1, waveInstances, 25000, maxAtOnce, now, {}}});
+    propose(WaveStarted{{1, waveInstances, 25000, maxAtOnce, now + wallOffsetMs, {}}});
 }
 
 void FleetSimulation::propose(JobChange change)
@@ -367,14 +367,14 @@
     }
     m_nextStep = now + stepMs;
     DispatchOrders dispatchOrders;
-    measureProcessorTime([&] { dispatchOrders = dispatcher->step(now, now); });
+    measureProcessorTime([&] { dispatchOrders = dispatcher->step(now, now + wallOffsetMs); });
     execute(dispatchOrders);
     if (now < m_nextPlan) {
         return;
     }
     m_nextPlan = now + planMs;
     MaintenanceOrders maintenanceOrders;
-    measureProcessorTime([&] { maintenanceOrders = maintenance->step(now, now); });
+    measureProcessorTime([&] { maintenanceOrders = maintenance->step(now, now + wallOffsetMs); });
     execute(maintenanceOrders);
     if (balancerEnabled) {
         BalanceOrders balanceOrders;
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -84,6 +84,8 @@
     std::int64_t orderCommitMs = 0;
     /// Workers that the advice service allows for queues that need advice.
     std::set<std::string> permittedWorkers;
+    /// Difference of the leader's time of day to the simulated clock.
+    std::int64_t wallOffsetMs = 0;
     /// Interval of the scheduler steps.
     std::int64_t stepMs = 5;
     /// Interval of the planners' steps.
--- a/Tests/Scheduling/LongRunningTasksTest.cpp
+++ b/Tests/Scheduling/LongRunningTasksTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(fragmentedPool);
     CPPUNIT_TEST(hungWorker);
     CPPUNIT_TEST(pausedTask);
+    CPPUNIT_TEST(timeOfDaySetBack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +151,48 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("filler"));
         CPPUNIT_ASSERT_EQUAL(2U, fleet.starts);
     }
+
+    /// Guards against a long-running task that waits for a worker of its own for as long as the
+    /// time of day was set back after the acceptance of its job.
+    void timeOfDaySetBack()
+    {
+        const auto setUp = [](FleetSimulation &fleet) {
+            fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+            fleet.addWorker("pricing");
+            fleet.start();
+            fleet.run(3000);
+            fleet.submit("a", "quotes", {longRunningStep(2, 1)});
+            fleet.run(500);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
+        };
+        const auto bothRun = [](FleetSimulation &fleet) {
+            return [&fleet] { return fleet.runningCount("a") == 2; };
+        };
+        section("the second task waits for another worker, with a limit", [&] {
+            FleetSimulation fleet(47);
+            setUp(fleet);
+            fleet.run(1400);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
+            fleet.runUntil("the second task", 500, bothRun(fleet));
+        });
+        section("the limit is the same if the time of day is set", [&] {
+            for (const std::int64_t offsetMs : {-60000, 60000}) {
+                FleetSimulation fleet(48);
+                setUp(fleet);
+                fleet.wallOffsetMs = offsetMs;
+                fleet.run(1400);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
+                fleet.runUntil("the second task", 500, bothRun(fleet));
+            }
+        });
+        section("a new leader whose time of day is earlier begins the wait anew once", [&] {
+            FleetSimulation fleet(49);
+            setUp(fleet);
+            fleet.changeLeader();
+            fleet.wallOffsetMs = -60000;
+            fleet.runUntil("the second task", 2500, bothRun(fleet));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningTasksTest);
