Scheduling: Hold a worker for each long-running task that waits

In a full pool, long-running tasks got ready one after the other: behind one that found no worker, others that need as much were left out before a worker was held for them, and a step held a worker for its first task only. A worker that the advice does not allow is not held.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -266,9 +266,13 @@
     void recordSearch(const StepLane &lane, bool isPlaced, SteadyTimeMs now);
     /// Ends reservations whose steps don't wait any more, could not start or have waited too long.
     void reviewReservations(SteadyTimeMs now);
-    /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
-    /// long-running task that fits on no worker.
-    void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
+    /// Keeps workers free of other tasks for the rest of the pass, until there is room on them for
+    /// the tasks of a long-running step, of which the one with the index `first` fits on no worker:
+    /// one worker for this task, and one for each behind it that has waited for long.
+    void holdWorkersFor(const WaitingStep &waiting, std::uint32_t first, const Tickets *tickets,
+                        PlacementPass &pass);
+    /// Does so for one task. False if no worker could hold the task.
+    bool holdWorkerFor(const TaskKey &task, const Tickets *tickets, PlacementPass &pass);
     /// True if a task that requires no more has found no worker in this pass.
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -273,6 +273,10 @@
     if (isKnownUnmet(pass, step, need)) {
         ++m_waitCounts.capacity;
         recordObstacle(key, PlacementObstacle::SmallerNeedUnmet, pass.now);
+        // Which workers the advice allows is not known yet.
+        if (step.longRunning && !job.queue.needsAdvice) {
+            holdWorkersFor(waiting, waiting.indices.front(), nullptr, pass);
+        }
         return true;
     }
     const Tickets *tickets = nullptr;
@@ -305,7 +309,7 @@
             recordObstacle(key, isSpread ? PlacementObstacle::Spread : PlacementObstacle::Capacity,
                            pass.now);
             if (step.longRunning) {
-                holdWorkerFor(task, pass);
+                holdWorkersFor(waiting, index, tickets, pass);
             }
             // Other limits concern this step only.
             const bool onlyNeed =
@@ -320,7 +324,21 @@
     return true;
 }
 
-void Dispatcher::holdWorkerFor(const TaskKey &task, PlacementPass &pass)
+void Dispatcher::holdWorkersFor(const WaitingStep &waiting, std::uint32_t first,
+                                const Tickets *tickets, PlacementPass &pass)
+{
+    for (const std::uint32_t index : waiting.indices) {
+        const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
+        const bool isNeglected =
+                m_longRunningWaits.waitedMs(task, pass.now) >= m_options.longRunningWaitMs;
+        if ((index == first || (index > first && isNeglected))
+            && !holdWorkerFor(task, tickets, pass)) {
+            return;
+        }
+    }
+}
+
+bool Dispatcher::holdWorkerFor(const TaskKey &task, const Tickets *tickets, PlacementPass &pass)
 {
     // In a full pool, smaller tasks take each bit of capacity as it gets free, and a large one
     // never finds enough of it on one worker. The worker with the most free capacity gets ready
@@ -336,7 +354,8 @@
         const std::uint32_t perWorker = maxTasksPerWorker(step);
         if (!fits(need, worker.capacity - view.longRunningNeed)
             || (perWorker > 0 && runsOfStepOn(view, task) >= perWorker)
-            || !hasRequiredLabel(worker, step)) {
+            || !hasRequiredLabel(worker, step)
+            || (tickets != nullptr && !tickets->byWorker.contains(worker.id))) {
             continue;
         }
         const auto share = [](std::int64_t amount, std::int64_t required) {
@@ -352,9 +371,11 @@
             best = candidate;
         }
     }
-    if (best != pass.candidates.end()) {
-        pass.candidates.erase(best);
+    if (best == pass.candidates.end()) {
+        return false;
     }
+    pass.candidates.erase(best);
+    return true;
 }
 
 std::uint32_t Dispatcher::runsOfStepOn(const WorkerView &view, const TaskKey &task)
--- a/Source/Scheduling/LongRunningWaits.cpp
+++ b/Source/Scheduling/LongRunningWaits.cpp
@@ -35,6 +35,12 @@
     return reports;
 }
 
+std::int64_t LongRunningWaits::waitedMs(const TaskKey &task, SteadyTimeMs now) const
+{
+    const auto found = m_waits.find(task);
+    return found == m_waits.end() ? 0 : now - found->second.since;
+}
+
 std::vector<LongRunningWaits::Wait> LongRunningWaits::longerThan(std::int64_t milliseconds,
                                                                 SteadyTimeMs now) const
 {
--- a/Source/Scheduling/LongRunningWaits.h
+++ b/Source/Scheduling/LongRunningWaits.h
@@ -47,6 +47,8 @@
     /// Returns the tasks that have waited for a report interval since their first record or since
     /// they were returned last.
     std::vector<Wait> takeReports(SteadyTimeMs now);
+    /// 0 for a task that doesn't wait.
+    std::int64_t waitedMs(const TaskKey &task, SteadyTimeMs now) const;
     /// Tasks that have waited for at least the given time.
     std::vector<Wait> longerThan(std::int64_t milliseconds, SteadyTimeMs now) const;
     std::size_t size() const { return m_waits.size(); }
--- a/Tests/Scheduling/LongRunningTasksTest.cpp
+++ b/Tests/Scheduling/LongRunningTasksTest.cpp
@@ -37,6 +37,24 @@
     fleet.run(1000);
 }
 
+/// A pool whose memory stays full of short tasks of a fourth of a worker's memory.
+void setUpFullPool(FleetSimulation &fleet, int workers)
+{
+    fleet.durationOf = [](const TaskKey &task) { return 500 + 70 * (task.index % 8); };
+    fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+    for (int worker = 0; worker < workers; ++worker) {
+        fleet.addWorker("pricing");
+    }
+    fleet.start();
+    fleet.run(100);
+    StepSpec small = shortStep(8, 500);
+    small.need.memoryMb = 8000;
+    for (int job = 0; job < 100 * workers; ++job) {
+        fleet.submit("small" + std::to_string(job), "quotes", {small});
+    }
+    fleet.run(5000);
+}
+
 } // namespace
 
 class LongRunningTasksTest : public CppUnit::TestFixture
@@ -46,6 +64,7 @@
     CPPUNIT_TEST(hungWorker);
     CPPUNIT_TEST(pausedTask);
     CPPUNIT_TEST(timeOfDaySetBack);
+    CPPUNIT_TEST(severalTasksInFullPool);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +212,44 @@
             fleet.runUntil("the second task", 2500, bothRun(fleet));
         });
     }
+
+    /// Guards against long-running tasks that get ready for one after the other in a full pool,
+    /// because all behind the first one hold no worker.
+    void severalTasksInFullPool()
+    {
+        constexpr std::uint32_t tasks = 8;
+        section("tasks of several jobs", [] {
+            FleetSimulation fleet(50);
+            setUpFullPool(fleet, 10);
+            for (std::uint32_t job = 0; job < tasks; ++job) {
+                fleet.submit("a" + std::to_string(job), "quotes", {longRunningStepOf(1, 24000)});
+            }
+            fleet.runUntil("the long-running tasks", neglectedMs, [&] {
+                std::size_t running = 0;
+                for (std::uint32_t job = 0; job < tasks; ++job) {
+                    running += fleet.runningCount("a" + std::to_string(job));
+                }
+                return running == tasks;
+            });
+        });
+        section("tasks of one job", [] {
+            FleetSimulation fleet(51);
+            setUpFullPool(fleet, 10);
+            fleet.submit("a", "quotes", {longRunningStepOf(tasks, 24000)});
+            fleet.runUntil("the long-running tasks", neglectedMs,
+                           [&] { return fleet.runningCount("a") == tasks; });
+        });
+        section("a task that no worker could hold holds none", [] {
+            FleetSimulation fleet(52);
+            setUpFullPool(fleet, 2);
+            fleet.submit("a", "quotes", {longRunningStepOf(tasks, 40000)});
+            fleet.run(3000);
+            const std::size_t before = fleet.completedAt.size();
+            fleet.run(5000);
+            // Eight tasks at a time of 745 ms on average.
+            CPPUNIT_ASSERT(fleet.completedAt.size() - before >= 5);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningTasksTest);
