Scheduling: Place long-running tasks that have waited for 1 s first

A best-effort long-running task ranks behind all short steps. In a pool whose memory is full, these take all that gets free, and its turn never came. The ranks stay; a step with a task that has waited for 1 s is searched a worker for before all others.

--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -73,7 +73,8 @@
     /// that move into the pool arrive within it, and it is well below the 3 s after which the task
     /// counts as neglected.
     std::int64_t spreadWaitMs = 2000;
-    /// Time without a worker after which a long-running task asks for an instance of another pool.
+    /// Time without a worker after which a long-running task asks for an instance of another pool,
+    /// and is placed before all other tasks.
     /// It counts as neglected after 3 s; the move takes 1.5 s, and the listing that shows the
     /// instance and the start of the task the rest.
     std::int64_t longRunningWaitMs = 1000;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -162,6 +162,8 @@
         TaskResources need;
         std::string requiredLabel;
     };
+    /// Steps with the negative time for which they have waited, by service.
+    using NeglectedSteps = std::map<std::string, std::vector<std::pair<std::int64_t, StepKey>>>;
     /// Needs of tasks that their team's quota does not allow, by team.
     using HeldNeeds = std::map<std::string, std::vector<TaskResources>>;
     /// State of a placement pass over the steps of one service.
@@ -176,6 +178,8 @@
         HeldNeeds &heldNeeds;
         /// Steps with such requirements are skipped: free capacity only shrinks within a pass.
         std::vector<UnmetNeed> unmetNeeds;
+        /// Steps that were searched workers for before all others.
+        std::set<StepKey> neglected;
         /// Steps that wait for advice or for which no worker was found.
         std::uint32_t failedSearches = 0;
     };
@@ -232,13 +236,22 @@
     /// The workers of a service that may get tasks now.
     Candidates candidatesOf(const std::string &service, SteadyTimeMs now);
     /// Brings m_waiting up to date with the changed jobs and the time.
-    void updateWaitingSteps(WallTimeMs wallNow);
+    void updateWaitingSteps(SteadyTimeMs now, WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
+    /// Long-running steps of each service with a task that has waited for long, the longest wait
+    /// first.
+    NeglectedSteps neglectedSteps(SteadyTimeMs now) const;
+    /// Places them before all others: best-effort ones have their turn behind the short steps,
+    /// which in a full pool take all capacity that gets free.
+    void placeNeglectedSteps(const std::vector<std::pair<std::int64_t, StepKey>> &steps,
+                             PlacementPass &pass);
     void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
     /// Records why the waiting tasks of a long-running step got no worker; nothing for other steps.
     void recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now);
     /// The same for the steps of a service that has no worker for tasks.
     void recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now);
+    /// Records since when the tasks of a job's long-running steps wait.
+    void recordLongRunningSteps(const JobRecord &job, SteadyTimeMs now);
     /// Adds the workers for long-running tasks that have waited for long.
     void addLongRunningDemand(std::map<std::string, ServiceDemand> &demands,
                               SteadyTimeMs now) const;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -78,7 +78,7 @@
     return waiting;
 }
 
-void Dispatcher::updateWaitingSteps(WallTimeMs wallNow)
+void Dispatcher::updateWaitingSteps(SteadyTimeMs now, WallTimeMs wallNow)
 {
     if (wallNow < m_lastWallTime) {
         // The time of day was set back, so that jobs may be on time or not due again.
@@ -95,6 +95,7 @@
             m_waiting.remove(id);
         } else {
             m_waiting.replace(id, serviceOf(m_state, *job), waitingStepsOf(*job, wallNow), wallNow);
+            recordLongRunningSteps(*job, now);
         }
     }
     m_changedJobs.clear();
@@ -133,10 +134,11 @@
 
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
-    updateWaitingSteps(wallNow);
+    updateWaitingSteps(now, wallNow);
     reviewReservations(now);
     m_waitCounts = {};
     HeldNeeds heldNeeds;
+    const NeglectedSteps neglected = neglectedSteps(now);
     for (const auto &[service, steps] : m_waiting.byService()) {
         Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
@@ -144,12 +146,57 @@
             recordMissingWorkers(steps, now);
             continue;
         }
-        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, 0};
+        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, {}, 0};
+        const auto first = neglected.find(service);
+        if (first != neglected.end()) {
+            placeNeglectedSteps(first->second, pass);
+        }
         placeSteps(service, steps, pass);
     }
     reportLongRunningWaits(now);
 }
 
+Dispatcher::NeglectedSteps Dispatcher::neglectedSteps(SteadyTimeMs now) const
+{
+    std::map<StepKey, std::int64_t> waitedMs;
+    for (const LongRunningWaits::Wait &wait :
+         m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now)) {
+        const StepKey key{wait.task.job, wait.task.occurrence, wait.task.step};
+        if (m_waiting.contains(key)) {
+            std::int64_t &longest = waitedMs[key];
+            longest = std::max(longest, wait.waitedMs);
+        }
+    }
+    NeglectedSteps steps;
+    for (const auto &[key, waited] : waitedMs) {
+        steps[serviceOf(m_state, *m_state.job(key.job))].emplace_back(-waited, key);
+    }
+    for (auto &[service, keys] : steps) {
+        std::sort(keys.begin(), keys.end());
+    }
+    return steps;
+}
+
+void Dispatcher::placeNeglectedSteps(const std::vector<std::pair<std::int64_t, StepKey>> &steps,
+                                     PlacementPass &pass)
+{
+    for (const auto &[order, key] : steps) {
+        if (pass.failedSearches >= maxFailedSearches) {
+            break;
+        }
+        const StepPosition position = m_waiting.positionOf(key);
+        const StepLane &lane = m_waiting.laneOf(key);
+        if (isAllowedByQuota(lane, pass) && !isReservedForOther(lane, position.rank)) {
+            placeStep(position, lane, pass);
+            pass.neglected.insert(key);
+        } else {
+            recordObstacle(key, PlacementObstacle::Quota, pass.now);
+        }
+    }
+    // Neglected steps that can't be placed must not hide the others.
+    pass.failedSearches = 0;
+}
+
 void Dispatcher::recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now)
 {
     for (const auto &[key, lane] : steps.lanes) {
@@ -166,6 +213,21 @@
     }
 }
 
+void Dispatcher::recordLongRunningSteps(const JobRecord &job, SteadyTimeMs now)
+{
+    if (!dandelionloom::isLongRunning(job.spec)) {
+        return;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const StepKey key{job.spec.id, occurrence, step};
+            if (m_waiting.contains(key)) {
+                recordObstacle(key, PlacementObstacle::NotSearched, now);
+            }
+        }
+    }
+}
+
 void Dispatcher::recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now)
 {
     if (!m_state.job(key.job)->spec.steps[key.step].longRunning) {
@@ -240,6 +302,9 @@
 
 bool Dispatcher::placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass)
 {
+    if (pass.neglected.contains(position.key)) {
+        return true;
+    }
     const std::uint32_t index = m_waiting.at(position.key).indices.front();
     if (!isAllowedByQuota(lane, pass)) {
         holdLane(lane, position, index, pass);
--- a/Source/Scheduling/LongRunningWaits.h
+++ b/Source/Scheduling/LongRunningWaits.h
@@ -13,6 +13,8 @@
 
 /// Why a task got no worker in a placement pass.
 enum class PlacementObstacle {
+    /// Not searched a worker for yet.
+    NotSearched,
     /// The service has no worker that may get tasks.
     NoWorker,
     Quota,
@@ -24,8 +26,8 @@
     Spread,
     Capacity
 };
-inline constexpr EnumNames<PlacementObstacle, 6> placementObstacleNames{
-        {"no-worker", "quota", "advice", "smaller-need-unmet", "spread", "capacity"}};
+inline constexpr EnumNames<PlacementObstacle, 7> placementObstacleNames{
+        {"not-searched", "no-worker", "quota", "advice", "smaller-need-unmet", "spread", "capacity"}};
 
 /// Long-running tasks that wait for a worker, with the time since when and the last obstacle. Owned
 /// by the leader's Dispatcher.
--- a/Source/Scheduling/WaitingSteps.h
+++ b/Source/Scheduling/WaitingSteps.h
@@ -159,6 +159,10 @@
     /// Waiting steps by service. No service is without any.
     const std::map<std::string, ServiceSteps> &byService() const { return m_byService; }
     const WaitingStep &at(const StepKey &key) const { return m_steps.at(key).step; }
+    bool contains(const StepKey &key) const { return m_steps.contains(key); }
+    // The step must wait.
+    StepPosition positionOf(const StepKey &key) const { return {m_steps.at(key).rank, key}; }
+    const StepLane &laneOf(const StepKey &key) const { return *m_steps.at(key).lane; }
     /// Null if no step of the lane waits.
     const StepLane *lane(const std::string &service, const LaneKey &key) const;
     /// True if a step of the job waits.
--- a/Tests/Scheduling/LongRunningTasksTest.cpp
+++ b/Tests/Scheduling/LongRunningTasksTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(pausedTask);
     CPPUNIT_TEST(timeOfDaySetBack);
     CPPUNIT_TEST(severalTasksInFullPool);
+    CPPUNIT_TEST(bestEffortTaskInFullPool);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -250,6 +251,31 @@
             CPPUNIT_ASSERT(fleet.completedAt.size() - before >= 5);
         });
     }
+
+    /// Guards against a best-effort long-running task whose turn never comes in a pool whose memory
+    /// is full.
+    void bestEffortTaskInFullPool()
+    {
+        StepSpec filler = longRunningStepOf(2, 24000);
+        filler.bestEffort = true;
+        section("it gets a worker before it counts as neglected", [&] {
+            FleetSimulation fleet(53);
+            setUpFullPool(fleet, 4);
+            fleet.submit("a", "quotes", {filler});
+            fleet.runUntil("the long-running tasks", neglectedMs,
+                           [&] { return fleet.runningCount("a") == 2; });
+        });
+        section("the short tasks of the other workers go on meanwhile", [&] {
+            FleetSimulation fleet(54);
+            setUpFullPool(fleet, 4);
+            fleet.submit("a", "quotes", {filler});
+            fleet.run(100);
+            const std::size_t before = fleet.completedAt.size();
+            fleet.run(neglectedMs);
+            // Two of four workers can hold 16 tasks of 745 ms on average.
+            CPPUNIT_ASSERT(fleet.completedAt.size() - before >= 4);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningTasksTest);
