Scheduling: Release workers whose maintenance is given up

A worker stayed cordoned for the rest of the term after its maintenance had been given up as overdue without a listing since, or when its instance, while drained, was missing in three listings.

PlannersTest::overdueWithoutListing and drainOfMissedInstance, before: the worker was cordoned; pass now.

--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -309,6 +309,9 @@
             orders.dispatchDecisions.push_back({"maintenance-ended", item->first, 0,
                                                 progress.worker, returned ? "returned" : "overdue",
                                                 now - progress.since});
+            // Without a listing since, the worker may still run. A worker that answers gets tasks.
+            m_dispatcher.setCordoned(progress.worker, false);
+            m_dispatcher.setLeaving(progress.worker, false);
             m_orderLog.release(item->first);
             item = m_progress.erase(item);
         } else {
@@ -317,11 +320,34 @@
     }
 }
 
+void MaintenancePlanner::releaseFinished(SteadyTimeMs now)
+{
+    std::vector<std::string> drained;
+    for (auto &[instance, progress] : m_progress) {
+        const auto wave = m_state.waves().find(progress.wave);
+        if (progress.phase == Phase::InMaintenance
+            || (wave != m_state.waves().end() && !isFinished(wave->second, instance))) {
+            continue;
+        }
+        if (progress.phase == Phase::Draining) {
+            drained.push_back(instance);
+        } else {
+            // The order may still be carried out. A later listing shows whether it was.
+            progress.phase = Phase::InMaintenance;
+            progress.since = now;
+        }
+    }
+    for (const std::string &instance : drained) {
+        release(instance);
+    }
+}
+
 MaintenanceOrders MaintenancePlanner::step(SteadyTimeMs now, WallTimeMs wallNow)
 {
     MaintenanceOrders orders;
     trackEarlierOrders(now);
     updateMaintenanceDue();
+    releaseFinished(now);
     finishReturned(now, orders);
     for (const auto &[id, wave] : m_state.waves()) {
         if (!wave.isCompleted()) {
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -99,6 +99,9 @@
                   MaintenanceOrders &orders);
     /// Proposes WorkerLeft, once a listing shows that the worker has ended.
     void proposeWorkerLeft(Progress &progress);
+    /// Ends the drain of instances that count as finished for another reason than an order of this
+    /// term.
+    void releaseFinished(SteadyTimeMs now);
     void finishReturned(SteadyTimeMs now, MaintenanceOrders &orders);
     /// Marks instances with an order of an earlier leader as leaving, as the provider may carry out
     /// the order late.
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -151,6 +151,8 @@
     CPPUNIT_TEST(orderExecutedBefore);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST(longRunningTaskSpread);
+    CPPUNIT_TEST(overdueWithoutListing);
+    CPPUNIT_TEST(drainOfMissedInstance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -777,6 +779,54 @@
             return fleet.state.waves().contains(1) && fleet.state.waves().at(1).isCompleted();
         });
     }
+
+    /// Guards against a worker that stays cordoned because its maintenance, which the provider had
+    /// carried out before, is given up as overdue without a listing since.
+    void overdueWithoutListing()
+    {
+        FleetSimulation fleet(37);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        fleet.addWorker("pricing");
+        fleet.start();
+        fleet.run(100);
+        fleet.startWave({"m1"}, 1);
+        fleet.maintenanceDelayMs = 60000;
+        fleet.runUntil("the order", 2000, [&] { return fleet.ordersReceived == 1; });
+        fleet.listsInstances = false;
+        fleet.maintenance->answered({"m1", 1, "w1"}, std::nullopt, fleet.now);
+        const MaintenanceOptions options;
+        fleet.run(options.returnLimitMs + 500);
+        CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->cordoned);
+        CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->leaving);
+        fleet.submit("a", "quotes", {longRunningStep(1, 0)});
+        fleet.runUntil("the task", 1000, [&] { return fleet.runningCount("a") == 1; });
+    }
+
+    /// Guards against a worker that stays cordoned because its instance, which was being drained,
+    /// was missing in some listings and counts as gone.
+    void drainOfMissedInstance()
+    {
+        FleetSimulation fleet(38);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        fleet.addWorker("pricing");
+        fleet.addWorker("pricing");
+        fleet.start();
+        fleet.run(100);
+        fleet.submit("a", "quotes", {longRunningStep(2, 1)});
+        fleet.run(1500);
+        // The other task is unavailable, so that the instance must wait.
+        fleet.dispatcher->setLeaving("w2", true);
+        fleet.startWave({"m1"}, 1);
+        fleet.run(1000);
+        CPPUNIT_ASSERT(fleet.dispatcher->view("w1")->cordoned);
+        const ListedInstance missed = fleet.instances.at("m1");
+        fleet.instances.erase("m1");
+        fleet.run(2500);
+        fleet.instances["m1"] = missed;
+        fleet.run(1000);
+        CPPUNIT_ASSERT(fleet.state.waves().at(1).isCompleted());
+        CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->cordoned);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannersTest);
