Scheduling: Let waiting long-running tasks use workers that wait for maintenance

A task that waits may exhaust the disruption budget for which the maintenance of the only workers with room waits: neither goes on. A task is evicted only if another worker can hold it.

LongRunningTasksTest::drainedWorkersWithRoom, before: "timed out after 3000 ms waiting for the task"; passes now, and the wave completes.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -19,6 +19,14 @@
 /// Age at which the numbers of pending jobs are counted again. Clients accept an age of 2 s.
 constexpr std::int64_t pendingCountMs = 300;
 
+/// True if the task would start on a further worker that can hold it.
+bool isWorkerMissing(const LongRunningWaits::Wait &wait)
+{
+    return wait.obstacle == PlacementObstacle::Capacity
+            || wait.obstacle == PlacementObstacle::SmallerNeedUnmet
+            || wait.obstacle == PlacementObstacle::NoWorker;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
@@ -447,6 +455,14 @@
     if (!task) {
         return false;
     }
+    // Without another worker for it, the task would only be unavailable.
+    const Candidates others = candidatesOf(m_state.worker(worker)->service, now);
+    const bool canMove = std::any_of(others.begin(), others.end(), [&](const Candidate &other) {
+        return other.worker->id != worker && couldHold(*other.worker, *other.view, *task);
+    });
+    if (!canMove) {
+        return false;
+    }
     m_workers.at(worker).runs.at(*task).stopping = true;
     m_workersWithStops.insert(worker);
     m_disruptionBudgets.forgetAvailability();
@@ -474,9 +490,7 @@
     for (const LongRunningWaits::Wait &wait :
          m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now)) {
         // Other obstacles remain with an instance of another pool.
-        if (wait.obstacle == PlacementObstacle::Capacity
-            || wait.obstacle == PlacementObstacle::SmallerNeedUnmet
-            || wait.obstacle == PlacementObstacle::NoWorker) {
+        if (isWorkerMissing(wait)) {
             ++counts[{wait.task.job, wait.task.occurrence, wait.task.step}];
         }
     }
@@ -499,6 +513,25 @@
     }
 }
 
+bool Dispatcher::isAwaited(const std::string &worker, SteadyTimeMs now) const
+{
+    const WorkerView *known = view(worker);
+    const WorkerRecord *record = m_state.worker(worker);
+    if (known == nullptr || record == nullptr || record->draining || now < known->avoidUntil
+        || !known->hasRecentAnswer(now, m_options.maxAnswerAgeMs)
+        || m_longRunningWaits.size() == 0) {
+        return false;
+    }
+    const std::vector<LongRunningWaits::Wait> waits =
+            m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now);
+    return std::any_of(waits.begin(), waits.end(), [&](const LongRunningWaits::Wait &wait) {
+        const JobRecord *job = m_state.job(wait.task.job);
+        return job != nullptr && isWorkerMissing(wait) && !job->queue.needsAdvice
+                && serviceOf(m_state, *job) == record->service
+                && couldHold(*record, *known, wait.task);
+    });
+}
+
 std::int64_t Dispatcher::oldestRenewalMs(SteadyTimeMs now) const
 {
     std::int64_t oldest = 0;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -99,6 +99,9 @@
     {
         return m_disruptionBudgets.violation(worker, now);
     }
+    /// True if a long-running task that has waited for long could run on the worker, if this gets
+    /// tasks.
+    bool isAwaited(const std::string &worker, SteadyTimeMs now) const;
     /// Stops one long-running task on the worker that the disruption budget allows to be
     /// unavailable, so that it starts on another worker. For workers that hold more tasks of a step
     /// than its budget permits. False if no task can be evicted now.
@@ -279,6 +282,8 @@
     void recordSearch(const StepLane &lane, bool isPlaced, SteadyTimeMs now);
     /// Ends reservations whose steps don't wait any more, could not start or have waited too long.
     void reviewReservations(SteadyTimeMs now);
+    /// True if the worker can hold a long-running task as soon as its short tasks have ended.
+    bool couldHold(const WorkerRecord &worker, const WorkerView &view, const TaskKey &task) const;
     /// Keeps workers free of other tasks for the rest of the pass, until there is room on them for
     /// the tasks of a long-running step, of which the one with the index `first` fits on no worker:
     /// one worker for this task, and one for each behind it that has waited for long.
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -389,6 +389,15 @@
     return true;
 }
 
+bool Dispatcher::couldHold(const WorkerRecord &worker, const WorkerView &view,
+                           const TaskKey &task) const
+{
+    const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
+    return fits(needOf(task), worker.capacity - view.longRunningNeed)
+            && (step.maxPerWorker == 0 || runsOfStepOn(view, task) < step.maxPerWorker)
+            && hasRequiredLabel(worker, step);
+}
+
 void Dispatcher::holdWorkersFor(const WaitingStep &waiting, std::uint32_t first,
                                 const Tickets *tickets, PlacementPass &pass)
 {
@@ -417,9 +426,8 @@
         const WorkerRecord &worker = *candidate->worker;
         const WorkerView &view = *candidate->view;
         const std::uint32_t perWorker = maxTasksPerWorker(step);
-        if (!fits(need, worker.capacity - view.longRunningNeed)
+        if (!couldHold(worker, view, task)
             || (perWorker > 0 && runsOfStepOn(view, task) >= perWorker)
-            || !hasRequiredLabel(worker, step)
             || (tickets != nullptr && !tickets->byWorker.contains(worker.id))) {
             continue;
         }
@@ -472,15 +480,13 @@
     }
     // The time of day of the acceptance is that of another instance, and either may be set.
     const auto accepted = m_acceptedAt.find(job.spec.id);
-    const SteadyTimeMs since =
-            accepted == m_acceptedAt.end() ? m_termStartedAt : accepted->second;
+    const SteadyTimeMs since = accepted == m_acceptedAt.end() ? m_termStartedAt : accepted->second;
     return now - since < m_options.spreadWaitMs;
 }
 
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
                                                     const Candidates &candidates,
-                                                    const Tickets *tickets,
-                                                    SteadyTimeMs now) const
+                                                    const Tickets *tickets, SteadyTimeMs now) const
 {
     const StepSpec &step = job.spec.steps[task.step];
     const TaskResources need = reservedNeed(step);
--- a/Source/Scheduling/LongRunningWaits.cpp
+++ b/Source/Scheduling/LongRunningWaits.cpp
@@ -42,7 +42,7 @@
 }
 
 std::vector<LongRunningWaits::Wait> LongRunningWaits::longerThan(std::int64_t milliseconds,
-                                                                SteadyTimeMs now) const
+                                                                 SteadyTimeMs now) const
 {
     std::vector<Wait> waits;
     for (const auto &[task, entry] : m_waits) {
--- a/Source/Scheduling/LongRunningWaits.h
+++ b/Source/Scheduling/LongRunningWaits.h
@@ -27,7 +27,8 @@
     Capacity
 };
 inline constexpr EnumNames<PlacementObstacle, 7> placementObstacleNames{
-        {"not-searched", "no-worker", "quota", "advice", "smaller-need-unmet", "spread", "capacity"}};
+        {"not-searched", "no-worker", "quota", "advice", "smaller-need-unmet", "spread",
+         "capacity"}};
 
 /// Long-running tasks that wait for a worker, with the time since when and the last obstacle. Owned
 /// by the leader's Dispatcher.
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -370,6 +370,7 @@
     const std::uint32_t concurrency = maintenanceConcurrency(wave, m_options, wallNow);
     std::uint32_t unavailable = unavailableCount(wave);
     std::uint32_t draining = 0;
+    std::vector<std::string> awaited;
     for (auto &[instance, progress] : m_progress) {
         if (progress.wave != wave.id || progress.phase == Phase::InMaintenance
             || isFinished(wave, instance)) {
@@ -393,6 +394,10 @@
             continue;
         }
         const std::string fault = m_dispatcher.disruptionBudgetViolation(progress.worker, now);
+        if (!fault.empty() && m_dispatcher.isAwaited(progress.worker, now)) {
+            awaited.push_back(instance);
+            continue;
+        }
         if (!fault.empty()) {
             progress.nextOrderAt = now + m_options.retryMs;
             m_dispatcher.evictOneTask(progress.worker, now);
@@ -413,15 +418,23 @@
                                             "wave-" + std::to_string(wave.id),
                                             now - progress.since});
     }
+    // The waiting task may be the one that exhausts the disruption budget.
+    for (const std::string &instance : awaited) {
+        orders.dispatchDecisions.push_back({"maintenance-waits", instance, 0,
+                                            m_progress.at(instance).worker,
+                                            "long-running-task-waits", 0});
+        release(instance);
+        --draining;
+    }
     const std::uint32_t drainTarget = std::max(concurrency, unavailable) - unavailable + drainAhead;
     for (const std::string &instance : candidates(wave, now)) {
         if (draining >= drainTarget) {
             return;
         }
-        if (!m_orderLog.claim(instance)) {
+        const std::string &worker = m_instances.at(instance).worker;
+        if (m_dispatcher.isAwaited(worker, now) || !m_orderLog.claim(instance)) {
             continue;
         }
-        const std::string &worker = m_instances.at(instance).worker;
         m_progress[instance] = {wave.id, Phase::Draining, now, 0, worker};
         m_dispatcher.setCordoned(worker, true);
         ++draining;
--- a/Tests/Scheduling/LongRunningTasksTest.cpp
+++ b/Tests/Scheduling/LongRunningTasksTest.cpp
@@ -25,7 +25,6 @@
 /// of three instances.
 void setUpFragmentedPool(FleetSimulation &fleet)
 {
-    fleet.balancerEnabled = true;
     fleet.configure({queueOf("quotes", "pricing")}, {"pricing", "spare"}, "spare");
     for (int worker = 0; worker < 3; ++worker) {
         fleet.addWorker("pricing");
@@ -33,6 +32,8 @@
     }
     fleet.start();
     fleet.run(1000);
+    // The pool counts as empty before its workers have answered.
+    fleet.balancerEnabled = true;
     fleet.submit("present", "quotes", {longRunningStepOf(3, 20000)});
     fleet.run(1000);
 }
@@ -66,6 +67,7 @@
     CPPUNIT_TEST(timeOfDaySetBack);
     CPPUNIT_TEST(severalTasksInFullPool);
     CPPUNIT_TEST(bestEffortTaskInFullPool);
+    CPPUNIT_TEST(drainedWorkersWithRoom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,7 +123,8 @@
         });
     }
 
-    /// Guards against a long-running task that starts on a hung worker and stays there at 0 percent.
+    /// Guards against a long-running task that starts on a hung worker and stays there at 0
+    /// percent.
     void hungWorker()
     {
         FleetSimulation fleet(45);
@@ -218,10 +221,10 @@
     /// because all behind the first one hold no worker.
     void severalTasksInFullPool()
     {
-        constexpr std::uint32_t tasks = 8;
+        constexpr std::uint32_t tasks = 16;
         section("tasks of several jobs", [] {
             FleetSimulation fleet(50);
-            setUpFullPool(fleet, 10);
+            setUpFullPool(fleet, 20);
             for (std::uint32_t job = 0; job < tasks; ++job) {
                 fleet.submit("a" + std::to_string(job), "quotes", {longRunningStepOf(1, 24000)});
             }
@@ -235,7 +238,7 @@
         });
         section("tasks of one job", [] {
             FleetSimulation fleet(51);
-            setUpFullPool(fleet, 10);
+            setUpFullPool(fleet, 20);
             fleet.submit("a", "quotes", {longRunningStepOf(tasks, 24000)});
             fleet.runUntil("the long-running tasks", neglectedMs,
                            [&] { return fleet.runningCount("a") == tasks; });
@@ -260,10 +263,26 @@
         filler.bestEffort = true;
         section("it gets a worker before it counts as neglected", [&] {
             FleetSimulation fleet(53);
-            setUpFullPool(fleet, 4);
+            fleet.durationOf = [](const TaskKey &task) { return 500 + 70 * (task.index % 8); };
+            fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+            for (int worker = 0; worker < 4; ++worker) {
+                fleet.addWorker("pricing");
+            }
+            fleet.start();
+            fleet.run(100);
+            StepSpec small = shortStep(8, 500);
+            small.need.memoryMb = 8000;
+            // Slightly more than the pool can do, so that jobs in time wait at any moment.
+            auto arrive = [&, job = 0](int rounds) mutable {
+                for (int round = 0; round < rounds; ++round) {
+                    fleet.submit("small" + std::to_string(job++), "quotes", {small});
+                    fleet.run(300);
+                }
+            };
+            arrive(20);
             fleet.submit("a", "quotes", {filler});
-            fleet.runUntil("the long-running tasks", neglectedMs,
-                           [&] { return fleet.runningCount("a") == 2; });
+            arrive(10);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.runningCount("a"));
         });
         section("the short tasks of the other workers go on meanwhile", [&] {
             FleetSimulation fleet(54);
@@ -276,6 +295,37 @@
             CPPUNIT_ASSERT(fleet.completedAt.size() - before >= 4);
         });
     }
+
+    /// Guards against a long-running task that waits for workers that are drained for maintenance,
+    /// which waits for the task, as it exhausts the disruption budget.
+    void drainedWorkersWithRoom()
+    {
+        FleetSimulation fleet(55);
+        fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+        for (int worker = 0; worker < 3; ++worker) {
+            fleet.addWorker("pricing");
+        }
+        fleet.start();
+        fleet.run(100);
+        fleet.submit("a", "quotes", {longRunningStep(3, 1)});
+        fleet.run(3000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet.runningCount("a"));
+        fleet.crash("w3");
+        fleet.run(3000);
+        fleet.startWave({"m1", "m2"}, 2);
+        section("the task runs on one of them soon after its worker was given up", [&] {
+            fleet.runUntil("the loss", 7000, [&] {
+                return fleet.state.task({std::string("a"), 0, 0, 2})->phase == TaskPhase::Pending;
+            });
+            fleet.runUntil("the task", neglectedMs, [&] { return fleet.runningCount("a") == 3; });
+        });
+        section("and the wave goes on", [&] {
+            fleet.runUntil("the wave", 20000, [&] {
+                CPPUNIT_ASSERT(fleet.runningCount("a") >= 2);
+                return fleet.state.waves().at(1).isCompleted();
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningTasksTest);
