--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Scheduling/StepFacts.h"
+
 // Leadership terms and the answers of workers. Announcements and applied changes are handled in
 // DispatcherRuns.cpp, placement in DispatcherPlacement.cpp and orders to workers in
 // DispatcherOrders.cpp.
@@ -17,6 +19,14 @@
 /// Age at which the numbers of pending jobs are counted again. Clients accept an age of 2 s.
 constexpr std::int64_t pendingCountMs = 300;
 
+/// True if the task would start on a further worker that can hold it.
+bool isWorkerMissing(const LongRunningWaits::Wait &wait)
+{
+    return wait.obstacle == PlacementObstacle::Capacity
+            || wait.obstacle == PlacementObstacle::SmallerNeedUnmet
+            || wait.obstacle == PlacementObstacle::NoWorker;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const SchedulerState &state, DispatchOptions options)
@@ -78,6 +88,7 @@
     m_failedOn.clear();
     m_startedAt.clear();
     m_activeJobs.clear();
+    m_acceptedAt.clear();
     m_startedJobs.clear();
     m_changedJobs.clear();
     m_waiting.clear();
@@ -460,6 +471,14 @@
     if (!task) {
         return false;
     }
+    // Without another worker for it, the task would only be unavailable.
+    const Candidates others = candidatesOf(m_state.worker(worker)->service, now);
+    const bool canMove = std::any_of(others.begin(), others.end(), [&](const Candidate &other) {
+        return other.worker->id != worker && couldHold(*other.worker, *other.view, *task);
+    });
+    if (!canMove) {
+        return false;
+    }
     m_workers.at(worker).runs.at(*task).stopping = true;
     m_workersWithStops.insert(worker);
     m_disruptionBudgets.forgetAvailability();
@@ -472,6 +491,63 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+std::map<std::string, ServiceDemand> Dispatcher::demands(SteadyTimeMs now)
+{
+    std::map<std::string, ServiceDemand> demands =
+            m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
+    addLongRunningDemand(demands, now);
+    return demands;
+}
+
+void Dispatcher::addLongRunningDemand(std::map<std::string, ServiceDemand> &demands,
+                                      SteadyTimeMs now) const
+{
+    std::map<StepKey, std::uint32_t> counts;
+    for (const LongRunningWaits::Wait &wait :
+         m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now)) {
+        // Other obstacles remain with an instance of another pool.
+        if (isWorkerMissing(wait)) {
+            ++counts[{wait.task.job, wait.task.occurrence, wait.task.step}];
+        }
+    }
+    std::map<std::string, std::vector<WaitingTasks>> waiting;
+    for (const auto &[key, count] : counts) {
+        const JobRecord *job = m_state.job(key.job);
+        if (job == nullptr) {
+            continue;
+        }
+        // Whether a worker on another instance has the label or is allowed by the advice is not
+        // known. Further instances would be asked for without an end if none is.
+        const StepSpec &step = job->spec.steps[key.step];
+        if (step.requiredLabel.empty() && !job->queue.needsAdvice) {
+            waiting[serviceOf(m_state, *job)].push_back(
+                    {reservedNeed(step), count, maxTasksPerWorker(step)});
+        }
+    }
+    for (const auto &[service, tasks] : waiting) {
+        demands[service].longRunningMissing = m_demand.workersFor(service, tasks);
+    }
+}
+
+bool Dispatcher::isAwaited(const std::string &worker, SteadyTimeMs now) const
+{
+    const WorkerView *known = view(worker);
+    const WorkerRecord *record = m_state.worker(worker);
+    if (known == nullptr || record == nullptr || record->draining || now < known->avoidUntil
+        || !known->hasRecentAnswer(now, m_options.maxAnswerAgeMs)
+        || m_longRunningWaits.size() == 0) {
+        return false;
+    }
+    const std::vector<LongRunningWaits::Wait> waits =
+            m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now);
+    return std::any_of(waits.begin(), waits.end(), [&](const LongRunningWaits::Wait &wait) {
+        const JobRecord *job = m_state.job(wait.task.job);
+        return job != nullptr && isWorkerMissing(wait) && !job->queue.needsAdvice
+                && serviceOf(m_state, *job) == record->service
+                && couldHold(*record, *known, wait.task);
+    });
+}
+
 std::int64_t Dispatcher::oldestRenewalMs(SteadyTimeMs now) const
 {
     std::int64_t oldest = 0;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -99,6 +99,9 @@
     {
         return m_disruptionBudgets.violation(worker, now);
     }
+    /// True if a long-running task that has waited for long could run on the worker, if this gets
+    /// tasks.
+    bool isAwaited(const std::string &worker, SteadyTimeMs now) const;
     /// Stops one long-running task on the worker that the disruption budget allows to be
     /// unavailable, so that it starts on another worker. For workers that hold more tasks of a step
     /// than its budget permits. False if no task can be evicted now.
@@ -115,10 +118,7 @@
         return m_demand.dominantMilli(worker.service, view.longRunningNeed);
     }
     /// Demand of each service that has jobs, by service name.
-    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now)
-    {
-        return m_demand.demands(m_activeJobs, now, now + m_wallOffsetMs);
-    }
+    std::map<std::string, ServiceDemand> demands(SteadyTimeMs now);
     const WorkerView *view(const std::string &worker) const;
     /// True if the job is active and waitingSteps() will contain it from the next pass on only.
     bool isNew(const JobId &job) const
@@ -165,6 +165,8 @@
         TaskResources need;
         std::string requiredLabel;
     };
+    /// Steps with the negative time for which they have waited, by service.
+    using NeglectedSteps = std::map<std::string, std::vector<std::pair<std::int64_t, StepKey>>>;
     /// Needs of tasks that their team's quota does not allow, by team.
     using HeldNeeds = std::map<std::string, std::vector<TaskResources>>;
     /// State of a placement pass over the steps of one service.
@@ -179,6 +181,8 @@
         HeldNeeds &heldNeeds;
         /// Steps with such requirements are skipped: free capacity only shrinks within a pass.
         std::vector<UnmetNeed> unmetNeeds;
+        /// Steps that were searched workers for before all others.
+        std::set<StepKey> neglected;
         /// Steps that wait for advice or for which no worker was found.
         std::uint32_t failedSearches = 0;
     };
@@ -235,13 +239,25 @@
     /// The workers of a service that may get tasks now.
     Candidates candidatesOf(const std::string &service, SteadyTimeMs now);
     /// Brings m_waiting up to date with the changed jobs and the time.
-    void updateWaitingSteps(WallTimeMs wallNow);
+    void updateWaitingSteps(SteadyTimeMs now, WallTimeMs wallNow);
     std::vector<WaitingStep> waitingStepsOf(const JobRecord &job, WallTimeMs wallNow);
+    /// Long-running steps of each service with a task that has waited for long, the longest wait
+    /// first.
+    NeglectedSteps neglectedSteps(SteadyTimeMs now) const;
+    /// Places them before all others: best-effort ones have their turn behind the short steps,
+    /// which in a full pool take all capacity that gets free.
+    void placeNeglectedSteps(const std::vector<std::pair<std::int64_t, StepKey>> &steps,
+                             PlacementPass &pass);
     void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
-    /// Records why the first task of a long-running step got no worker; nothing for other steps.
+    /// Records why the waiting tasks of a long-running step got no worker; nothing for other steps.
     void recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now);
     /// The same for the steps of a service that has no worker for tasks.
     void recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now);
+    /// Records since when the tasks of a job's long-running steps wait.
+    void recordLongRunningSteps(const JobRecord &job, SteadyTimeMs now);
+    /// Adds the workers for long-running tasks that have waited for long.
+    void addLongRunningDemand(std::map<std::string, ServiceDemand> &demands,
+                              SteadyTimeMs now) const;
     /// Logs the long-running tasks that have waited for long.
     void reportLongRunningWaits(SteadyTimeMs now);
     /// Returns false if the quota holds the step, and with it the rest of its lane for this pass.
@@ -266,17 +282,23 @@
     void recordSearch(const StepLane &lane, bool isPlaced, SteadyTimeMs now);
     /// Ends reservations whose steps don't wait any more, could not start or have waited too long.
     void reviewReservations(SteadyTimeMs now);
-    /// Keeps a worker free of other tasks for the rest of the pass, until there is room on it for a
-    /// long-running task that fits on no worker.
-    void holdWorkerFor(const TaskKey &task, PlacementPass &pass);
+    /// True if the worker can hold a long-running task as soon as its short tasks have ended.
+    bool couldHold(const WorkerRecord &worker, const WorkerView &view, const TaskKey &task) const;
+    /// Keeps workers free of other tasks for the rest of the pass, until there is room on them for
+    /// the tasks of a long-running step, of which the one with the index `first` fits on no worker:
+    /// one worker for this task, and one for each behind it that has waited for long.
+    void holdWorkersFor(const WaitingStep &waiting, std::uint32_t first, const Tickets *tickets,
+                        PlacementPass &pass);
+    /// Does so for one task. False if no worker could hold the task.
+    bool holdWorkerFor(const TaskKey &task, const Tickets *tickets, PlacementPass &pass);
     /// True if a task that requires no more has found no worker in this pass.
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
     /// True while a task of the step waits rather than exceed the disruption budget on a worker.
-    bool isSpreadKept(const JobRecord &job, const StepSpec &step, WallTimeMs wallNow) const;
+    bool isSpreadKept(const JobRecord &job, const StepSpec &step, SteadyTimeMs now) const;
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
-                                            WallTimeMs wallNow) const;
+                                            SteadyTimeMs now) const;
     bool placeGang(const JobRecord &job, const WaitingStep &waiting, const Tickets *tickets,
                    PlacementPass &pass);
     void assign(const TaskKey &task, std::uint32_t run, const std::string &worker, SteadyTimeMs now,
@@ -362,6 +384,8 @@
     /// Set until the first step of a term, which knows the time of day.
     bool m_turnsUnknown = false;
     std::set<JobId> m_activeJobs;
+    /// Times at which active jobs with long-running tasks were accepted in this term.
+    std::map<JobId, SteadyTimeMs> m_acceptedAt;
     /// Active jobs with a task that a worker has confirmed in this term.
     std::set<JobId> m_startedJobs;
     /// Numbers of pending jobs by queue, and the time of the count; 0 if there is none.
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -78,7 +78,7 @@
     return waiting;
 }
 
-void Dispatcher::updateWaitingSteps(WallTimeMs wallNow)
+void Dispatcher::updateWaitingSteps(SteadyTimeMs now, WallTimeMs wallNow)
 {
     if (wallNow < m_lastWallTime) {
         // The time of day was set back, so that jobs may be on time or not due again.
@@ -95,6 +95,7 @@
             m_waiting.remove(id);
         } else {
             m_waiting.replace(id, serviceOf(m_state, *job), waitingStepsOf(*job, wallNow), wallNow);
+            recordLongRunningSteps(*job, now);
         }
     }
     m_changedJobs.clear();
@@ -133,10 +134,11 @@
 
 void Dispatcher::placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders)
 {
-    updateWaitingSteps(wallNow);
+    updateWaitingSteps(now, wallNow);
     reviewReservations(now);
     m_waitCounts = {};
     HeldNeeds heldNeeds;
+    const NeglectedSteps neglected = neglectedSteps(now);
     for (const auto &[service, steps] : m_waiting.byService()) {
         Candidates candidates = candidatesOf(service, now);
         if (candidates.empty()) {
@@ -144,12 +146,57 @@
             recordMissingWorkers(steps, now);
             continue;
         }
-        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, 0};
+        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, {}, 0};
+        const auto first = neglected.find(service);
+        if (first != neglected.end()) {
+            placeNeglectedSteps(first->second, pass);
+        }
         placeSteps(service, steps, pass);
     }
     reportLongRunningWaits(now);
 }
 
+Dispatcher::NeglectedSteps Dispatcher::neglectedSteps(SteadyTimeMs now) const
+{
+    std::map<StepKey, std::int64_t> waitedMs;
+    for (const LongRunningWaits::Wait &wait :
+         m_longRunningWaits.longerThan(m_options.longRunningWaitMs, now)) {
+        const StepKey key{wait.task.job, wait.task.occurrence, wait.task.step};
+        if (m_waiting.contains(key)) {
+            std::int64_t &longest = waitedMs[key];
+            longest = std::max(longest, wait.waitedMs);
+        }
+    }
+    NeglectedSteps steps;
+    for (const auto &[key, waited] : waitedMs) {
+        steps[serviceOf(m_state, *m_state.job(key.job))].emplace_back(-waited, key);
+    }
+    for (auto &[service, keys] : steps) {
+        std::sort(keys.begin(), keys.end());
+    }
+    return steps;
+}
+
+void Dispatcher::placeNeglectedSteps(const std::vector<std::pair<std::int64_t, StepKey>> &steps,
+                                     PlacementPass &pass)
+{
+    for (const auto &[order, key] : steps) {
+        if (pass.failedSearches >= maxFailedSearches) {
+            break;
+        }
+        const StepPosition position = m_waiting.positionOf(key);
+        const StepLane &lane = m_waiting.laneOf(key);
+        if (isAllowedByQuota(lane, pass) && !isReservedForOther(lane, position.rank)) {
+            placeStep(position, lane, pass);
+            pass.neglected.insert(key);
+        } else {
+            recordObstacle(key, PlacementObstacle::Quota, pass.now);
+        }
+    }
+    // Neglected steps that can't be placed must not hide the others.
+    pass.failedSearches = 0;
+}
+
 void Dispatcher::recordMissingWorkers(const ServiceSteps &steps, SteadyTimeMs now)
 {
     for (const auto &[key, lane] : steps.lanes) {
@@ -166,15 +213,30 @@
     }
 }
 
+void Dispatcher::recordLongRunningSteps(const JobRecord &job, SteadyTimeMs now)
+{
+    if (!dandelionloom::isLongRunning(job.spec)) {
+        return;
+    }
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const StepKey key{job.spec.id, occurrence, step};
+            if (m_waiting.contains(key)) {
+                recordObstacle(key, PlacementObstacle::NotSearched, now);
+            }
+        }
+    }
+}
+
 void Dispatcher::recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now)
 {
-    if (m_state.job(key.job)->spec.steps[key.step].longRunning) {
-        const std::vector<std::uint32_t> &indices = m_waiting.at(key).indices;
-        const auto waits = std::find_if(indices.begin(), indices.end(), [&](std::uint32_t index) {
-            return !m_proposed.contains({key.job, key.occurrence, key.step, index});
-        });
-        if (waits != indices.end()) {
-            m_longRunningWaits.record({key.job, key.occurrence, key.step, *waits}, obstacle, now);
+    if (!m_state.job(key.job)->spec.steps[key.step].longRunning) {
+        return;
+    }
+    for (const std::uint32_t index : m_waiting.at(key).indices) {
+        const TaskKey task{key.job, key.occurrence, key.step, index};
+        if (!m_proposed.contains(task)) {
+            m_longRunningWaits.record(task, obstacle, now);
         }
     }
 }
@@ -240,6 +302,9 @@
 
 bool Dispatcher::placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass)
 {
+    if (pass.neglected.contains(position.key)) {
+        return true;
+    }
     const std::uint32_t index = m_waiting.at(position.key).indices.front();
     if (!isAllowedByQuota(lane, pass)) {
         holdLane(lane, position, index, pass);
@@ -273,6 +338,10 @@
     if (isKnownUnmet(pass, step, need)) {
         ++m_waitCounts.capacity;
         recordObstacle(key, PlacementObstacle::SmallerNeedUnmet, pass.now);
+        // Which workers the advice allows is not known yet.
+        if (step.longRunning && !job.queue.needsAdvice) {
+            holdWorkersFor(waiting, waiting.indices.front(), nullptr, pass);
+        }
         return true;
     }
     const Tickets *tickets = nullptr;
@@ -297,15 +366,15 @@
             holdLane(lane, position, index, pass);
             return false;
         }
-        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
+        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.now);
         if (!worker) {
             ++pass.failedSearches;
             ++m_waitCounts.capacity;
-            const bool isSpread = isSpreadKept(job, step, pass.wallNow);
+            const bool isSpread = isSpreadKept(job, step, pass.now);
             recordObstacle(key, isSpread ? PlacementObstacle::Spread : PlacementObstacle::Capacity,
                            pass.now);
             if (step.longRunning) {
-                holdWorkerFor(task, pass);
+                holdWorkersFor(waiting, index, tickets, pass);
             }
             // Other limits concern this step only.
             const bool onlyNeed =
@@ -320,7 +389,30 @@
     return true;
 }
 
-void Dispatcher::holdWorkerFor(const TaskKey &task, PlacementPass &pass)
+bool Dispatcher::couldHold(const WorkerRecord &worker, const WorkerView &view,
+                           const TaskKey &task) const
+{
+    const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
+    return fits(needOf(task), worker.capacity - view.longRunningNeed)
+            && (step.maxPerWorker == 0 || runsOfStepOn(view, task) < step.maxPerWorker)
+            && hasRequiredLabel(worker, step);
+}
+
+void Dispatcher::holdWorkersFor(const WaitingStep &waiting, std::uint32_t first,
+                                const Tickets *tickets, PlacementPass &pass)
+{
+    for (const std::uint32_t index : waiting.indices) {
+        const TaskKey task{waiting.key.job, waiting.key.occurrence, waiting.key.step, index};
+        const bool isNeglected =
+                m_longRunningWaits.waitedMs(task, pass.now) >= m_options.longRunningWaitMs;
+        if ((index == first || (index > first && isNeglected))
+            && !holdWorkerFor(task, tickets, pass)) {
+            return;
+        }
+    }
+}
+
+bool Dispatcher::holdWorkerFor(const TaskKey &task, const Tickets *tickets, PlacementPass &pass)
 {
     // In a full pool, smaller tasks take each bit of capacity as it gets free, and a large one
     // never finds enough of it on one worker. The worker with the most free capacity gets ready
@@ -334,9 +426,9 @@
         const WorkerRecord &worker = *candidate->worker;
         const WorkerView &view = *candidate->view;
         const std::uint32_t perWorker = maxTasksPerWorker(step);
-        if (!fits(need, worker.capacity - view.longRunningNeed)
+        if (!couldHold(worker, view, task)
             || (perWorker > 0 && runsOfStepOn(view, task) >= perWorker)
-            || !hasRequiredLabel(worker, step)) {
+            || (tickets != nullptr && !tickets->byWorker.contains(worker.id))) {
             continue;
         }
         const auto share = [](std::int64_t amount, std::int64_t required) {
@@ -352,9 +444,11 @@
             best = candidate;
         }
     }
-    if (best != pass.candidates.end()) {
-        pass.candidates.erase(best);
+    if (best == pass.candidates.end()) {
+        return false;
     }
+    pass.candidates.erase(best);
+    return true;
 }
 
 std::uint32_t Dispatcher::runsOfStepOn(const WorkerView &view, const TaskKey &task)
@@ -379,16 +473,20 @@
     });
 }
 
-bool Dispatcher::isSpreadKept(const JobRecord &job, const StepSpec &step, WallTimeMs wallNow) const
+bool Dispatcher::isSpreadKept(const JobRecord &job, const StepSpec &step, SteadyTimeMs now) const
 {
-    return step.longRunning && step.maxUnavailable > 0
-            && wallNow - job.acceptedAtMs < m_options.spreadWaitMs;
+    if (!step.longRunning || step.maxUnavailable == 0) {
+        return false;
+    }
+    // The time of day of the acceptance is that of another instance, and either may be set.
+    const auto accepted = m_acceptedAt.find(job.spec.id);
+    const SteadyTimeMs since = accepted == m_acceptedAt.end() ? m_termStartedAt : accepted->second;
+    return now - since < m_options.spreadWaitMs;
 }
 
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
                                                     const Candidates &candidates,
-                                                    const Tickets *tickets,
-                                                    WallTimeMs wallNow) const
+                                                    const Tickets *tickets, SteadyTimeMs now) const
 {
     const StepSpec &step = job.spec.steps[task.step];
     const TaskResources need = reservedNeed(step);
@@ -423,7 +521,7 @@
         if (step.longRunning && step.maxUnavailable > 0
             && runsOfStepOn(view, task) >= step.maxUnavailable) {
             // Maintenance of the worker would exceed the disruption budget of the step.
-            if (isSpreadKept(job, step, wallNow)) {
+            if (isSpreadKept(job, step, now)) {
                 continue;
             }
             score -= spreadViolationPenalty;
@@ -458,7 +556,7 @@
     std::uint32_t run = 0;
     for (const std::uint32_t index : waiting.indices) {
         const TaskKey task{key.job, key.occurrence, key.step, index};
-        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.wallNow);
+        const auto worker = chooseWorker(job, task, pass.candidates, tickets, pass.now);
         if (!worker) {
             break;
         }
--- a/Source/Scheduling/LongRunningWaits.cpp
+++ b/Source/Scheduling/LongRunningWaits.cpp
@@ -35,6 +35,24 @@
     return reports;
 }
 
+std::int64_t LongRunningWaits::waitedMs(const TaskKey &task, SteadyTimeMs now) const
+{
+    const auto found = m_waits.find(task);
+    return found == m_waits.end() ? 0 : now - found->second.since;
+}
+
+std::vector<LongRunningWaits::Wait> LongRunningWaits::longerThan(std::int64_t milliseconds,
+                                                                 SteadyTimeMs now) const
+{
+    std::vector<Wait> waits;
+    for (const auto &[task, entry] : m_waits) {
+        if (now - entry.since >= milliseconds) {
+            waits.push_back({task, entry.obstacle, now - entry.since});
+        }
+    }
+    return waits;
+}
+
 std::int64_t LongRunningWaits::longestMs(SteadyTimeMs now) const
 {
     std::int64_t longest = 0;
--- a/Source/Scheduling/LongRunningWaits.h
+++ b/Source/Scheduling/LongRunningWaits.h
@@ -13,6 +13,8 @@
 
 /// Why a task got no worker in a placement pass.
 enum class PlacementObstacle {
+    /// Not searched a worker for yet.
+    NotSearched,
     /// The service has no worker that may get tasks.
     NoWorker,
     Quota,
@@ -24,8 +26,9 @@
     Spread,
     Capacity
 };
-inline constexpr EnumNames<PlacementObstacle, 6> placementObstacleNames{
-        {"no-worker", "quota", "advice", "smaller-need-unmet", "spread", "capacity"}};
+inline constexpr EnumNames<PlacementObstacle, 7> placementObstacleNames{
+        {"not-searched", "no-worker", "quota", "advice", "smaller-need-unmet", "spread",
+         "capacity"}};
 
 /// Long-running tasks that wait for a worker, with the time since when and the last obstacle. Owned
 /// by the leader's Dispatcher.
@@ -47,6 +50,10 @@
     /// Returns the tasks that have waited for a report interval since their first record or since
     /// they were returned last.
     std::vector<Wait> takeReports(SteadyTimeMs now);
+    /// 0 for a task that doesn't wait.
+    std::int64_t waitedMs(const TaskKey &task, SteadyTimeMs now) const;
+    /// Tasks that have waited for at least the given time.
+    std::vector<Wait> longerThan(std::int64_t milliseconds, SteadyTimeMs now) const;
     std::size_t size() const { return m_waits.size(); }
     /// Wait of the task that waits longest, in milliseconds; 0 if none waits.
     std::int64_t longestMs(SteadyTimeMs now) const;
