Runtime: Copy only the calls that wait elsewhere when the leader is known

Each answer of a leader copied the list of all unanswered calls. The test of a refusal by the successor now requires the reason, so that a call that ends by its deadline doesn't pass.

--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -1,6 +1,7 @@
 #include "Runtime/LeaderClient.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dandelionloom {
 
@@ -108,11 +109,12 @@
     if (m_leader.empty()) {
         return;
     }
-    // A copy, as calls whose deadline has passed are answered and removed.
-    const std::vector<std::shared_ptr<ForwardedCall>> unanswered(m_unanswered.begin(),
-                                                                 m_unanswered.end());
-    for (const std::shared_ptr<ForwardedCall> &forwarded : unanswered) {
-        if (forwarded->target != m_leader && !forwarded->answered) {
+    // Collected first, as calls whose deadline has passed are answered and removed.
+    std::vector<std::shared_ptr<ForwardedCall>> elsewhere;
+    std::copy_if(m_unanswered.begin(), m_unanswered.end(), std::back_inserter(elsewhere),
+                 [this](const auto &forwarded) { return forwarded->target != m_leader; });
+    for (const std::shared_ptr<ForwardedCall> &forwarded : elsewhere) {
+        if (!forwarded->answered) {
             // The next even number of attempts, which selects the leader.
             forwarded->attempts = (forwarded->attempts + 2) / 2 * 2;
             sendAttempt(forwarded);
--- a/Tests/Gateway/LeaderClientTest.cpp
+++ b/Tests/Gateway/LeaderClientTest.cpp
@@ -172,7 +172,7 @@
             JobCall call;
             call.path = path;
             client->call(call, steadyTimeNow() + 3000, [this, path](const JobCallAnswer &answer) {
-                signal.change([&] { answers.emplace_back(path, answer.outcome); });
+                signal.change([&] { answers.emplace_back(path, answer); });
             });
         });
     }
@@ -185,7 +185,7 @@
     int lost = 0;
     /// Paths of the calls that a leader handled, and the answers to the callers, in sequence.
     std::vector<std::string> handled;
-    std::vector<std::pair<std::string, JobCallOutcome>> answers;
+    std::vector<std::pair<std::string, JobCallAnswer>> answers;
     std::vector<std::unique_ptr<PeerTransport>> controls;
     std::unique_ptr<PeerTransport> transport;
     EventLoop loop;
@@ -289,8 +289,8 @@
             CPPUNIT_ASSERT(gateway.handled == expected);
         });
         section("each call is answered once", [&] {
-            for (const auto &[path, outcome] : gateway.answers) {
-                CPPUNIT_ASSERT(outcome == JobCallOutcome::Done);
+            for (const auto &[path, answer] : gateway.answers) {
+                CPPUNIT_ASSERT(answer.outcome == JobCallOutcome::Done);
             }
         });
         section("a refusal by the successor leaves open whether the job was accepted", [&] {
@@ -300,7 +300,9 @@
             gateway.outcome = JobCallOutcome::Busy;
             gateway.send("/third");
             CPPUNIT_ASSERT(gateway.signal.waitFor([&] { return gateway.answers.size() == 3; }));
-            CPPUNIT_ASSERT(gateway.answers.back().second == JobCallOutcome::Unknown);
+            const JobCallAnswer &answer = gateway.answers.back().second;
+            CPPUNIT_ASSERT(answer.outcome == JobCallOutcome::Unknown);
+            CPPUNIT_ASSERT_EQUAL(std::string("earlier-attempt-unanswered"), answer.reason);
         });
     }
 };
