Consensus: Refuse votes in the present term while a leader's lease lasts

A voter that had just acknowledged a heartbeat could vote for another leader: it ignored requests of a higher term only, and had learnt the candidate's term from an answer in between. The earlier leader then acts on its lease beside the new one. Found in review by reading; no play has shown it.

Requests in the present term are ignored too while the contact is recent. Ruled out: clearing the contact when a term is learnt, as the lease counts on it.

RaftMessagesTest::voteWhileLeaseLasts failed before: "assertion failed, responsesTo(vote, later + 100).empty()". The consensus tests pass.

--- a/Source/Consensus/RaftElection.cpp
+++ b/Source/Consensus/RaftElection.cpp
@@ -67,8 +67,10 @@
     const bool preVote = request.kind == RaftMessageKind::PreVote;
     // A voter that has recently heard from its leader ignores vote requests. Otherwise a candidate
     // that can send but not receive would depose a working leader.
+    // A voter that has learnt the present term from an answer may have heard the leader of an
+    // earlier term since, whose lease lasts for as long as this contact is recent.
     if (m_role == RaftRole::Leader || hasRecentLeaderContact(now)) {
-        if (request.term > m_term) {
+        if (request.term > m_term || (!preVote && request.term == m_term)) {
             return;
         }
     }
--- a/Tests/Consensus/RaftMessagesTest.cpp
+++ b/Tests/Consensus/RaftMessagesTest.cpp
@@ -71,10 +71,29 @@
     CPPUNIT_TEST(refusedMessages);
     CPPUNIT_TEST(staleMessages);
     CPPUNIT_TEST(votes);
+    CPPUNIT_TEST(voteWhileLeaseLasts);
     CPPUNIT_TEST(syncBeforeAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a second leader while the lease of the first one lasts: a voter that has
+    /// learnt a higher term from an answer granted its vote although it had just heard the leader.
+    void voteWhileLeaseLasts()
+    {
+        Voter voter;
+        CPPUNIT_ASSERT(voter.responsesTo(request(RaftMessageKind::Append, 4, 3, 3)).at(0).accepted);
+        RaftMessage refusal = request(RaftMessageKind::PreVoteResponse, 5, 0, 0);
+        refusal.from = third;
+        voter.responsesTo(refusal, later + 50);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), voter.raft->term());
+        RaftMessage vote = request(RaftMessageKind::Vote, 5, 3, 3);
+        vote.from = third;
+        section("no vote while the contact with the leader is recent",
+                [&] { CPPUNIT_ASSERT(voter.responsesTo(vote, later + 100).empty()); });
+        section("the same request is granted after it",
+                [&] { CPPUNIT_ASSERT(voter.responsesTo(vote, later + 700).at(0).accepted); });
+    }
+
     /// Guards against a crash on truncated messages and unknown message kinds.
     void damagedBytes()
     {
