Scheduling: Send nothing to a restarted worker while its restart is recorded

Since a worker that has restarted under its id waits for its announcement, its view stayed in use until the change was applied, and a run that was assigned before could start on the new incarnation, which may serve another pool.

LostRunsTest::orderBeforeRestartIsRecorded failed before: expected 0 starts, actual 1.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -136,8 +136,8 @@
             // announcement tells.
             m_changes.emplace_back(WorkerLeft{worker, record->startTimeMs});
             m_decisions.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
-            view.nextRenewAt = now + m_options.retryMs;
-            return;
+            // No order reaches it until the change is applied.
+            view.renewedAt = 0;
         }
         view.nextRenewAt = now + m_options.retryMs;
         return;
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -225,6 +225,8 @@
             waits.push_back(decision);
         } else if (decision.decision == "long-running-waits") {
             longRunningWaits.push_back(decision);
+        } else if (decision.decision == "worker-restarted") {
+            restarts.push_back(decision);
         } else if (decision.decision == "reserve") {
             reservations.push_back(decision);
         }
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -144,6 +144,8 @@
     std::vector<DispatchDecision> waits;
     /// Reports of long-running tasks that have waited for long.
     std::vector<DispatchDecision> longRunningWaits;
+    /// Workers found to have restarted by their answers.
+    std::vector<DispatchDecision> restarts;
     /// Decisions to reserve quota for a step.
     std::vector<DispatchDecision> reservations;
     /// Digest of all placements with their times, in order.
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(endListedDuringLoss);
     CPPUNIT_TEST(endListedBeforeNextStart);
     CPPUNIT_TEST(restartWithOtherService);
+    CPPUNIT_TEST(orderBeforeRestartIsRecorded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +110,27 @@
             CPPUNIT_ASSERT_EQUAL(std::string("stock"), fleet.state.worker("w1")->service);
         });
     }
+
+    /// Guards against starts on a worker that has restarted under its id, while the restart is
+    /// being recorded.
+    void orderBeforeRestartIsRecorded()
+    {
+        FleetSimulation fleet(44);
+        setUpFleet(fleet, 1);
+        fleet.commitMs = 2000;
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.runUntil("the proposed assignment", 3000,
+                       [&] { return !fleet.dispatcher->view("w1")->reserved.empty(); });
+        fleet.workers.at("w1").record.startTimeMs += 1;
+        fleet.runUntil("the answer of the new incarnation", 1900,
+                       [&] { return !fleet.restarts.empty(); });
+        fleet.runUntil("the assignment", 2000, [&] {
+            return fleet.state.task({std::string("a"), 0, 0, 0})->phase == TaskPhase::Assigned;
+        });
+        fleet.run(100);
+        CPPUNIT_ASSERT(fleet.state.worker("w1") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(0U, fleet.starts);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
