Scheduling: End the runs of a worker that restarted with an earlier clock

A long-running task stayed assigned, and ran nowhere, after its worker had restarted under its id with its clock set back: the answers of the new incarnation were taken for those of an earlier one and ignored without counting as failed renewals, so that the lease never expired.

They count as failed now. Ruled out: recording the earlier start as the present one, as a delayed announcement of the other incarnation would then end runs that go on.

LostRunsTest::restartWithEarlierClock failed before: "timed out after 9000 ms waiting for the next run, a run 1 on w1, w1 renew failures 0 answered 9130 ms ago".

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -138,6 +138,10 @@
             m_decisions.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
             // No order reaches it until the change is applied.
             view.renewedAt = 0;
+        } else {
+            // Another incarnation, whose clock may have been set back, says nothing of the runs of
+            // the recorded one: their leases expire.
+            ++view.renewFailures;
         }
         view.nextRenewAt = now + m_options.retryMs;
         return;
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(endListedBeforeNextStart);
     CPPUNIT_TEST(restartWithOtherService);
     CPPUNIT_TEST(orderBeforeRestartIsRecorded);
+    CPPUNIT_TEST(restartWithEarlierClock);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +132,21 @@
         CPPUNIT_ASSERT(fleet.state.worker("w1") != nullptr);
         CPPUNIT_ASSERT_EQUAL(0U, fleet.starts);
     }
+
+    /// Guards against a long-running task that stays assigned to a worker which has restarted under
+    /// its id with its clock set back: nothing ended its run (chamdakam-loom-grown: LOST).
+    void restartWithEarlierClock()
+    {
+        FleetSimulation fleet(45);
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+        fleet.runUntil("the start", 1000, [&] { return fleet.runningCount("a") == 1; });
+        const std::string first = fleet.workers.at("w1").running.empty() ? "w2" : "w1";
+        FakeWorker &worker = fleet.workers.at(first);
+        worker.record.startTimeMs -= 1;
+        worker.running.clear();
+        fleet.runUntil("the next run", 9000, [&] { return fleet.runningCount("a") == 1; });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
