Runtime: End the authority of orders when the lease is lost

A lease that is lost is published without an end, which the HTTP client took for an order without a time limit: the case for which the limit was made. Found in review; the window is a few instructions and has no test of its own.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -581,7 +581,11 @@
 
 OrderAuthority JobService::orderAuthority() const
 {
-    return {m_options.name, m_status.term, m_journal->lease().until};
+    // An order without an end of its authority could be sent at any time, so that a lease which has
+    // been lost ends in the past.
+    const LeaderLease lease = m_journal->lease();
+    const bool holds = lease.term == m_status.term && lease.until > 0;
+    return {m_options.name, m_status.term, holds ? lease.until : 1};
 }
 
 void JobService::carryOut(const MaintenanceOrders &orders)
