Runtime: Send waiting calls to a leader only once it answers

A hint of an instance that is cut off may name an earlier leader, and all calls in progress were sent to it. They follow when the named instance says that it leads. LeaderClientTest: 6 passed.

--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -308,7 +308,6 @@
             m_followedHint = true;
             m_locateAttempts += m_locateAttempts % 2;
             sendLocate();
-            redirectToLeader();
         }
     }
 }
