Scheduling: Bound the search for workers to hold, and leave out best-effort runs

A best-effort run that lasts may find no capacity left on a sound worker, so that a lack of progress while it starts shows nothing: it is not moved.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -185,6 +185,8 @@
         std::set<StepKey> neglected;
         /// Steps that wait for advice or for which no worker was found.
         std::uint32_t failedSearches = 0;
+        /// Tasks for which no worker could be held.
+        std::uint32_t failedHolds = 0;
     };
 
     // Runs and leases. The cost of a change must depend only on what it affects: a deployment of
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -254,6 +254,10 @@
         if (job == nullptr || job->spec.steps[task.step].gang) {
             continue;
         }
+        // A best-effort task that lasts may find all capacity of a sound worker in use.
+        if (isLongRunning(task) && isBestEffort(task)) {
+            continue;
+        }
         // Of a task with a latency target the reading is a latency, which shows no work.
         if (run.reading != 0 && job->spec.steps[task.step].targetMs == 0) {
             continue;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -146,7 +146,7 @@
             recordMissingWorkers(steps, now);
             continue;
         }
-        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, {}, 0};
+        PlacementPass pass{std::move(candidates), now, wallNow, orders, heldNeeds, {}, {}, 0, 0};
         const auto first = neglected.find(service);
         if (first != neglected.end()) {
             placeNeglectedSteps(first->second, pass);
@@ -339,7 +339,7 @@
         ++m_waitCounts.capacity;
         recordObstacle(key, PlacementObstacle::SmallerNeedUnmet, pass.now);
         // Which workers the advice allows is not known yet.
-        if (step.longRunning && !job.queue.needsAdvice) {
+        if (step.longRunning && !job.queue.needsAdvice && pass.failedHolds < maxFailedSearches) {
             holdWorkersFor(waiting, waiting.indices.front(), nullptr, pass);
         }
         return true;
@@ -445,6 +445,7 @@
         }
     }
     if (best == pass.candidates.end()) {
+        ++pass.failedHolds;
         return false;
     }
     pass.candidates.erase(best);
