--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -74,9 +74,8 @@
     /// counts as neglected.
     std::int64_t spreadWaitMs = 2000;
     /// Time without a worker after which a long-running task asks for an instance of another pool,
-    /// and is placed before all other tasks.
-    /// It counts as neglected after 3 s; the move takes 1.5 s, and the listing that shows the
-    /// instance and the start of the task the rest.
+    /// and is placed before all other tasks. It counts as neglected after 3 s; the move takes 1.5
+    /// s, and the listing that shows the instance and the start of the task the rest.
     std::int64_t longRunningWaitMs = 1000;
     /// Time for which other tasks of a team may pass one that the team's quota holds. After it, the
     /// quota that gets free is kept for the held task; 0 or less for never. Held tasks start within
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -472,11 +472,12 @@
 bool Dispatcher::evictOneTask(const std::string &worker, SteadyTimeMs now)
 {
     const auto task = m_disruptionBudgets.taskToEvict(worker, now);
-    if (!task) {
+    const WorkerRecord *record = m_state.worker(worker);
+    if (!task || record == nullptr) {
         return false;
     }
     // Without another worker for it, the task would only be unavailable.
-    const Candidates others = candidatesOf(m_state.worker(worker)->service, now);
+    const Candidates others = candidatesOf(record->service, now);
     const bool canMove = std::any_of(others.begin(), others.end(), [&](const Candidate &other) {
         return other.worker->id != worker && couldHold(*other.worker, *other.view, *task);
     });
