Scheduling: Tell which lease a lost worker's tasks have waited for

The hypotheses on late and early give-ups of workers could not be told apart: the log didn't say whether the leases of this leader or those of earlier ones were waited for, and no metric showed for how long workers are silent or how late the leader's event loop is. No decision changes.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -421,6 +421,12 @@
                     static_cast<double>(longRunning.size()));
     m_metrics.gauge("dandelionloom_long_running_longest_wait_seconds", "",
                     static_cast<double>(longRunning.longestMs(now)) / 1000);
+    const SilentWorkers silent = m_dispatcher.silentWorkers(now);
+    m_metrics.gauge("dandelionloom_silent_workers", "", silent.count);
+    m_metrics.gauge("dandelionloom_longest_worker_silence_seconds", "",
+                    static_cast<double>(silent.longestMs) / 1000);
+    m_metrics.gauge("dandelionloom_scheduler_lag_seconds", "",
+                    static_cast<double>(m_lagMs) / 1000);
     m_metrics.gauge("dandelionloom_oldest_renewal_seconds", "",
                     static_cast<double>(m_dispatcher.oldestRenewalMs(now)) / 1000);
 }
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -111,6 +111,7 @@
     if (!isOk(answer)) {
         const CallFault fault = errorOf(answer);
         ++view.renewFailures;
+        view.silentSince = view.silentSince == 0 ? now : view.silentSince;
         // Retries at once after the first failure: one lost answer says little about the worker,
         // and the ends of its runs are only reported by renewals.
         view.nextRenewAt = view.renewFailures == 1 ? now : now + m_options.retryMs;
@@ -154,6 +155,7 @@
         m_decisions.push_back({"worker-back", {}, 0, worker, "answered", -1});
     }
     view.renewFailures = 0;
+    view.silentSince = 0;
     view.clockMs = list.clockMs;
     view.clockAt = now;
     view.renewedAt = now;
@@ -553,6 +555,18 @@
     });
 }
 
+SilentWorkers Dispatcher::silentWorkers(SteadyTimeMs now) const
+{
+    SilentWorkers silent;
+    for (const auto &[id, view] : m_workers) {
+        if (view.renewFailures >= 2 && !view.runs.empty()) {
+            ++silent.count;
+            silent.longestMs = std::max(silent.longestMs, now - view.silentSince);
+        }
+    }
+    return silent;
+}
+
 std::int64_t Dispatcher::oldestRenewalMs(SteadyTimeMs now) const
 {
     std::int64_t oldest = 0;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -45,6 +45,14 @@
     std::uint32_t notSearched = 0;
 };
 
+/// Workers with tasks that have left at least two renewals in a row unanswered.
+struct SilentWorkers
+{
+    std::uint32_t count = 0;
+    /// Time since the first unanswered renewal, in milliseconds; 0 if there are none.
+    std::int64_t longestMs = 0;
+};
+
 /// Places tasks on workers and maintains the workers' leases, for the leader. A state machine
 /// without I/O, clock or threads: it takes events and the current time, and returns orders with the
 /// reasons for them. In a new term everything beyond SchedulerState is rebuilt from the answers of
@@ -138,6 +146,7 @@
     const WaitCounts &waitCounts() const { return m_waitCounts; }
     /// Long-running tasks that had no worker after the last placement pass.
     const LongRunningWaits &longRunningWaits() const { return m_longRunningWaits; }
+    SilentWorkers silentWorkers(SteadyTimeMs now) const;
     /// Age of the renewal that has waited longest for its answer, in milliseconds; 0 if none waits.
     std::int64_t oldestRenewalMs(SteadyTimeMs now) const;
 
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -332,11 +332,12 @@
             continue;
         }
         view.leasesExpired = true;
+        // Without a lease of its own, this leader has waited for those of earlier ones only.
         m_decisions.push_back({"worker-lost",
                                {},
                                0,
                                id,
-                               "lease-ended",
+                               view.leaseUntilMs > 0 ? "lease-ended" : "earlier-lease-ended",
                                view.renewedAt == 0 ? -1 : now - view.renewedAt});
         for (const auto &[task, run] : view.runs) {
             proposeEnd(task, run.run, RunOutcome::WorkerLost, {});
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -59,6 +59,8 @@
     /// may still accept orders of an earlier leader.
     SteadyTimeMs renewedAt = 0;
     std::uint32_t renewFailures = 0;
+    /// Time of the first failed renewal of the present series; 0 if the last one was answered.
+    SteadyTimeMs silentSince = 0;
     /// Consecutive unanswered orders.
     std::uint32_t unansweredOrders = 0;
     /// A stop order was confirmed since the last renewal was sent: the next one shows whether the
