--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -19,6 +19,11 @@
     fleet.run(100);
 }
 
+/// Longest time from the last lease of a worker that is lost, or from the change of the leader that
+/// granted it, until its long-running tasks run elsewhere. The users count a task as neglected from
+/// 6 s after its last run.
+constexpr std::int64_t replacementMs = 6000;
+
 bool isCompleted(const FleetSimulation &fleet, const std::string &job)
 {
     return fleet.state.job(job) != nullptr && fleet.phaseOf(job) == JobPhase::Completed;
@@ -35,6 +40,8 @@
     CPPUNIT_TEST(restartWithOtherService);
     CPPUNIT_TEST(orderBeforeRestartIsRecorded);
     CPPUNIT_TEST(restartWithEarlierClock);
+    CPPUNIT_TEST(lossAcrossLeaderChanges);
+    CPPUNIT_TEST(lossTogetherWithLeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +154,39 @@
         worker.running.clear();
         fleet.runUntil("the next run", 9000, [&] { return fleet.runningCount("a") == 1; });
     }
+
+    /// Guards against a long-running task that stays without a run because each new leader waits
+    /// anew for the leases of a worker that was lost before (chamdakam-loom-grown: LOST).
+    void lossAcrossLeaderChanges()
+    {
+        FleetSimulation fleet(46);
+        setUpFleet(fleet, 3);
+        fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+        fleet.runUntil("the start", 1000, [&] { return fleet.runningCount("a") == 1; });
+        fleet.run(1000);
+        fleet.crash(fleet.state.task({std::string("a"), 0, 0, 0})->worker);
+        const SteadyTimeMs lostAt = fleet.now;
+        for (const std::int64_t wait : {2000, 1500, 1500}) {
+            fleet.run(wait);
+            fleet.changeLeader();
+        }
+        fleet.runUntil("the next run", lostAt + replacementMs - fleet.now,
+                       [&] { return fleet.runningCount("a") == 1; });
+    }
+
+    /// Guards against a new leader that waits for longer leases than any leader has granted.
+    void lossTogetherWithLeader()
+    {
+        FleetSimulation fleet(47);
+        setUpFleet(fleet, 3);
+        fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+        fleet.run(8000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
+        fleet.crash(fleet.state.task({std::string("a"), 0, 0, 0})->worker);
+        fleet.changeLeader();
+        fleet.runUntil("the next run", replacementMs,
+                       [&] { return fleet.runningCount("a") == 1; });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
