--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -169,6 +169,7 @@
     }
     m_schedulerState = takeValue(std::move(restored));
     m_appliedIndex = index;
+    m_silences.restored(m_schedulerState, steadyTimeNow());
     rebuildTeams();
 }
 
@@ -188,6 +189,7 @@
     const std::string job = m_leading ? affectedJob(change) : std::string();
     const JobPhase before = phaseOf(job);
     m_schedulerState.apply(change);
+    m_silences.applied(change, m_schedulerState, steadyTimeNow());
     if (phaseOf(job) != before) {
         const JobRecord &ended = *m_schedulerState.job(job);
         m_predictedStarts.erase(job);
@@ -230,7 +232,7 @@
 {
     const SteadyTimeMs now = steadyTimeNow();
     m_leading = true;
-    m_dispatcher.beginTerm(now);
+    m_dispatcher.beginTerm(now, m_silences.leaseEnds());
     m_orderLog.releaseAll();
     m_maintenance.beginTerm(m_status.term);
     m_balancer.beginTerm(m_status.term, now);
@@ -425,8 +427,7 @@
     m_metrics.gauge("dandelionloom_silent_workers", "", silent.count);
     m_metrics.gauge("dandelionloom_longest_worker_silence_seconds", "",
                     static_cast<double>(silent.longestMs) / 1000);
-    m_metrics.gauge("dandelionloom_scheduler_lag_seconds", "",
-                    static_cast<double>(m_lagMs) / 1000);
+    m_metrics.gauge("dandelionloom_scheduler_lag_seconds", "", static_cast<double>(m_lagMs) / 1000);
     m_metrics.gauge("dandelionloom_oldest_renewal_seconds", "",
                     static_cast<double>(m_dispatcher.oldestRenewalMs(now)) / 1000);
 }
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -160,6 +160,7 @@
     std::shared_ptr<JobService *> m_alive;
 
     SchedulerState m_schedulerState;
+    SilenceLog m_silences;
     Dispatcher m_dispatcher;
     InstanceOrderLog m_orderLog;
     MaintenancePlanner m_maintenance;
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -93,12 +94,22 @@
     std::int64_t paceRestoreMs = 3000;
 };
 
-/// Upper bound of the time for which a lease is valid after the last renewal.
+/// Longest time that passes while a clock that runs slow by the fraction `drift` counts this time.
+inline std::int64_t slowClockMs(std::int64_t milliseconds, double drift)
+{
+    return static_cast<std::int64_t>(std::ceil(static_cast<double>(milliseconds) / (1 - drift)));
+}
+
+/// Upper bound of the time for which a lease of this length is valid after its last extension.
+inline std::int64_t leaseValidityMs(const DispatchOptions &options, std::int64_t leaseMs)
+{
+    return slowClockMs(leaseMs + options.leaseExpiryMarginMs, options.clockDrift);
+}
+
+/// The same for the longest lease that a worker grants.
 inline std::int64_t longestLeaseMs(const DispatchOptions &options)
 {
-    return static_cast<std::int64_t>(
-            static_cast<double>(options.maxLeaseMs + options.leaseExpiryMarginMs)
-            / (1 - options.clockDrift));
+    return leaseValidityMs(options, options.maxLeaseMs);
 }
 
 /// Entry of a worker's list of running tasks.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -35,11 +35,14 @@
       m_demand(state, m_durations, options.demand)
 { }
 
-void Dispatcher::beginTerm(SteadyTimeMs now)
+void Dispatcher::beginTerm(SteadyTimeMs now, SilenceLog::LeaseEnds leaseEnds)
 {
     endTerm();
     m_leads = true;
     m_termStartedAt = now;
+    m_earlierLeaseEnds = std::move(leaseEnds);
+    m_earlierLeaseMs = recordedLeaseLimitMs();
+    m_leaseLimitProposed = false;
     m_placementDirty = true;
     m_turnsUnknown = true;
     m_quotas = m_state.quotas();
@@ -61,6 +64,7 @@
 void Dispatcher::endTerm()
 {
     m_leads = false;
+    m_earlierLeaseEnds.clear();
     m_workers.clear();
     m_workersOfService.clear();
     m_sequences.clear();
@@ -110,8 +114,7 @@
     view.renewalInFlight = false;
     if (!isOk(answer)) {
         const CallFault fault = errorOf(answer);
-        ++view.renewFailures;
-        view.silentSince = view.silentSince == 0 ? now : view.silentSince;
+        onRenewalFailed(*record, view, now);
         // Retries at once after the first failure: one lost answer says little about the worker,
         // and the ends of its runs are only reported by renewals.
         view.nextRenewAt = view.renewFailures == 1 ? now : now + m_options.retryMs;
@@ -142,7 +145,7 @@
         } else {
             // Another incarnation, whose clock may have been set back, says nothing of the runs of
             // the recorded one: their leases expire.
-            ++view.renewFailures;
+            onRenewalFailed(*record, view, now);
         }
         view.nextRenewAt = now + m_options.retryMs;
         return;
@@ -156,6 +159,7 @@
     }
     view.renewFailures = 0;
     view.silentSince = 0;
+    recordAnswer(*record, view);
     view.clockMs = list.clockMs;
     view.clockAt = now;
     view.renewedAt = now;
@@ -182,6 +186,34 @@
     }
 }
 
+void Dispatcher::onRenewalFailed(const WorkerRecord &worker, WorkerView &view, SteadyTimeMs now)
+{
+    ++view.renewFailures;
+    view.silentSince = view.silentSince == 0 ? now : view.silentSince;
+    if (view.renewFailures >= 2) {
+        recordSilence(worker, view, now);
+    }
+}
+
+void Dispatcher::recordSilence(const WorkerRecord &worker, WorkerView &view, SteadyTimeMs now)
+{
+    if (view.runs.empty() || !mayExtendLease(worker.id, view)) {
+        return;
+    }
+    view.silenceProposed = true;
+    m_changes.emplace_back(
+            WorkerSilent{worker.id, worker.startTimeMs,
+                         std::max<std::int64_t>(leaseEnd(worker.id, view) - now, 0)});
+}
+
+void Dispatcher::recordAnswer(const WorkerRecord &worker, WorkerView &view)
+{
+    if (!view.answerProposed && !mayExtendLease(worker.id, view)) {
+        view.answerProposed = true;
+        m_changes.emplace_back(WorkerAnswered{worker.id, worker.startTimeMs});
+    }
+}
+
 void Dispatcher::onStartConfirmed(const TaskKey &task, RunView &run, SteadyTimeMs now)
 {
     if (run.state != RunState::Running) {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -16,6 +16,7 @@
 #include "Scheduling/QuotaReservations.h"
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/SilenceLog.h"
 #include "Scheduling/TeamQuota.h"
 #include "Scheduling/UnassignedRuns.h"
 #include "Scheduling/WaitingSteps.h"
@@ -63,7 +64,9 @@
     Dispatcher(const SchedulerState &state, DispatchOptions options);
 
     /// Starts a term as leader: each assigned run may be in any state from sent to ended.
-    void beginTerm(SteadyTimeMs now);
+    /// `leaseEnds` tells when the leases of silent workers end. Those of all others count as
+    /// extended until now.
+    void beginTerm(SteadyTimeMs now, SilenceLog::LeaseEnds leaseEnds = {});
     void endTerm();
     bool leads() const { return m_leads; }
 
@@ -244,6 +247,24 @@
     void removeDeregisteredWorkers();
     void purgeOldJobs(WallTimeMs wallNow);
     std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
+    /// False from the proposal that the worker is silent until it is recorded that it answers.
+    bool mayExtendLease(const std::string &worker, const WorkerView &view) const
+    {
+        return !view.silenceProposed && !m_state.isSilent(worker);
+    }
+    void onRenewalFailed(const WorkerRecord &worker, WorkerView &view, SteadyTimeMs now);
+    /// Proposes a record that the worker is silent, unless it is recorded or has no runs.
+    void recordSilence(const WorkerRecord &worker, WorkerView &view, SteadyTimeMs now);
+    /// Proposes a record that the worker answers, if it counts as silent.
+    void recordAnswer(const WorkerRecord &worker, WorkerView &view);
+    /// Time from which on the worker holds no lease of this leader or an earlier one, but for the
+    /// margin of late timers.
+    SteadyTimeMs leaseEnd(const std::string &worker, const WorkerView &view) const;
+    /// Longest lease that the journal allows leaders to request.
+    std::int64_t recordedLeaseLimitMs() const;
+    /// Proposes the length of the leases of this version as their limit, as soon as no longer ones
+    /// of earlier leaders can be valid.
+    void recordLeaseLimit(SteadyTimeMs now);
 
     // Placement.
     void placePendingSteps(SteadyTimeMs now, WallTimeMs wallNow, DispatchOrders &orders);
@@ -347,6 +368,11 @@
     const DispatchOptions m_options;
     bool m_leads = false;
     SteadyTimeMs m_termStartedAt = 0;
+    /// See beginTerm().
+    SilenceLog::LeaseEnds m_earlierLeaseEnds;
+    /// Limit of the leases of earlier leaders.
+    std::int64_t m_earlierLeaseMs = 0;
+    bool m_leaseLimitProposed = false;
     bool m_placementDirty = true;
     SteadyTimeMs m_nextPlacement = 0;
     WallTimeMs m_nextPurge = 0;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -34,6 +34,7 @@
     }
     m_wallOffsetMs = wallNow - now;
     m_disruptionBudgets.forgetAvailability();
+    recordLeaseLimit(now);
     endRunsWithExpiredLeases(now);
     if (m_placementDirty || now >= m_nextPlacement) {
         placePendingSteps(now, wallNow, orders);
@@ -55,7 +56,8 @@
 
 std::int64_t Dispatcher::extendLease(WorkerView &view, SteadyTimeMs now)
 {
-    const std::int64_t until = *view.clockMs + (now - view.clockAt) + m_options.leaseMs;
+    const std::int64_t until = *view.clockMs + (now - view.clockAt)
+            + std::min(m_options.leaseMs, recordedLeaseLimitMs());
     view.leaseUntilMs = std::max(view.leaseUntilMs, until);
     return view.leaseUntilMs;
 }
@@ -88,7 +90,7 @@
         view.ackCursor = order.ackCursor;
         // An unanswered renewal may still arrive. If each attempt extended the lease, the leases of
         // a lost worker would never count as expired.
-        if (view.clockMs && view.renewFailures == 0) {
+        if (view.clockMs && view.renewFailures == 0 && mayExtendLease(id, view)) {
             order.leaseUntilMs = extendLease(view, now);
         }
         if (view.renewedAt != 0 && view.renewFailures == 0
@@ -120,8 +122,9 @@
 {
     const WorkerRecord *record = m_state.worker(id);
     // Until its first answer in this term, the worker may still accept orders of an earlier leader.
-    const bool canSend =
-            record != nullptr && view.renewedAt != 0 && view.clockMs && view.renewFailures == 0;
+    // A start extends the leases of the worker.
+    const bool canSend = record != nullptr && view.renewedAt != 0 && view.clockMs
+            && view.renewFailures == 0 && mayExtendLease(id, view);
     bool pending = false;
     for (auto &[task, run] : view.runs) {
         if (run.state != RunState::ToSend || run.stopping) {
@@ -310,6 +313,36 @@
     }
 }
 
+SteadyTimeMs Dispatcher::leaseEnd(const std::string &worker, const WorkerView &view) const
+{
+    const auto silent = m_earlierLeaseEnds.find(worker);
+    const SteadyTimeMs earlier = silent == m_earlierLeaseEnds.end()
+            ? m_termStartedAt + slowClockMs(m_earlierLeaseMs, m_options.clockDrift)
+            : silent->second;
+    return std::max(earlier, view.ownLeaseEnd(m_options.clockDrift));
+}
+
+std::int64_t Dispatcher::recordedLeaseLimitMs() const
+{
+    const std::int64_t limit = m_state.leaseLimitMs();
+    return limit > 0 ? std::min(limit, m_options.maxLeaseMs) : m_options.maxLeaseMs;
+}
+
+void Dispatcher::recordLeaseLimit(SteadyTimeMs now)
+{
+    if (m_leaseLimitProposed || m_state.leaseLimitMs() == m_options.leaseMs) {
+        return;
+    }
+    const bool lowers = m_options.leaseMs < recordedLeaseLimitMs();
+    // Leases are granted to recorded workers only.
+    if (lowers && !m_state.workers().empty()
+        && now < m_termStartedAt + leaseValidityMs(m_options, m_earlierLeaseMs)) {
+        return;
+    }
+    m_leaseLimitProposed = true;
+    m_changes.emplace_back(LeaseLimitSet{m_options.leaseMs});
+}
+
 void Dispatcher::endRunsWithExpiredLeases(SteadyTimeMs now)
 {
     if (now < m_nextLeaseCheck) {
@@ -317,15 +350,16 @@
     }
     m_nextLeaseCheck = now + leaseCheckMs;
     m_placementDirty = m_unassignedRuns.forgetExpired(now) || m_placementDirty;
-    // The leases of an earlier leader are bounded by the longest lease that a worker grants.
-    const std::int64_t earlierLeaseMs = longestLeaseMs(m_options);
     for (auto &[id, view] : m_workers) {
         // A worker that answers lists the ended runs itself.
-        if (view.renewFailures == 0 || view.leasesExpired || view.runs.empty()
-            || now - m_termStartedAt < earlierLeaseMs) {
+        if (view.renewFailures == 0 || view.leasesExpired || view.runs.empty()) {
+            continue;
+        }
+        const SteadyTimeMs end = leaseEnd(id, view);
+        if (now < end) {
             continue;
         }
-        if (view.mayHoldLease(now, m_options)) {
+        if (now < end + leaseValidityMs(m_options, 0)) {
             continue;
         }
         if (m_state.worker(id) == nullptr) {
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -265,6 +265,13 @@
         }
         m_workersOfService.clear();
         m_demand.onWorkerJoined(joined->worker);
+    } else if (const auto *answered = std::get_if<WorkerAnswered>(&change)) {
+        const auto found = m_workers.find(answered->worker);
+        if (found != m_workers.end()) {
+            found->second.silenceProposed = false;
+            found->second.answerProposed = false;
+            queueStartsAndStops(answered->worker);
+        }
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_state.worker(left->worker) == nullptr) {
             removeWorker(left->worker);
--- a/Source/Scheduling/JobChanges.h
+++ b/Source/Scheduling/JobChanges.h
@@ -99,10 +99,39 @@
     MSGPACK_DEFINE_ARRAY(instance, term, worker)
 };
 
+/// The worker leaves renewals unanswered. Its leases are not extended between this record and the
+/// next WorkerAnswered, by any leader, so that each leader knows when they have ended.
+struct WorkerSilent
+{
+    std::string worker;
+    std::int64_t startTimeMs = 0;
+    /// Longest time in milliseconds, from the proposal of the record, for which the worker may hold
+    /// a lease.
+    std::int64_t leaseLeftMs = 0;
+    MSGPACK_DEFINE_ARRAY(worker, startTimeMs, leaseLeftMs)
+};
+
+/// The worker answers again; its leases may be extended from this record on.
+struct WorkerAnswered
+{
+    std::string worker;
+    std::int64_t startTimeMs = 0;
+    MSGPACK_DEFINE_ARRAY(worker, startTimeMs)
+};
+
+/// From this record on, no leader requests leases for longer. Recorded before longer ones are
+/// requested, and lowered once those have ended.
+struct LeaseLimitSet
+{
+    std::int64_t leaseMs = 0;
+    MSGPACK_DEFINE_ARRAY(leaseMs)
+};
+
 /// The index is stored on disk: new alternatives must be appended.
-using JobChange = std::variant<ConfigurationAccepted, JobAccepted, JobCancelled, RunAssigned,
-                               RunEnded, WorkerJoined, WorkerLeft, JobPurged, WaveStarted,
-                               MaintenanceBegun, InstanceOrdered>;
+using JobChange =
+        std::variant<ConfigurationAccepted, JobAccepted, JobCancelled, RunAssigned, RunEnded,
+                     WorkerJoined, WorkerLeft, JobPurged, WaveStarted, MaintenanceBegun,
+                     InstanceOrdered, WorkerSilent, WorkerAnswered, LeaseLimitSet>;
 
 struct JobChangeError
 {
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -261,6 +261,7 @@
     if (!sameIncarnation) {
         // A restarted worker runs nothing of its earlier incarnation.
         endRunsAsLost(change.worker.id);
+        m_silentWorkers.erase(change.worker.id);
     }
     // Draining ends with the incarnation: an announcement that says otherwise was sent before.
     const bool draining = change.worker.draining || (sameIncarnation && worker.draining);
@@ -273,6 +274,7 @@
     const auto found = m_workers.find(change.worker);
     if (found != m_workers.end() && found->second.startTimeMs <= change.startTimeMs) {
         m_workers.erase(found);
+        m_silentWorkers.erase(change.worker);
         endRunsAsLost(change.worker);
     }
     std::int64_t &startTimeMs = m_endedIncarnations[change.worker];
@@ -316,6 +318,22 @@
     found->second.finished.insert(change.instance);
 }
 
+void SchedulerState::on(const WorkerSilent &change)
+{
+    const WorkerRecord *known = worker(change.worker);
+    if (known != nullptr && known->startTimeMs == change.startTimeMs) {
+        m_silentWorkers[change.worker] = change.leaseLeftMs;
+    }
+}
+
+void SchedulerState::on(const WorkerAnswered &change)
+{
+    const WorkerRecord *known = worker(change.worker);
+    if (known != nullptr && known->startTimeMs == change.startTimeMs) {
+        m_silentWorkers.erase(change.worker);
+    }
+}
+
 std::string SchedulerState::encode() const
 {
     msgpack::sbuffer buffer;
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -83,6 +83,12 @@
     const WorkerRecord *worker(const std::string &id) const;
     /// True if this incarnation of the worker, or a later one, is known to have ended.
     bool hasLeft(const std::string &id, std::int64_t startTimeMs) const;
+    /// True if the leases of the recorded incarnation are not extended, see WorkerSilent.
+    bool isSilent(const std::string &worker) const { return m_silentWorkers.contains(worker); }
+    /// WorkerSilent::leaseLeftMs of the silent workers.
+    const std::map<std::string, std::int64_t> &silentWorkers() const { return m_silentWorkers; }
+    /// Longest lease that a leader requests, in milliseconds; 0 if none is recorded.
+    std::int64_t leaseLimitMs() const { return m_leaseLimitMs; }
     const std::map<std::uint64_t, MaintenanceWave> &waves() const { return m_waves; }
     /// Tasks assigned to a worker.
     const std::set<TaskKey> &tasksOf(const std::string &worker) const;
@@ -104,7 +110,9 @@
     std::string encode() const;
     static Result<SchedulerState, JobChangeError> decode(const std::string &bytes);
 
-    MSGPACK_DEFINE_ARRAY(m_configuration, m_jobs, m_workers, m_endedIncarnations, m_waves)
+    // Snapshots of earlier versions end before the later fields, which then stay empty.
+    MSGPACK_DEFINE_ARRAY(m_configuration, m_jobs, m_workers, m_endedIncarnations, m_waves,
+                         m_silentWorkers, m_leaseLimitMs)
 
 private:
     void on(const ConfigurationAccepted &change);
@@ -119,6 +127,9 @@
     void on(const MaintenanceBegun &change);
     /// Tracked by InstanceOrderLog, not here, as it is needed for a few seconds only.
     void on(const InstanceOrdered &) { }
+    void on(const WorkerSilent &change);
+    void on(const WorkerAnswered &change);
+    void on(const LeaseLimitSet &change) { m_leaseLimitMs = change.leaseMs; }
 
     TaskRecord *findTask(const TaskKey &key);
     void endRunsAsLost(const std::string &worker);
@@ -139,6 +150,8 @@
     /// it again.
     std::map<std::string, std::int64_t> m_endedIncarnations;
     std::map<std::uint64_t, MaintenanceWave> m_waves;
+    std::map<std::string, std::int64_t> m_silentWorkers;
+    std::int64_t m_leaseLimitMs = 0;
     /// Index of the assigned tasks by worker; derived from m_jobs and not stored.
     std::map<std::string, std::set<TaskKey>> m_tasksOfWorker;
     /// Use of the assigned tasks by team, and of the long-running ones among them; derived from
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -52,6 +52,9 @@
     SteadyTimeMs clockAt = 0;
     /// End of the latest lease requested by this leader, on the worker's clock.
     std::int64_t leaseUntilMs = 0;
+    /// Proposed in this term: that the worker is silent, and after it that the worker answers.
+    bool silenceProposed = false;
+    bool answerProposed = false;
     bool renewalInFlight = false;
     SteadyTimeMs renewSentAt = 0;
     SteadyTimeMs nextRenewAt = 0;
@@ -107,6 +110,12 @@
                 && clockLowerBound(now, options.clockDrift)
                 <= leaseUntilMs + options.leaseExpiryMarginMs;
     }
+    /// Time from which on the worker holds no lease of this leader; 0 if it never held one.
+    SteadyTimeMs ownLeaseEnd(double drift) const
+    {
+        return clockMs && leaseUntilMs > 0 ? clockAt + slowClockMs(leaseUntilMs - *clockMs, drift)
+                                           : 0;
+    }
     /// True if the worker has answered in this term, less than `maxAgeMs` ago.
     bool hasRecentAnswer(SteadyTimeMs now, std::int64_t maxAgeMs) const
     {
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
+
 #include "Scheduling/FleetSimulation.h"
 #include "Support/Section.h"
 
@@ -42,6 +44,8 @@
     CPPUNIT_TEST(restartWithEarlierClock);
     CPPUNIT_TEST(lossAcrossLeaderChanges);
     CPPUNIT_TEST(lossTogetherWithLeader);
+    CPPUNIT_TEST(answerThatIsNotRecorded);
+    CPPUNIT_TEST(partitionsAndLeaderChanges);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,8 +188,71 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
         fleet.crash(fleet.state.task({std::string("a"), 0, 0, 0})->worker);
         fleet.changeLeader();
-        fleet.runUntil("the next run", replacementMs,
-                       [&] { return fleet.runningCount("a") == 1; });
+        fleet.runUntil("the next run", replacementMs, [&] { return fleet.runningCount("a") == 1; });
+    }
+
+    /// Guards against a lease that is extended while the journal says that it is not: the next
+    /// leader would start the task elsewhere while it still runs.
+    void answerThatIsNotRecorded()
+    {
+        FleetSimulation fleet(49);
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+        fleet.run(8000);
+        FakeWorker &worker =
+                fleet.workers.at(fleet.state.task({std::string("a"), 0, 0, 0})->worker);
+        worker.partitioned = true;
+        fleet.runUntil("the record of the silence", 2500,
+                       [&] { return fleet.state.isSilent(worker.record.id); });
+        section("the worker answers, and the leader changes before that is recorded", [&] {
+            fleet.commitMs = 5000;
+            worker.partitioned = false;
+            fleet.run(1500);
+            CPPUNIT_ASSERT(fleet.dispatcher->view(worker.record.id)->renewFailures == 0);
+            worker.partitioned = true;
+            fleet.commitMs = 20;
+            fleet.changeLeader();
+        });
+        section("the task runs elsewhere once it has ended there", [&] {
+            fleet.runUntil("the end of the lease", 6000, [&] { return worker.running.empty(); });
+            fleet.runUntil("the next run", 2000, [&] { return fleet.runningCount("a") == 1; });
+        });
+    }
+
+    /// Guards against a worker that is given up while it holds a lease, or much later, when
+    /// partitions and changes of the leader overlap. Each start is checked by the simulation.
+    void partitionsAndLeaderChanges()
+    {
+        for (std::uint64_t seed = 100; seed < 140; ++seed) {
+            std::mt19937_64 random(seed);
+            const auto upTo = [&random](std::int64_t most) {
+                return std::uniform_int_distribution<std::int64_t>(0, most)(random);
+            };
+            FleetSimulation fleet(seed);
+            fleet.durationOf = [](const TaskKey &task) { return 500 + 700 * (task.index % 5); };
+            setUpFleet(fleet, 5);
+            fleet.submit("lasting", "quotes", {longRunningStep(4, 1)});
+            for (int round = 0; round < 20; ++round) {
+                fleet.submit("short" + std::to_string(round), "quotes", {shortStep(10)});
+                fleet.commitMs = 5 + upTo(150);
+                FakeWorker &worker = fleet.workers.at("w" + std::to_string(1 + upTo(4)));
+                worker.partitioned = !worker.partitioned;
+                fleet.run(upTo(1500));
+                if (upTo(2) == 0) {
+                    fleet.changeLeader();
+                }
+            }
+            for (auto &[id, worker] : fleet.workers) {
+                worker.partitioned = false;
+            }
+            fleet.run(replacementMs);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::size_t(4),
+                                         fleet.runningCount("lasting"));
+            for (int round = 0; round < 20; ++round) {
+                fleet.runUntil("a short job", 8000,
+                               [&] { return isCompleted(fleet, "short" + std::to_string(round)); });
+            }
+        }
     }
 };
 
