Scheduling: Ask a silent worker once more when its leases have ended

A worker was given up 0.5 s after the end of its lease, on failures from before that end. Through a relay a call takes 0.55 s to fail and is repeated 0.25 s later, so that a worker which could be reached again when its lease ended was not always asked in between; its tasks started elsewhere, and it listed them as done afterwards.

A worker is now given up only if a renewal has failed that was sent after the end of its leases, and one is sent at once then. Calls that are made during a partition are lost in the simulation; before, they were answered after it.

LostRunsTest::reachableAtEndOfLease: without the condition 16 starts in place of 8 with a time-out of 525 ms, which is about that of a relayed call; with it 8 starts with time-outs of 300 to 1,000 ms.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -189,6 +189,7 @@
 void Dispatcher::onRenewalFailed(const WorkerRecord &worker, WorkerView &view, SteadyTimeMs now)
 {
     ++view.renewFailures;
+    view.failedRenewalSentAt = view.renewSentAt;
     view.silentSince = view.silentSince == 0 ? now : view.silentSince;
     if (view.renewFailures >= 2) {
         recordSilence(worker, view, now);
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -359,6 +359,12 @@
         if (now < end) {
             continue;
         }
+        // The answer to a call that is made when the leases have ended would tell how the runs have
+        // ended. Only without one do the tasks start elsewhere.
+        if (view.failedRenewalSentAt < end) {
+            view.nextRenewAt = std::min(view.nextRenewAt, now);
+            continue;
+        }
         if (now < end + leaseValidityMs(m_options, 0)) {
             continue;
         }
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -57,6 +57,8 @@
     bool answerProposed = false;
     bool renewalInFlight = false;
     SteadyTimeMs renewSentAt = 0;
+    /// Time at which the last renewal that failed was sent.
+    SteadyTimeMs failedRenewalSentAt = 0;
     SteadyTimeMs nextRenewAt = 0;
     /// Time of the last answered renewal of this term; 0 before the first. Until then the worker
     /// may still accept orders of an earlier leader.
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -629,8 +629,8 @@
             continue;
         }
         FakeWorker &worker = found->second;
-        worker.pendingRenewal = FakeWorker::PendingRenewal{order.ackCursor, now + order.waitMs,
-                                                           term, isAnswerLost()};
+        worker.pendingRenewal = FakeWorker::PendingRenewal{
+                order.ackCursor, now + order.waitMs, term, isAnswerLost() || worker.partitioned};
         if (worker.up && !worker.partitioned) {
             worker.fence = std::max(worker.fence, term);
             if (order.leaseUntilMs) {
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(restartWithEarlierClock);
     CPPUNIT_TEST(lossAcrossLeaderChanges);
     CPPUNIT_TEST(lossTogetherWithLeader);
+    CPPUNIT_TEST(reachableAtEndOfLease);
     CPPUNIT_TEST(answerThatIsNotRecorded);
     CPPUNIT_TEST(partitionsAndLeaderChanges);
     CPPUNIT_TEST_SUITE_END();
@@ -191,6 +192,30 @@
         fleet.runUntil("the next run", replacementMs, [&] { return fleet.runningCount("a") == 1; });
     }
 
+    /// Guards against tasks that start again, after they are done, because their worker was given
+    /// up without being asked once more when its lease had ended (sweep of chamdakam-loom: TWICE).
+    void reachableAtEndOfLease()
+    {
+        for (std::int64_t marginMs = 300; marginMs <= 1000; marginMs += 25) {
+            FleetSimulation fleet(48);
+            fleet.dispatchOptions.calls.renewalMarginMs = marginMs;
+            fleet.durationOf = [](const TaskKey &) { return 1500; };
+            setUpFleet(fleet, 2);
+            // Until then the leases of earlier leaders may last longer than those of this one.
+            fleet.run(8000);
+            fleet.submit("a", "quotes", {shortStep(8)});
+            fleet.runUntil("the starts", 1000, [&] { return fleet.starts == 8; });
+            FakeWorker &worker = fleet.workers.at("w1");
+            worker.partitioned = true;
+            fleet.runUntil("the end of the lease", 6000,
+                           [&] { return fleet.now >= worker.leaseUntil; });
+            worker.partitioned = false;
+            fleet.runUntil("the job", 4000, [&] { return isCompleted(fleet, "a"); });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("time-out " + std::to_string(marginMs) + " ms", 8U,
+                                         fleet.starts);
+        }
+    }
+
     /// Guards against a lease that is extended while the journal says that it is not: the next
     /// leader would start the task elsewhere while it still runs.
     void answerThatIsNotRecorded()
