--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -52,13 +52,20 @@
     SteadyTimeMs clockAt = 0;
     /// End of the latest lease requested by this leader, on the worker's clock.
     std::int64_t leaseUntilMs = 0;
+    /// Proposed in this term: that the worker is silent, and after it that the worker answers.
+    bool silenceProposed = false;
+    bool answerProposed = false;
     bool renewalInFlight = false;
     SteadyTimeMs renewSentAt = 0;
+    /// Time at which the last renewal that failed was sent.
+    SteadyTimeMs failedRenewalSentAt = 0;
     SteadyTimeMs nextRenewAt = 0;
     /// Time of the last answered renewal of this term; 0 before the first. Until then the worker
     /// may still accept orders of an earlier leader.
     SteadyTimeMs renewedAt = 0;
     std::uint32_t renewFailures = 0;
+    /// Time of the first failed renewal of the present series; 0 if the last one was answered.
+    SteadyTimeMs silentSince = 0;
     /// Consecutive unanswered orders.
     std::uint32_t unansweredOrders = 0;
     /// A stop order was confirmed since the last renewal was sent: the next one shows whether the
@@ -105,6 +112,12 @@
                 && clockLowerBound(now, options.clockDrift)
                 <= leaseUntilMs + options.leaseExpiryMarginMs;
     }
+    /// Time from which on the worker holds no lease of this leader; 0 if it never held one.
+    SteadyTimeMs ownLeaseEnd(double drift) const
+    {
+        return clockMs && leaseUntilMs > 0 ? clockAt + slowClockMs(leaseUntilMs - *clockMs, drift)
+                                           : 0;
+    }
     /// True if the worker has answered in this term, less than `maxAgeMs` ago.
     bool hasRecentAnswer(SteadyTimeMs now, std::int64_t maxAgeMs) const
     {
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -141,7 +141,7 @@
             std::make_unique<MaintenancePlanner>(state, *dispatcher, orderLog, maintenanceOptions);
     balancer = std::make_unique<PoolBalancer>(state, *dispatcher, orderLog, *maintenance,
                                               balancerOptions);
-    dispatcher->beginTerm(now);
+    dispatcher->beginTerm(now, m_silences.leaseEnds());
     orderLog.releaseAll();
     maintenance->beginTerm(term);
     balancer->beginTerm(term, now);
@@ -275,6 +275,7 @@
         m_commits.pop_front();
         measureProcessorTime([&] {
             state.apply(change);
+            m_silences.applied(change, state, now);
             dispatcher->applied(change, now);
         });
         if (const auto *accepted = std::get_if<JobAccepted>(&change)) {
@@ -628,8 +629,8 @@
             continue;
         }
         FakeWorker &worker = found->second;
-        worker.pendingRenewal = FakeWorker::PendingRenewal{order.ackCursor, now + order.waitMs,
-                                                           term, isAnswerLost()};
+        worker.pendingRenewal = FakeWorker::PendingRenewal{
+                order.ackCursor, now + order.waitMs, term, isAnswerLost() || worker.partitioned};
         if (worker.up && !worker.partitioned) {
             worker.fence = std::max(worker.fence, term);
             if (order.leaseUntilMs) {
