EventLoop: Judge time-outs after the input that arrived before them

Cause: the time-outs of calls were compared with the present time after the events of one wait had been handled. Answers that had arrived since that wait returned were still in the sockets, so a loop that was busy for longer than a call may take ended calls that were answered. With more than 2,048 sockets ready, the answers behind them were not read either.

Ruled out: running all timers that late. Steps and the collection of results would then wait for one more round of events under load.

Change: EventLoop::startTimeout() runs a task once all input that had arrived when its time came has been handled. The calls of the HTTP client and of the peer client use it, as do connecting, the hello and the check for silent connections. The loop repeats a wait that returned as many events as fit until each descriptor has had its turn, so that timers don't starve.

--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -102,7 +102,7 @@
     const std::string address = call.address;
     const Milliseconds timeout = call.timeout;
     Pending pending{std::move(call), std::move(callback), {}, 0};
-    pending.timer = m_loop.startTimer(timeout, [this, id] { onTimeout(id); });
+    pending.timer = m_loop.startTimeout(timeout, [this, id] { onTimeout(id); });
     m_calls.emplace(id, std::move(pending));
     m_pools[address].waiting.push_back(id);
     dispatchWaiting(address);
--- a/Source/Adapters/Peers/EventLoop.cpp
+++ b/Source/Adapters/Peers/EventLoop.cpp
@@ -1,6 +1,5 @@
 #include "Adapters/Peers/EventLoop.h"
 
-#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -16,9 +15,7 @@
 constexpr EventLoop::WatchId wakeWatchId = 0;
 constexpr int maxWaitMs = 60000;
 
-/// Large enough for one wait to return the events of all connections, so that every response that
-/// has arrived is read before timers can time out its call. A leader has about 350 workers with
-/// four connections each.
+/// Large enough for one wait to return the events of most connections, which saves system calls.
 constexpr std::size_t maxEventsPerWait = 2048;
 
 } // namespace
@@ -103,9 +100,18 @@
     return timer;
 }
 
+EventLoop::TimerId EventLoop::startTimeout(Milliseconds delay, Task task)
+{
+    const TimerId timer{steadyTimeNow() + std::max<std::int64_t>(delay.count(), 0), m_nextId++};
+    m_timeouts.emplace(timer, std::move(task));
+    return timer;
+}
+
 void EventLoop::cancelTimer(const TimerId &timer)
 {
-    m_timers.erase(timer);
+    if (m_timers.erase(timer) == 0) {
+        m_timeouts.erase(timer);
+    }
 }
 
 EventLoop::WatchId EventLoop::watch(int descriptor, std::uint32_t events,
@@ -153,25 +159,7 @@
     }
     std::vector<epoll_event> events(maxEventsPerWait);
     for (;;) {
-        const int count = ::epoll_wait(m_epollDescriptor, events.data(),
-                                       static_cast<int>(events.size()), waitMs());
-        for (int index = 0; index < count; ++index) {
-            const epoll_event &event = events[static_cast<std::size_t>(index)];
-            if (event.data.u64 == wakeWatchId) {
-                std::uint64_t ignored = 0;
-                (void)!::read(m_wakeDescriptor, &ignored, sizeof ignored);
-                continue;
-            }
-            const auto found = m_watches.find(event.data.u64);
-            if (found != m_watches.end()) {
-                const std::shared_ptr<Watch> watch = found->second;
-                if (!runGuarded([&] { watch->callback(event.events); })) {
-                    // The event would be reported again at once. The timers of the connection
-                    // close it.
-                    unwatch(event.data.u64);
-                }
-            }
-        }
+        handleEvents(events);
         runPosted();
         runTimers();
         const std::lock_guard lock(m_mutex);
@@ -181,6 +169,55 @@
     }
 }
 
+void EventLoop::handleEvents(std::vector<epoll_event> &events)
+{
+    const int maxEvents = static_cast<int>(events.size());
+    const int maxWait = waitMs();
+    const SteadyTimeMs startedAt = steadyTimeNow();
+    // Successive waits report the descriptors that are ready in turn, so that each has been
+    // reported once after this many events. More would let busy connections starve the timers.
+    const std::size_t descriptors = m_watches.size() + 1;
+    std::size_t handled = 0;
+    int count = ::epoll_wait(m_epollDescriptor, events.data(), maxEvents, maxWait);
+    if (count == 0) {
+        // Nothing arrived during the whole wait. The present time says less: the process may have
+        // been suspended since.
+        m_inputHandledUntil = startedAt + maxWait;
+        return;
+    }
+    while (count > 0) {
+        for (int index = 0; index < count; ++index) {
+            handleEvent(events[static_cast<std::size_t>(index)]);
+        }
+        handled += static_cast<std::size_t>(count);
+        if (count < maxEvents || handled >= descriptors) {
+            break;
+        }
+        count = ::epoll_wait(m_epollDescriptor, events.data(), maxEvents, 0);
+    }
+    if (count >= 0) {
+        m_inputHandledUntil = startedAt;
+    }
+}
+
+void EventLoop::handleEvent(const epoll_event &event)
+{
+    if (event.data.u64 == wakeWatchId) {
+        std::uint64_t ignored = 0;
+        (void)!::read(m_wakeDescriptor, &ignored, sizeof ignored);
+        return;
+    }
+    const auto found = m_watches.find(event.data.u64);
+    if (found == m_watches.end()) {
+        return;
+    }
+    const std::shared_ptr<Watch> watch = found->second;
+    if (!runGuarded([&] { watch->callback(event.events); })) {
+        // The event would be reported again at once. The timers of the connection close it.
+        unwatch(event.data.u64);
+    }
+}
+
 bool EventLoop::runGuarded(const Task &task)
 {
     if (!m_onError) {
@@ -210,10 +247,15 @@
 
 void EventLoop::runTimers()
 {
-    const SteadyTimeMs now = steadyTimeNow();
-    while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
-        const Task task = std::move(m_timers.begin()->second);
-        m_timers.erase(m_timers.begin());
+    runDue(m_timers, steadyTimeNow());
+    runDue(m_timeouts, m_inputHandledUntil);
+}
+
+void EventLoop::runDue(std::map<TimerId, Task> &timers, SteadyTimeMs time)
+{
+    while (!timers.empty() && timers.begin()->first.first <= time) {
+        const Task task = std::move(timers.begin()->second);
+        timers.erase(timers.begin());
         runGuarded(task);
     }
 }
@@ -226,11 +268,13 @@
             return 0;
         }
     }
-    if (m_timers.empty()) {
-        return maxWaitMs;
+    SteadyTimeMs remaining = maxWaitMs;
+    for (const auto *timers : {&m_timers, &m_timeouts}) {
+        if (!timers->empty()) {
+            remaining = std::min(remaining, timers->begin()->first.first - steadyTimeNow());
+        }
     }
-    const SteadyTimeMs remaining = m_timers.begin()->first.first - steadyTimeNow();
-    return static_cast<int>(std::clamp<SteadyTimeMs>(remaining, 0, maxWaitMs));
+    return static_cast<int>(std::max<SteadyTimeMs>(remaining, 0));
 }
 
 std::function<void(const std::string &message)> errorLogger(DecisionLog &log)
--- a/Source/Adapters/Peers/EventLoop.h
+++ b/Source/Adapters/Peers/EventLoop.h
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/epoll.h>
+
 #include "Model/Time.h"
 #include "Ports/DecisionLog.h"
 
@@ -45,6 +47,11 @@
     void runAndWait(const Task &task);
 
     TimerId startTimer(Milliseconds delay, Task task);
+    /// Like startTimer(), for a task that concludes something from the absence of input: it runs
+    /// once all input that had arrived when its time came has been handled. Only input that one
+    /// call of its watch leaves unread may still be there.
+    TimerId startTimeout(Milliseconds delay, Task task);
+    /// Cancels a timer or a time-out.
     void cancelTimer(const TimerId &timer);
 
     WatchId watch(int descriptor, std::uint32_t events,
@@ -61,10 +68,15 @@
     };
 
     void run();
+    /// Waits for events and handles those of all descriptors that are ready.
+    void handleEvents(std::vector<epoll_event> &events);
+    void handleEvent(const epoll_event &event);
     /// Runs a task. Returns false if it failed with an exception.
     bool runGuarded(const Task &task);
     void runPosted();
     void runTimers();
+    /// Runs the tasks of a queue whose time has come by `time`.
+    void runDue(std::map<TimerId, Task> &timers, SteadyTimeMs time);
     int waitMs();
     void wake() const;
 
@@ -77,6 +89,9 @@
     bool m_stopping = false;
 
     std::map<TimerId, Task> m_timers;
+    std::map<TimerId, Task> m_timeouts;
+    /// All input that had arrived by this time has been handled.
+    SteadyTimeMs m_inputHandledUntil = 0;
     /// Keyed by id rather than descriptor: when a descriptor is closed and its number reused within
     /// one batch of events, the new watch must not get the events of the old one.
     std::map<WatchId, std::shared_ptr<Watch>> m_watches;
--- a/Source/Adapters/Peers/PeerClient.cpp
+++ b/Source/Adapters/Peers/PeerClient.cpp
@@ -49,7 +49,7 @@
     entry.kind = kind;
     entry.message = encodeEnvelope(PeerRequest{static_cast<std::uint32_t>(kind), std::move(body)});
     entry.messageBytes = entry.message.size();
-    entry.timer = m_loop.startTimer(timeout, [this, id] { onTimeout(id); });
+    entry.timer = m_loop.startTimeout(timeout, [this, id] { onTimeout(id); });
     entry.reply = std::move(reply);
     m_pendingBytes += entry.messageBytes;
     m_calls.emplace(id, std::move(entry));
@@ -89,7 +89,7 @@
     m_connectingSocket = valueOf(started);
     m_connectingWatch =
             m_loop.watch(m_connectingSocket, EPOLLOUT, [this](std::uint32_t) { onConnected(); });
-    m_stateTimer = m_loop.startTimer(m_context.options.connectTimeout, [this] {
+    m_stateTimer = m_loop.startTimeout(m_context.options.connectTimeout, [this] {
         closeConnectingSocket();
         onConnectFailed(PeerErrorKind::NotSent, "connect to " + m_peer.address + ": timeout");
     });
@@ -129,8 +129,8 @@
     m_connection =
             std::make_shared<Http2Connection>(m_loop, descriptor, Http2Role::Client,
                                               http2Limits(m_context.options), std::move(events));
-    m_stateTimer = m_loop.startTimer(m_context.options.helloTimeout,
-                                     [this] { m_connection->close("no answer to the hello"); });
+    m_stateTimer = m_loop.startTimeout(m_context.options.helloTimeout,
+                                       [this] { m_connection->close("no answer to the hello"); });
     const std::shared_ptr<Http2Connection> connection = m_connection;
     connection->open();
     std::string hello = encodeEnvelope(makeHello(m_context.self));
@@ -314,7 +314,8 @@
         }
     }
     if (m_state == State::Ready) {
-        m_stateTimer = m_loop.startTimer(options.receiveTimeout / 4, [this] { checkConnection(); });
+        m_stateTimer =
+                m_loop.startTimeout(options.receiveTimeout / 4, [this] { checkConnection(); });
     }
 }
 
--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -145,6 +145,37 @@
     respond({200, {}, request.path + "=" + request.body});
 }
 
+/// A server that answers while the loop of the client is busy.
+struct RemoteServer
+{
+    RemoteServer()
+        : server(loop, {},
+                 [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                     echoHandler(request, respond);
+                     signal.change([this] { ++responses; });
+                 })
+    {
+        CPPUNIT_ASSERT(isOk(server.listen("0.0.0.0:0")));
+        loop.start();
+    }
+
+    ~RemoteServer()
+    {
+        loop.runAndWait([this] { server.drain(); });
+        loop.stop();
+    }
+
+    std::string address(int host = 1) const
+    {
+        return "127.0.0." + std::to_string(host) + ":" + std::to_string(server.port());
+    }
+
+    EventLoop loop;
+    Signal signal;
+    std::size_t responses = 0;
+    EventedHttpServer server;
+};
+
 } // namespace
 
 class EventedHttpTest : public CppUnit::TestFixture
@@ -153,6 +184,7 @@
     CPPUNIT_TEST(connectionReuse);
     CPPUNIT_TEST(errorKinds);
     CPPUNIT_TEST(callsOfASuspendedProcess);
+    CPPUNIT_TEST(responsesOfABusyLoop);
     CPPUNIT_TEST(malformedRequestsAreRejected);
     CPPUNIT_TEST(drainAnswersPendingRequests);
     CPPUNIT_TEST(chunksInSeveralReads);
@@ -276,6 +308,41 @@
         });
     }
 
+    /// Guards against a call that times out although its response has arrived, because its loop was
+    /// busy: the leader of a large fleet would take workers that answer for silent.
+    void responsesOfABusyLoop()
+    {
+        constexpr std::int64_t timeoutMs = 100;
+        RemoteServer remote;
+        ClientAndServer http(echoHandler);
+        http.address = remote.address();
+        section("the connection is open", [&] {
+            http.call("/first");
+            CPPUNIT_ASSERT(
+                    http.callbackSignal.waitFor([&] { return http.responseBodies.size() == 1; }));
+        });
+        section("a response that arrives in time, while the loop is busy until after the time-out",
+                [&] {
+                    http.call("/second", Milliseconds(timeoutMs));
+                    bool receivedInTime = false;
+                    http.loop.runAndWait([&] {
+                        const SteadyTimeMs startedAt = steadyTimeNow();
+                        receivedInTime =
+                                remote.signal.waitFor([&] { return remote.responses == 2; });
+                        // Once this has run, the response has been sent.
+                        remote.loop.runAndWait([] {});
+                        while (steadyTimeNow() <= startedAt + timeoutMs) { }
+                    });
+                    CPPUNIT_ASSERT(receivedInTime);
+                    CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] {
+                        return http.responseBodies.size() + http.errorKinds.size() == 2;
+                    }));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.errorKinds.size());
+                    CPPUNIT_ASSERT_EQUAL(std::string("/second=body of /second"),
+                                         http.responseBodies[1]);
+                });
+    }
+
     /// Guards against request smuggling: requests that two HTTP implementations would delimit
     /// differently.
     void malformedRequestsAreRejected()
--- a/Tests/Peers/PeerTransportTest.cpp
+++ b/Tests/Peers/PeerTransportTest.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(silentConnectionIsClosed);
     CPPUNIT_TEST(callOnResetConnection);
     CPPUNIT_TEST(longPollOutlivesReceiveTimeout);
+    CPPUNIT_TEST(answersOfABusyLoop);
     CPPUNIT_TEST(stopCompletesAllCalls);
     CPPUNIT_TEST(settingsAreValidated);
     CPPUNIT_TEST_SUITE_END();
@@ -378,6 +379,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), client.log.count("lost"));
     }
 
+    /// Guards against a call that times out, and a connection that is closed as silent, although
+    /// the answer has arrived: the loop was busy for longer than the time-outs.
+    void answersOfABusyLoop()
+    {
+        PeerNode server("b");
+        server.transport.setHandler(PeerMessageKind::Vote, echo);
+        assertStarted(server);
+        PeerTransportOptions options = shortTimeoutOptions();
+        options.receiveTimeout = Milliseconds(100);
+        PeerNode client("a", {{"b", "zone-1", server.address()}}, options);
+        assertStarted(client);
+        CPPUNIT_ASSERT(isOk(client.call("b", PeerMessageKind::Vote, "first")));
+
+        Signal signal;
+        std::optional<PeerResult> answer;
+        static constexpr std::int64_t timeoutMs = 100;
+        // The reply to an unknown peer is delivered on the loop. The two calls of the first one are
+        // made in one turn of the loop, which the second of them keeps busy.
+        client.transport.call(
+                "unknown", PeerMessageKind::Vote, {}, Milliseconds(1000), [&](const PeerResult &) {
+                    client.transport.call("b", PeerMessageKind::Vote, "second",
+                                          Milliseconds(timeoutMs), [&](const PeerResult &result) {
+                                              signal.change([&] { answer = result; });
+                                          });
+                    client.transport.call("unknown", PeerMessageKind::Vote, {}, Milliseconds(1000),
+                                          [](const PeerResult &) {
+                                              const SteadyTimeMs startedAt = steadyTimeNow();
+                                              while (steadyTimeNow() <= startedAt + 2 * timeoutMs) {
+                                              }
+                                          });
+                });
+        CPPUNIT_ASSERT(signal.waitFor([&] { return answer.has_value(); }));
+        CPPUNIT_ASSERT_MESSAGE(isOk(*answer) ? "" : errorOf(*answer).message, isOk(*answer));
+        CPPUNIT_ASSERT_EQUAL(std::string("a:second"), valueOf(*answer));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), client.log.count("lost"));
+    }
+
     /// Guards against calls that never complete when the transport stops, and against crashes on
     /// replies that handlers give after the stop.
     void stopCompletesAllCalls()
