Http: Close idle connections to workers when no descriptor is free

Cause: the HTTP client never closed an idle connection. With up to five connections a worker a control instance of a large fleet can use all its descriptors; from then on every call that needed a new connection failed as not sent, while idle connections to other workers stayed open.

Ruled out: closing idle connections after some time. Small fleets would pay for new connections that they don't need.

When no descriptor is free, the oldest 32 are closed and the new connection is opened.

--- a/Source/Adapters/Http/EventedHttpClient.cpp
+++ b/Source/Adapters/Http/EventedHttpClient.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <optional>
 #include <sstream>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -22,6 +23,10 @@
 
 constexpr std::size_t readBytes = 16 * 1024;
 
+/// Connections that are closed together when no descriptor is free. The listeners, the peers and
+/// the journal need some as well.
+constexpr std::size_t closedTogether = 32;
+
 constexpr const char *tooLateMessage = "the time for sending the call is over";
 
 std::string renderRequest(const HttpCall &call)
@@ -85,13 +90,15 @@
 
 } // namespace
 
-EventedHttpClient::EventedHttpClient(EventLoop &loop, HttpClientLimits limits)
-    : m_loop(loop), m_limits(limits)
+EventedHttpClient::EventedHttpClient(EventLoop &loop, HttpClientLimits limits,
+                                     std::shared_ptr<IdleConnections> idleConnections)
+    : m_loop(loop), m_limits(limits), m_idleConnections(std::move(idleConnections))
 { }
 
 EventedHttpClient::~EventedHttpClient()
 {
     for (const auto &[id, connection] : m_connections) {
+        m_idleConnections->remove(connection->idleTicket);
         ::close(connection->descriptor);
     }
 }
@@ -155,9 +162,14 @@
 bool EventedHttpClient::openConnection(const std::string &address)
 {
     const std::optional<SocketAddress> parsed = parseSocketAddress(address);
-    const dandelionloom::Result<int, SocketError> connecting = parsed
-            ? startConnect(*parsed)
-            : SocketError{"expected an IP number and port, found \"" + address + "\""};
+    dandelionloom::Result<int, SocketError> connecting =
+            SocketError{"expected an IP number and port, found \"" + address + "\""};
+    if (parsed) {
+        do {
+            connecting = startConnect(*parsed);
+        } while (!isOk(connecting) && errorOf(connecting).outOfDescriptors
+                 && m_idleConnections->closeOldest(closedTogether));
+    }
     if (!isOk(connecting)) {
         std::deque<std::uint64_t> waiting;
         waiting.swap(m_pools[address].waiting);
@@ -185,9 +197,18 @@
     return true;
 }
 
+void EventedHttpClient::addIdle(std::uint64_t id)
+{
+    Connection &connection = *m_connections.at(id);
+    m_pools[connection.address].idle.push_back(id);
+    connection.idleTicket = m_idleConnections->add(
+            [this, id] { closeConnection(id, "its descriptor is needed elsewhere"); });
+}
+
 void EventedHttpClient::assignCall(std::uint64_t id, std::uint64_t call)
 {
     Connection &connection = *m_connections.at(id);
+    m_idleConnections->remove(std::exchange(connection.idleTicket, 0));
     connection.call = call;
     m_calls.at(call).connection = id;
     connection.input.clear();
@@ -272,7 +293,7 @@
             if (closed || !complete.keepAlive) {
                 closeConnection(id, "closed");
             } else {
-                m_pools[address].idle.push_back(id);
+                addIdle(id);
             }
             dispatchWaiting(address);
             completeCall(call, std::move(complete.response));
@@ -324,6 +345,7 @@
     }
     const std::unique_ptr<Connection> connection = std::move(found->second);
     m_connections.erase(found);
+    m_idleConnections->remove(connection->idleTicket);
     m_loop.unwatch(connection->watch);
     ::close(connection->descriptor);
     ConnectionPool &pool = m_pools[connection->address];
--- a/Source/Adapters/Http/EventedHttpClient.h
+++ b/Source/Adapters/Http/EventedHttpClient.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "Adapters/Http/IdleConnections.h"
 #include "Adapters/Peers/EventLoop.h"
 #include "Model/HttpMessage.h"
 #include "Model/Result.h"
@@ -57,7 +58,11 @@
     using Result = dandelionloom::Result<HttpResponse, HttpCallError>;
     using Callback = std::function<void(Result)>;
 
-    EventedHttpClient(EventLoop &loop, HttpClientLimits limits);
+    /// Clients of one process should share `idleConnections`: each of them can then use the
+    /// descriptors that the others do not need.
+    EventedHttpClient(
+            EventLoop &loop, HttpClientLimits limits,
+            std::shared_ptr<IdleConnections> idleConnections = std::make_shared<IdleConnections>());
     ~EventedHttpClient();
     EventedHttpClient(const EventedHttpClient &) = delete;
     EventedHttpClient &operator=(const EventedHttpClient &) = delete;
@@ -89,6 +94,8 @@
         bool anySent = false;
         /// Id of the call in progress; 0 when idle.
         std::uint64_t call = 0;
+        /// 0 while a call is in progress.
+        IdleConnections::Ticket idleTicket = 0;
     };
     struct ConnectionPool
     {
@@ -100,6 +107,7 @@
     bool isTooLate(std::uint64_t call) const;
     void dispatchWaiting(const std::string &address);
     bool openConnection(const std::string &address);
+    void addIdle(std::uint64_t connection);
     void assignCall(std::uint64_t connection, std::uint64_t call);
     void onEvent(std::uint64_t connection, std::uint32_t events);
     void sendRequest(std::uint64_t connection);
@@ -110,6 +118,7 @@
 
     EventLoop &m_loop;
     const HttpClientLimits m_limits;
+    const std::shared_ptr<IdleConnections> m_idleConnections;
     std::uint64_t m_nextId = 1;
     std::uint64_t m_connectionsOpened = 0;
     std::map<std::uint64_t, Pending> m_calls;
--- a/Source/Adapters/Peers/PeerSockets.cpp
+++ b/Source/Adapters/Peers/PeerSockets.cpp
@@ -18,7 +18,9 @@
 
 SocketError socketError(const std::string &what, const SocketAddress &address)
 {
-    return {what + " " + formatSocketAddress(address) + ": " + std::strerror(errno)};
+    const int error = errno;
+    return {what + " " + formatSocketAddress(address) + ": " + std::strerror(error),
+            error == EMFILE || error == ENFILE};
 }
 
 int createSocket(const SocketAddress &address)
--- a/Source/Adapters/Peers/PeerSockets.h
+++ b/Source/Adapters/Peers/PeerSockets.h
@@ -24,6 +24,8 @@
 struct SocketError
 {
     std::string message;
+    /// The process or the system has no free descriptor.
+    bool outOfDescriptors = false;
 };
 
 /// Returns a non-blocking listening socket.
--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -1,12 +1,15 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
 #include <memory>
 #include <thread>
+#include <vector>
 
 #include "Adapters/Http/EventedHttpClient.h"
 #include "Adapters/Http/EventedHttpServer.h"
@@ -145,6 +148,40 @@
     respond({200, {}, request.path + "=" + request.body});
 }
 
+/// Leaves the process no free descriptor, for as long as it exists.
+class AllDescriptorsUsed
+{
+public:
+    AllDescriptorsUsed()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_limit);
+        rlimit lowered = m_limit;
+        while (lowered.rlim_cur > 0
+               && ::fcntl(static_cast<int>(lowered.rlim_cur) - 1, F_GETFD) < 0) {
+            --lowered.rlim_cur;
+        }
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int descriptor = ::dup(0); descriptor >= 0; descriptor = ::dup(0)) {
+            m_descriptors.push_back(descriptor);
+        }
+    }
+
+    ~AllDescriptorsUsed()
+    {
+        for (const int descriptor : m_descriptors) {
+            ::close(descriptor);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &m_limit);
+    }
+
+    AllDescriptorsUsed(const AllDescriptorsUsed &) = delete;
+    AllDescriptorsUsed &operator=(const AllDescriptorsUsed &) = delete;
+
+private:
+    rlimit m_limit{};
+    std::vector<int> m_descriptors;
+};
+
 /// A server that answers while the loop of the client is busy.
 struct RemoteServer
 {
@@ -185,6 +222,7 @@
     CPPUNIT_TEST(errorKinds);
     CPPUNIT_TEST(callsOfASuspendedProcess);
     CPPUNIT_TEST(responsesOfABusyLoop);
+    CPPUNIT_TEST(noFreeDescriptors);
     CPPUNIT_TEST(malformedRequestsAreRejected);
     CPPUNIT_TEST(drainAnswersPendingRequests);
     CPPUNIT_TEST(chunksInSeveralReads);
@@ -343,6 +381,32 @@
                 });
     }
 
+    /// Guards against a worker that no call reaches any more, because the idle connections to other
+    /// workers hold all descriptors of the process.
+    void noFreeDescriptors()
+    {
+        constexpr int knownHosts = 40;
+        constexpr int newHosts = 10;
+        RemoteServer remote;
+        ClientAndServer http(echoHandler);
+        const auto callHost = [&](int host) {
+            http.address = remote.address(host);
+            http.call("/" + std::to_string(host));
+            CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] {
+                return http.responseBodies.size() + http.errorKinds.size()
+                        == static_cast<std::size_t>(host);
+            }));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.errorKinds.size());
+        };
+        for (int host = 1; host <= knownHosts; ++host) {
+            callHost(host);
+        }
+        const AllDescriptorsUsed allUsed;
+        for (int host = knownHosts + 1; host <= knownHosts + newHosts; ++host) {
+            callHost(host);
+        }
+    }
+
     /// Guards against request smuggling: requests that two HTTP implementations would delimit
     /// differently.
     void malformedRequestsAreRejected()
