--- a/Tests/Http/EventedHttpTest.cpp
+++ b/Tests/Http/EventedHttpTest.cpp
@@ -1,12 +1,15 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
 #include <memory>
 #include <thread>
+#include <vector>
 
 #include "Adapters/Http/EventedHttpClient.h"
 #include "Adapters/Http/EventedHttpServer.h"
@@ -145,6 +148,71 @@
     respond({200, {}, request.path + "=" + request.body});
 }
 
+/// Leaves the process no free descriptor, for as long as it exists.
+class AllDescriptorsUsed
+{
+public:
+    AllDescriptorsUsed()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_limit);
+        rlimit lowered = m_limit;
+        while (lowered.rlim_cur > 0
+               && ::fcntl(static_cast<int>(lowered.rlim_cur) - 1, F_GETFD) < 0) {
+            --lowered.rlim_cur;
+        }
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int descriptor = ::dup(0); descriptor >= 0; descriptor = ::dup(0)) {
+            m_descriptors.push_back(descriptor);
+        }
+    }
+
+    ~AllDescriptorsUsed()
+    {
+        for (const int descriptor : m_descriptors) {
+            ::close(descriptor);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &m_limit);
+    }
+
+    AllDescriptorsUsed(const AllDescriptorsUsed &) = delete;
+    AllDescriptorsUsed &operator=(const AllDescriptorsUsed &) = delete;
+
+private:
+    rlimit m_limit{};
+    std::vector<int> m_descriptors;
+};
+
+/// A server that answers while the loop of the client is busy.
+struct RemoteServer
+{
+    RemoteServer()
+        : server(loop, {},
+                 [this](const HttpRequest &request, const EventedHttpServer::Respond &respond) {
+                     echoHandler(request, respond);
+                     signal.change([this] { ++responses; });
+                 })
+    {
+        CPPUNIT_ASSERT(isOk(server.listen("0.0.0.0:0")));
+        loop.start();
+    }
+
+    ~RemoteServer()
+    {
+        loop.runAndWait([this] { server.drain(); });
+        loop.stop();
+    }
+
+    std::string address(int host = 1) const
+    {
+        return "127.0.0." + std::to_string(host) + ":" + std::to_string(server.port());
+    }
+
+    EventLoop loop;
+    Signal signal;
+    std::size_t responses = 0;
+    EventedHttpServer server;
+};
+
 } // namespace
 
 class EventedHttpTest : public CppUnit::TestFixture
@@ -153,6 +221,8 @@
     CPPUNIT_TEST(connectionReuse);
     CPPUNIT_TEST(errorKinds);
     CPPUNIT_TEST(callsOfASuspendedProcess);
+    CPPUNIT_TEST(responsesOfABusyLoop);
+    CPPUNIT_TEST(noFreeDescriptors);
     CPPUNIT_TEST(malformedRequestsAreRejected);
     CPPUNIT_TEST(drainAnswersPendingRequests);
     CPPUNIT_TEST(chunksInSeveralReads);
@@ -276,6 +346,67 @@
         });
     }
 
+    /// Guards against a call that times out although its response has arrived, because its loop was
+    /// busy: the leader of a large fleet would take workers that answer for silent.
+    void responsesOfABusyLoop()
+    {
+        constexpr std::int64_t timeoutMs = 100;
+        RemoteServer remote;
+        ClientAndServer http(echoHandler);
+        http.address = remote.address();
+        section("the connection is open", [&] {
+            http.call("/first");
+            CPPUNIT_ASSERT(
+                    http.callbackSignal.waitFor([&] { return http.responseBodies.size() == 1; }));
+        });
+        section("a response that arrives in time, while the loop is busy until after the time-out",
+                [&] {
+                    http.call("/second", Milliseconds(timeoutMs));
+                    bool receivedInTime = false;
+                    http.loop.runAndWait([&] {
+                        const SteadyTimeMs startedAt = steadyTimeNow();
+                        receivedInTime =
+                                remote.signal.waitFor([&] { return remote.responses == 2; });
+                        // Once this has run, the response has been sent.
+                        remote.loop.runAndWait([] {});
+                        while (steadyTimeNow() <= startedAt + timeoutMs) { }
+                    });
+                    CPPUNIT_ASSERT(receivedInTime);
+                    CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] {
+                        return http.responseBodies.size() + http.errorKinds.size() == 2;
+                    }));
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.errorKinds.size());
+                    CPPUNIT_ASSERT_EQUAL(std::string("/second=body of /second"),
+                                         http.responseBodies[1]);
+                });
+    }
+
+    /// Guards against a worker that no call reaches any more, because the idle connections to other
+    /// workers hold all descriptors of the process.
+    void noFreeDescriptors()
+    {
+        constexpr int knownHosts = 40;
+        constexpr int newHosts = 10;
+        RemoteServer remote;
+        ClientAndServer http(echoHandler);
+        const auto callHost = [&](int host) {
+            http.address = remote.address(host);
+            http.call("/" + std::to_string(host));
+            CPPUNIT_ASSERT(http.callbackSignal.waitFor([&] {
+                return http.responseBodies.size() + http.errorKinds.size()
+                        == static_cast<std::size_t>(host);
+            }));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), http.errorKinds.size());
+        };
+        for (int host = 1; host <= knownHosts; ++host) {
+            callHost(host);
+        }
+        const AllDescriptorsUsed allUsed;
+        for (int host = knownHosts + 1; host <= knownHosts + newHosts; ++host) {
+            callHost(host);
+        }
+    }
+
     /// Guards against request smuggling: requests that two HTTP implementations would delimit
     /// differently.
     void malformedRequestsAreRejected()
