Scheduling: Count a renewal's outcome for the incarnation it was sent to

A late answer 421 to a renewal of a worker's earlier incarnation made the leader propose that the recorded one had left, which is then never recorded again. The incarnation was taken from the record when the answer arrived.

Ruled out for starts: their answers are matched by the run number, which is not used again after a restart.

The renewal carries the incarnation, and the outcome of one to another incarnation is ignored. A view made between the announcement of a restart and its record is dropped, as the renewal that it waits for concerns the earlier incarnation.

Measured: LostRunsTest::answerToEarlierIncarnation fails without the check (the worker is removed) and passes with it.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -557,13 +557,14 @@
     }
     for (const RenewOrder &order : orders.renewals) {
         m_workers.renew(order, fence,
-                        [alive, fence,
-                         worker = order.worker](const Result<RenewAnswer, CallFault> &answer) {
+                        [alive, fence, worker = order.worker, startTimeMs = order.startTimeMs](
+                                const Result<RenewAnswer, CallFault> &answer) {
                             const auto service = alive.lock();
                             if (!service || (*service)->m_status.term != fence) {
                                 return;
                             }
-                            (*service)->m_dispatcher.renewed(worker, answer, steadyTimeNow());
+                            (*service)->m_dispatcher.renewed(worker, startTimeMs, answer,
+                                                             steadyTimeNow());
                             (*service)->onWorkerAnswered();
                         });
     }
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -172,8 +172,10 @@
     /// Lease on the worker's clock; unset while that clock is unknown.
     std::optional<std::int64_t> leaseUntilMs;
     std::int64_t waitMs = 0;
+    /// Recorded incarnation of the worker when the order was issued.
+    std::int64_t startTimeMs = 0;
 
-    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs)
+    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs, startTimeMs)
 };
 
 struct StartOrder
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -97,14 +97,19 @@
     m_pendingCountedAt = 0;
 }
 
-void Dispatcher::renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
-                         SteadyTimeMs now)
+void Dispatcher::renewed(const std::string &worker, std::int64_t startTimeMs,
+                         const Result<RenewAnswer, CallFault> &answer, SteadyTimeMs now)
 {
     const auto found = m_workers.find(worker);
     const WorkerRecord *record = m_state.worker(worker);
     if (!m_leads || found == m_workers.end() || record == nullptr) {
         return;
     }
+    if (startTimeMs != record->startTimeMs) {
+        // A call to an earlier incarnation shows nothing about the recorded one, which may have
+        // another address.
+        return;
+    }
     m_disruptionBudgets.forgetAvailability();
     WorkerView &view = found->second;
     view.renewalInFlight = false;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -68,8 +68,10 @@
     /// on when the next one is already in use. The worker is removed by a later step(), when all
     /// its runs have ended: until it gets an answer it goes on with them.
     bool deregistered(const std::string &worker);
-    void renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
-                 SteadyTimeMs now);
+    /// Called when the renewal sent to the incarnation of the worker with this start time is
+    /// answered or has failed.
+    void renewed(const std::string &worker, std::int64_t startTimeMs,
+                 const Result<RenewAnswer, CallFault> &answer, SteadyTimeMs now);
     void startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
                        std::optional<CallFault> fault, SteadyTimeMs now);
     void stopAnswered(const StopOrder &order, std::optional<CallFault> fault, SteadyTimeMs now);
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -70,7 +70,8 @@
         if (record == nullptr) {
             continue;
         }
-        RenewOrder order{id, record->address, view.lastProposedEnd, std::nullopt, 0};
+        RenewOrder order{id, record->address,    view.lastProposedEnd, std::nullopt,
+                         0,  record->startTimeMs};
         const auto ends = m_pendingEnds.find(id);
         if (ends != m_pendingEnds.end() && !ends->second.empty()) {
             // The worker would list unrecorded ends again at once. A renewal is still sent when at
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -95,6 +95,7 @@
 void Dispatcher::syncRuns(const std::string &worker)
 {
     WorkerView &view = m_workers[worker];
+    view.startTimeMs = m_state.worker(worker)->startTimeMs;
     const std::set<TaskKey> &assigned = m_state.tasksOf(worker);
     std::vector<TaskKey> gone;
     for (const auto &[task, run] : view.runs) {
@@ -260,8 +261,14 @@
         m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
-        if (m_state.worker(joined->worker.id) != nullptr) {
-            syncRuns(joined->worker.id);
+        const WorkerRecord *record = m_state.worker(joined->worker.id);
+        if (record != nullptr) {
+            if (m_workers[record->id].startTimeMs != record->startTimeMs) {
+                // An assignment or end that was applied since the announcement may have made a view
+                // of the earlier incarnation, with a renewal that is never answered for this one.
+                removeWorker(record->id);
+            }
+            syncRuns(record->id);
         }
         m_workersOfService.clear();
         m_demand.onWorkerJoined(joined->worker);
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -47,6 +47,8 @@
 /// State of a worker, as known to the leader. It is discarded at the end of the term.
 struct WorkerView
 {
+    /// Incarnation that the view describes; 0 if the view was made before it was recorded.
+    std::int64_t startTimeMs = 0;
     /// Last reading of the worker's clock and the time of its arrival; unset before the first one.
     std::optional<std::int64_t> clockMs;
     SteadyTimeMs clockAt = 0;
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -226,7 +226,7 @@
         fleet.state.apply(WorkerJoined{leaving});
         RenewAnswer answer;
         answer.startTimeMs = leaving.startTimeMs + 1;
-        fleet.dispatcher->renewed("w1", answer, fleet.now);
+        fleet.dispatcher->renewed("w1", leaving.startTimeMs, answer, fleet.now);
         for (const JobChange &change : fleet.dispatcher->step(fleet.now, fleet.now).changes) {
             fleet.state.apply(change);
         }
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -433,14 +433,16 @@
         const bool reachable = worker.up && !worker.partitioned && !worker.pendingRenewal->lost;
         if (!reachable) {
             if (now >= worker.pendingRenewal->answerBy + dispatchOptions.calls.renewalMarginMs) {
+                const std::int64_t startTimeMs = worker.pendingRenewal->startTimeMs;
                 worker.pendingRenewal.reset();
-                dispatcher->renewed(id, CallFault::NoAnswer, now);
+                dispatcher->renewed(id, startTimeMs, CallFault::NoAnswer, now);
             }
             continue;
         }
         if (worker.ended.empty() && now < worker.pendingRenewal->answerBy) {
             continue;
         }
+        const std::int64_t startTimeMs = worker.pendingRenewal->startTimeMs;
         worker.pendingRenewal.reset();
         RenewAnswer answer;
         answer.clockMs = now - worker.bootedAt;
@@ -455,7 +457,7 @@
                             99, passed * 100 / std::max<std::int64_t>(run.durationMs, 1));
             answer.running.push_back({task, run.run, {}, percent, run.hangs ? 0 : 10});
         }
-        measureProcessorTime([&, &id = id] { dispatcher->renewed(id, answer, now); });
+        measureProcessorTime([&, &id = id] { dispatcher->renewed(id, startTimeMs, answer, now); });
     }
 }
 
@@ -624,12 +626,12 @@
     for (const RenewOrder &order : orders.renewals) {
         const auto found = workers.find(order.worker);
         if (found == workers.end()) {
-            dispatcher->renewed(order.worker, CallFault::NoAnswer, now);
+            dispatcher->renewed(order.worker, order.startTimeMs, CallFault::NoAnswer, now);
             continue;
         }
         FakeWorker &worker = found->second;
         worker.pendingRenewal = FakeWorker::PendingRenewal{order.ackCursor, now + order.waitMs,
-                                                           term, isAnswerLost()};
+                                                           term, isAnswerLost(), order.startTimeMs};
         if (worker.up && !worker.partitioned) {
             worker.fence = std::max(worker.fence, term);
             if (order.leaseUntilMs) {
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -37,6 +37,8 @@
         SteadyTimeMs answerBy = 0;
         std::uint64_t term = 0;
         bool lost = false;
+        /// Incarnation that the renewal was sent to.
+        std::int64_t startTimeMs = 0;
     };
 
     WorkerRecord record;
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(restartWithOtherService);
     CPPUNIT_TEST(orderBeforeRestartIsRecorded);
     CPPUNIT_TEST(restartWithEarlierClock);
+    CPPUNIT_TEST(answerToEarlierIncarnation);
+    CPPUNIT_TEST(renewalWhileRestartIsRecorded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,6 +149,49 @@
         worker.running.clear();
         fleet.runUntil("the next run", 9000, [&] { return fleet.runningCount("a") == 1; });
     }
+
+    /// Guards against a worker that is removed for good, with its runs, because a call to its
+    /// earlier incarnation is answered late: another worker at the earlier address refuses it.
+    void answerToEarlierIncarnation()
+    {
+        FleetSimulation fleet(46);
+        setUpFleet(fleet, 1);
+        const std::int64_t earlier = fleet.state.worker("w1")->startTimeMs;
+        fleet.workers.at("w1").record.address = "10.0.1.1:8080";
+        fleet.restart("w1");
+        fleet.runUntil("the next incarnation", 1000,
+                       [&] { return fleet.state.worker("w1")->startTimeMs != earlier; });
+        fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+        fleet.runUntil("the start", 1000, [&] { return fleet.runningCount("a") == 1; });
+        fleet.dispatcher->renewed("w1", earlier, CallFault::OtherIncarnation, fleet.now);
+        fleet.run(2000);
+        CPPUNIT_ASSERT(fleet.state.worker("w1") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(1U, fleet.starts);
+        section("nor does a call without an answer count against the worker", [&] {
+            fleet.dispatcher->renewed("w1", earlier, CallFault::NoAnswer, fleet.now);
+            CPPUNIT_ASSERT_EQUAL(0U, fleet.dispatcher->view("w1")->renewFailures);
+        });
+    }
+
+    /// Guards against a worker that is never renewed because an assignment to its earlier
+    /// incarnation was recorded between the announcement of the next one and its record.
+    void renewalWhileRestartIsRecorded()
+    {
+        FleetSimulation fleet(47);
+        setUpFleet(fleet, 1);
+        fleet.commitMs = 200;
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.runUntil("the proposed assignment", 1000,
+                       [&] { return !fleet.dispatcher->view("w1")->reserved.empty(); });
+        const std::int64_t earlier = fleet.state.worker("w1")->startTimeMs;
+        fleet.run(50);
+        fleet.restart("w1");
+        fleet.workers.at("w1").partitioned = true;
+        fleet.runUntil("the next incarnation", 1000,
+                       [&] { return fleet.state.worker("w1")->startTimeMs != earlier; });
+        fleet.workers.at("w1").partitioned = false;
+        fleet.runUntil("the job", 5000, [&] { return isCompleted(fleet, "a"); });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
