Runtime: Drop relayed results of calls of an earlier process

Calls through relays are numbered from 1 in each process of the leader. A result of a call from before a restart completed the call that had the number then, so that one worker's lists were taken for another's.

Batches and results name the leader's process by a random number.

Measured: RelayedWorkerCallsTest::resultsForAnEarlierProcess gets the answer of the wrong worker without the check, and the right one with it.

--- a/Source/Runtime/RelayedWorkerCalls.cpp
+++ b/Source/Runtime/RelayedWorkerCalls.cpp
@@ -1,5 +1,7 @@
 #include "Runtime/RelayedWorkerCalls.h"
 
+#include <random>
+
 #include "Runtime/ReplicaMessages.h"
 
 namespace dandelionloom {
@@ -25,6 +27,12 @@
 /// A worker that was not called for this long has left: each is called at least once in 1.5 s.
 constexpr std::int64_t forgetRouteAfterMs = 5000;
 
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
 } // namespace
 
 RelayedWorkerCalls::RelayedWorkerCalls(EventLoop &loop, PeerTransport &transport,
@@ -33,7 +41,7 @@
                                        RelayRoutingOptions options)
     : m_loop(loop), m_transport(transport), m_direct(direct), m_log(log), m_timeouts(timeouts),
       m_zoneOf(std::move(zoneOf)), m_options(options),
-      m_alive(std::make_shared<RelayedWorkerCalls *>(this))
+      m_alive(std::make_shared<RelayedWorkerCalls *>(this)), m_process(randomNumber())
 { }
 
 RelayedWorkerCalls::~RelayedWorkerCalls()
@@ -154,6 +162,7 @@
     batches.swap(m_batches);
     for (auto &[relay, batch] : batches) {
         batch.term = m_fence;
+        batch.process = m_process;
         send(relay, std::make_shared<const WorkerCallBatch>(std::move(batch)));
     }
 }
@@ -338,6 +347,11 @@
         return;
     }
     WorkerCallResults results = takeValue(std::move(unpacked));
+    if (results.process != m_process) {
+        m_log.event(LogSeverity::Info, "worker-calls",
+                    "dropped results of " + from + " for an earlier process");
+        return;
+    }
     for (const OrderResult &result : results.orders) {
         completeOrder(result.call, result.fault);
     }
@@ -389,6 +403,7 @@
             if (now - m_lastSentAt[relay] >= probeIntervalMs) {
                 auto probe = std::make_shared<WorkerCallBatch>();
                 probe->term = m_fence;
+                probe->process = m_process;
                 send(relay, probe);
             }
         }
--- a/Source/Runtime/RelayedWorkerCalls.h
+++ b/Source/Runtime/RelayedWorkerCalls.h
@@ -38,7 +38,8 @@
     RelayedWorkerCalls &operator=(const RelayedWorkerCalls &) = delete;
 
     void addRelay(const std::string &name);
-    /// Completes the calls whose results are in the message of a relay.
+    /// Completes the calls whose results are in the message of a relay. Results of an earlier
+    /// process of this instance are dropped.
     void onResults(const std::string &from, const std::string &body);
     /// Number of calls made through relays, and number made directly.
     std::uint64_t relayedCalls() const { return m_relayedCalls; }
@@ -97,6 +98,8 @@
     const RelayRoutingOptions m_options;
     /// Empty once the object is destroyed; callbacks check it.
     std::shared_ptr<RelayedWorkerCalls *> m_alive;
+    /// Distinguishes the results of this object's calls from those of an earlier process.
+    const std::uint64_t m_process;
     std::uint64_t m_nextCall = 1;
     /// Fencing token of the last call.
     std::uint64_t m_fence = 0;
--- a/Source/Runtime/WorkerCallMessages.h
+++ b/Source/Runtime/WorkerCallMessages.h
@@ -30,12 +30,14 @@
     std::vector<NumberedOrder<StartOrder>> starts;
     std::vector<NumberedOrder<StopOrder>> stops;
     std::vector<NumberedOrder<PaceOrder>> paces;
+    /// The leader's process. Each numbers its calls from 1.
+    std::uint64_t process = 0;
 
     bool isEmpty() const
     {
         return renewals.empty() && starts.empty() && stops.empty() && paces.empty();
     }
-    MSGPACK_DEFINE_ARRAY(term, renewals, starts, stops, paces)
+    MSGPACK_DEFINE_ARRAY(term, renewals, starts, stops, paces, process)
 };
 
 /// How a relay received a batch. Enumerators are encoded as integers, so new ones must be appended.
@@ -85,8 +87,10 @@
 {
     std::vector<OrderResult> orders;
     std::vector<RenewResult> renewals;
+    /// WorkerCallBatch::process of the calls.
+    std::uint64_t process = 0;
 
-    MSGPACK_DEFINE_ARRAY(orders, renewals)
+    MSGPACK_DEFINE_ARRAY(orders, renewals, process)
 };
 
 } // namespace dandelionloom
--- a/Source/Runtime/WorkerCallRelay.cpp
+++ b/Source/Runtime/WorkerCallRelay.cpp
@@ -63,7 +63,7 @@
     return WorkerCallReceipt::Accepted;
 }
 
-WorkerCalls::OrderCallback WorkerCallRelay::orderCallback(const std::string &leader,
+WorkerCalls::OrderCallback WorkerCallRelay::orderCallback(const LeaderProcess &leader,
                                                           std::uint64_t call)
 {
     return [alive = std::weak_ptr(m_alive), leader, call](std::optional<CallFault> fault) {
@@ -76,18 +76,19 @@
 
 void WorkerCallRelay::makeCalls(const std::string &from, const WorkerCallBatch &batch)
 {
+    const LeaderProcess leader(from, batch.process);
     for (const auto &[call, order] : batch.starts) {
-        m_workers.start(order, batch.term, orderCallback(from, call));
+        m_workers.start(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.stops) {
-        m_workers.stop(order, batch.term, orderCallback(from, call));
+        m_workers.stop(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.paces) {
-        m_workers.pace(order, batch.term, orderCallback(from, call));
+        m_workers.pace(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.renewals) {
         m_workers.renew(order, batch.term,
-                        [alive = std::weak_ptr(m_alive), from,
+                        [alive = std::weak_ptr(m_alive), leader,
                          id = call](Result<RenewAnswer, CallFault> answer) {
                             const auto relay = alive.lock();
                             if (!relay) {
@@ -99,7 +100,7 @@
                             } else {
                                 result.fault = errorOf(answer);
                             }
-                            (*relay)->m_results[from].renewals.push_back(std::move(result));
+                            (*relay)->m_results[leader].renewals.push_back(std::move(result));
                             (*relay)->scheduleFlush();
                         });
     }
@@ -121,10 +122,11 @@
 void WorkerCallRelay::flush()
 {
     m_flushScheduled = false;
-    for (const auto &[leader, results] : m_results) {
+    for (auto &[leader, results] : m_results) {
+        results.process = leader.second;
         // Results that are lost need no repetition: the leader's calls time out, and workers list
         // the ends of runs until the leader has acknowledged them.
-        m_transport.call(leader, PeerMessageKind::WorkerCallResults, packMessage(results),
+        m_transport.call(leader.first, PeerMessageKind::WorkerCallResults, packMessage(results),
                          resultTimeout, [](const PeerResult &) {});
     }
     m_results.clear();
--- a/Source/Runtime/WorkerCallRelay.h
+++ b/Source/Runtime/WorkerCallRelay.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "Adapters/Peers/EventLoop.h"
 #include "Ports/DecisionLog.h"
@@ -32,10 +33,13 @@
                 const PeerTransport::Reply &reply);
 
 private:
+    /// Name of a control instance, and WorkerCallBatch::process.
+    using LeaderProcess = std::pair<std::string, std::uint64_t>;
+
     WorkerCallReceipt receive(const std::string &from, const std::string &body,
                               SteadyTimeMs receivedAt);
     void makeCalls(const std::string &from, const WorkerCallBatch &batch);
-    WorkerCalls::OrderCallback orderCallback(const std::string &leader, std::uint64_t call);
+    WorkerCalls::OrderCallback orderCallback(const LeaderProcess &leader, std::uint64_t call);
     void scheduleFlush();
     void flush();
 
@@ -48,8 +52,8 @@
     std::shared_ptr<WorkerCallRelay *> m_alive;
     /// Highest term whose orders have arrived.
     std::uint64_t m_term = 0;
-    /// Results that are not sent yet, by leader.
-    std::map<std::string, WorkerCallResults> m_results;
+    /// Results that are not sent yet, by the process that made the calls.
+    std::map<LeaderProcess, WorkerCallResults> m_results;
     bool m_flushScheduled = false;
 };
 
--- a/Tests/Consensus/RelayedWorkerCallsTest.cpp
+++ b/Tests/Consensus/RelayedWorkerCallsTest.cpp
@@ -35,6 +35,8 @@
             answer.clockMs = 1234;
             answer.ended.push_back({7, {"job", 0, 0, 1}, 2, RunOutcome::Done, "checkpoint"});
             done(answer);
+        } else {
+            unanswered.push_back(std::move(done));
         }
     }
     void start(const StartOrder &order, std::uint64_t fence, OrderCallback done) override
@@ -52,6 +54,7 @@
     void advise(const AdviceOrder &, AdviseCallback done) override { done(std::nullopt); }
 
     std::vector<RenewOrder> renewals;
+    std::vector<RenewCallback> unanswered;
     std::vector<StartOrder> starts;
     std::vector<std::uint64_t> fences;
     std::optional<CallFault> fault;
@@ -93,11 +96,8 @@
 {
     explicit RelayFixture(std::size_t maxDirectWorkers = 0)
     {
-        RelayRoutingOptions options;
         options.maxDirectWorkers = maxDirectWorkers;
-        calls = std::make_unique<RelayedWorkerCalls>(
-                loop, *transport, direct, log, WorkerCallTimeouts{},
-                [](const std::string &) { return std::string("zone-r1"); }, options);
+        makeCalls();
         transport->setHandler(PeerMessageKind::WorkerCallResults,
                               [this](const std::string &from, const std::string &body,
                                      const PeerTransport::Reply &reply) {
@@ -106,8 +106,6 @@
                                   reply(std::string());
                               });
         network.setUp("leader", true);
-        calls->addRelay("r1");
-        calls->addRelay("r2");
         loop.start();
     }
     ~RelayFixture()
@@ -118,6 +116,21 @@
     RelayFixture(const RelayFixture &) = delete;
     RelayFixture &operator=(const RelayFixture &) = delete;
 
+    void makeCalls()
+    {
+        calls = std::make_unique<RelayedWorkerCalls>(
+                loop, *transport, direct, log, WorkerCallTimeouts{},
+                [](const std::string &) { return std::string("zone-r1"); }, options);
+        calls->addRelay("r1");
+        calls->addRelay("r2");
+    }
+
+    /// Replaces the leader's process.
+    void restartLeader()
+    {
+        loop.runAndWait([this] { makeCalls(); });
+    }
+
     /// Makes calls until a relay has carried one.
     void waitForRelay()
     {
@@ -166,6 +179,22 @@
         return count;
     }
 
+    /// Sends a renewal that the first relay's worker doesn't answer.
+    void renewUnanswered(const std::string &worker, const WorkerCalls::RenewCallback &done)
+    {
+        std::size_t before = 0;
+        first.loop.runAndWait([&] {
+            first.workers.answers = false;
+            before = first.workers.renewals.size();
+        });
+        loop.post([this, worker, done] {
+            calls->renew({worker, "10.0.0.1:80", 3, 5000, 1000}, term, done);
+        });
+        CPPUNIT_ASSERT(signal.waitFor([&] { return first.workers.renewals.size() > before; }));
+        first.loop.runAndWait([&] { first.workers.answers = true; });
+    }
+
+    RelayRoutingOptions options;
     FakePeerNetwork network;
     Signal signal;
     LogRecorder log;
@@ -192,6 +221,7 @@
     CPPUNIT_TEST(ordersAfterAPause);
     CPPUNIT_TEST(malformedMessages);
     CPPUNIT_TEST(resultsOfABusyLoop);
+    CPPUNIT_TEST(resultsForAnEarlierProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -359,6 +389,30 @@
         CPPUNIT_ASSERT(!result);
     }
 
+    /// Guards against a worker that is taken for another one: the results of a leader's calls from
+    /// before its restart arrive after it, when calls with the same numbers wait.
+    void resultsForAnEarlierProcess()
+    {
+        RelayFixture fleet;
+        fleet.waitForRelay();
+        fleet.renewUnanswered("before", [](const Result<RenewAnswer, CallFault> &) {});
+        fleet.restartLeader();
+        fleet.waitForRelay();
+        std::optional<std::int64_t> clockMs;
+        fleet.renewUnanswered("after", [&](const Result<RenewAnswer, CallFault> &answer) {
+            fleet.signal.change([&] { clockMs = isOk(answer) ? valueOf(answer).clockMs : -1; });
+        });
+        fleet.first.loop.runAndWait([&] {
+            for (std::int64_t clock = 1; const auto &done : fleet.first.workers.unanswered) {
+                RenewAnswer answer;
+                answer.clockMs = clock++;
+                done(answer);
+            }
+        });
+        CPPUNIT_ASSERT(fleet.signal.waitFor([&] { return clockMs.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), *clockMs);
+    }
+
     /// Guards against a malformed message that ends the process or leaves calls without an end.
     void malformedMessages()
     {
