Runtime: Send no start after the leader's lease

A start that waited in a suspended leader or relay was sent when the process went on. A worker that has restarted under its id knows no fencing token and starts the task, which the next leader may have started elsewhere.

Ruled out: a limit relative to the arrival of a batch, which the time in the network extends. Refusing the whole batch at the relay, which would count the relay as lost and fail its other calls.

A start carries the end of the lease. For a relay it is converted to a lower bound on the relay's clock, which each acknowledgement reports.

Measured: RelayedWorkerCallsTest::startsAfterTheLease and WorkerClientTest::startsOfASuspendedProcess fail without the end and pass with it. The effect on starts under overload was not measured.

--- a/Source/Runtime/WorkerCallRelay.cpp
+++ b/Source/Runtime/WorkerCallRelay.cpp
@@ -33,18 +33,19 @@
 void WorkerCallRelay::handle(const std::string &from, const std::string &body,
                              SteadyTimeMs receivedAt, const PeerTransport::Reply &reply)
 {
-    reply(packMessage(WorkerCallAck{receive(from, body, receivedAt), m_availabilityZone}));
+    const WorkerCallReceipt receipt = receive(from, body, receivedAt);
+    reply(packMessage(WorkerCallAck{receipt, m_availabilityZone, steadyTimeNow()}));
 }
 
 WorkerCallReceipt WorkerCallRelay::receive(const std::string &from, const std::string &body,
                                            SteadyTimeMs receivedAt)
 {
-    const auto unpacked = unpackMessage<WorkerCallBatch>(body);
+    auto unpacked = unpackMessage<WorkerCallBatch>(body);
     if (!isOk(unpacked)) {
         m_log.event(LogSeverity::Warning, "worker-calls", "unreadable batch of " + from);
         return WorkerCallReceipt::Unreadable;
     }
-    const WorkerCallBatch &batch = valueOf(unpacked);
+    WorkerCallBatch batch = takeValue(std::move(unpacked));
     if (batch.term < m_term) {
         m_log.event(LogSeverity::Warning, "worker-calls",
                     "refused orders of " + from + " of term " + std::to_string(batch.term)
@@ -59,7 +60,7 @@
                             + " ms");
         return WorkerCallReceipt::Stale;
     }
-    makeCalls(from, batch);
+    makeCalls(from, std::move(batch));
     return WorkerCallReceipt::Accepted;
 }
 
@@ -74,10 +75,11 @@
     };
 }
 
-void WorkerCallRelay::makeCalls(const std::string &from, const WorkerCallBatch &batch)
+void WorkerCallRelay::makeCalls(const std::string &from, WorkerCallBatch batch)
 {
     const LeaderProcess leader(from, batch.process);
-    for (const auto &[call, order] : batch.starts) {
+    for (auto &[call, order] : batch.starts) {
+        order.sendUntil = batch.sendStartsUntilMs;
         m_workers.start(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.stops) {
