Runtime: Propose records for the term they were decided in

An instance that lost the leadership and gained it again in the meantime appended what it had decided before another leader's changes.

Measured: ReplicatedJournalTest::recordsOfAnEarlierTerm fails without the check and passes with it.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -335,7 +335,7 @@
 void JobService::proposeChanges(SteadyTimeMs now)
 {
     if (m_leading && !m_unproposedChanges.empty()) {
-        m_journal->propose(encodeChanges(m_unproposedChanges));
+        m_journal->propose(m_status.term, encodeChanges(m_unproposedChanges));
         m_unproposedChanges.clear();
         const bool largeFleet = m_schedulerState.workers().size() > largeFleetWorkers;
         m_nextProposal = now + (largeFleet ? largeFleetStepIntervalMs : 0);
--- a/Source/Runtime/ReplicatedJournal.cpp
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -87,10 +87,12 @@
     }
 }
 
-void ReplicatedJournal::propose(std::string payload)
+void ReplicatedJournal::propose(std::uint64_t term, std::string payload)
 {
-    m_queue.post([this, payload = std::move(payload)]() mutable {
-        m_raft->propose(std::move(payload));
+    m_queue.post([this, term, payload = std::move(payload)]() mutable {
+        if (m_raft->term() == term) {
+            m_raft->propose(std::move(payload));
+        }
     });
 }
 
--- a/Source/Runtime/ReplicatedJournal.h
+++ b/Source/Runtime/ReplicatedJournal.h
@@ -92,11 +92,12 @@
     void start();
     void stop();
 
-    /// Appends records if this instance is the leader and drops them otherwise. Only
+    /// Appends records if this instance leads in `term` and drops them otherwise: what was decided
+    /// in an earlier term may contradict what another leader has recorded since. Only
     /// JournalEvents::committed reports that they were committed. A record that can't be stored is
     /// dropped as well; the instance then gives up the leadership, so that the owner never waits
     /// for a dropped record within a term.
-    void propose(std::string payload);
+    void propose(std::uint64_t term, std::string payload);
     /// Stores a snapshot of the owner's state as of `index` and drops the log up to it.
     void saveSnapshot(std::uint64_t index, std::string state);
     void addPeer(const std::string &name);
--- a/Tests/Consensus/ReplicatedJournalTest.cpp
+++ b/Tests/Consensus/ReplicatedJournalTest.cpp
@@ -120,7 +120,18 @@
         return signal.waitFor([&] { return committed[name].contains(record); });
     }
 
-    void propose(const std::string &record) { m_nodes.at(leader()).journal->propose(record); }
+    std::uint64_t termOf(const std::string &name)
+    {
+        std::uint64_t term = 0;
+        signal.change([&] { term = statuses.at(name).term; });
+        return term;
+    }
+
+    void propose(const std::string &record)
+    {
+        const std::string name = leader();
+        journal(name).propose(termOf(name), record);
+    }
 
     FakePeerNetwork network;
     Signal signal;
@@ -151,6 +162,7 @@
     CPPUNIT_TEST(leaseEndsWithoutQuorum);
     CPPUNIT_TEST(leaseWithoutEvents);
     CPPUNIT_TEST(fullDiskEndsTerm);
+    CPPUNIT_TEST(recordsOfAnEarlierTerm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -301,6 +313,21 @@
             CPPUNIT_ASSERT(!cluster.committed[full].contains("dropped"));
         });
     }
+
+    /// Guards against a record that was decided in an earlier term of the same leader: another
+    /// instance may have led in between, and its records say otherwise.
+    void recordsOfAnEarlierTerm()
+    {
+        JournalCluster cluster(threeNames);
+        for (const std::string &name : threeNames) {
+            cluster.start(name, true);
+        }
+        const std::string leader = cluster.leader();
+        cluster.journal(leader).propose(cluster.termOf(leader) - 1, "earlier");
+        cluster.propose("present");
+        CPPUNIT_ASSERT(cluster.waitForRecord(leader, "present"));
+        CPPUNIT_ASSERT(!cluster.committed[leader].contains("earlier"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicatedJournalTest);
