Scheduling: Count runs that are to be stopped against a worker's limits

A run that a worker still has although it is no longer assigned counted against its team's quota only. Another task of its step was started beside it, beyond the step's limit for a worker.

Ruled out: runs of ended jobs and stalled runs, which stay assigned until their end is recorded.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -315,7 +315,10 @@
     /// this end is not recorded yet.
     bool isListedAsDone(const TaskKey &task) const;
     bool isBestEffort(const TaskKey &task) const;
-    static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
+    /// Number of runs of the task's step that the worker has or gets, also those that it still has
+    /// to stop.
+    std::uint32_t runsOfStepOn(const std::string &worker, const WorkerView &view,
+                               const TaskKey &task) const;
     bool hasLatencyTarget(const WorkerView &view) const;
     void recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
 
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -394,7 +394,7 @@
 {
     const StepSpec &step = m_state.job(task.job)->spec.steps[task.step];
     return fits(needOf(task), worker.capacity - view.longRunningNeed)
-            && (step.maxPerWorker == 0 || runsOfStepOn(view, task) < step.maxPerWorker)
+            && (step.maxPerWorker == 0 || runsOfStepOn(worker.id, view, task) < step.maxPerWorker)
             && hasRequiredLabel(worker, step);
 }
 
@@ -427,7 +427,7 @@
         const WorkerView &view = *candidate->view;
         const std::uint32_t perWorker = maxTasksPerWorker(step);
         if (!couldHold(worker, view, task)
-            || (perWorker > 0 && runsOfStepOn(view, task) >= perWorker)
+            || (perWorker > 0 && runsOfStepOn(worker.id, view, task) >= perWorker)
             || (tickets != nullptr && !tickets->byWorker.contains(worker.id))) {
             continue;
         }
@@ -452,10 +452,11 @@
     return true;
 }
 
-std::uint32_t Dispatcher::runsOfStepOn(const WorkerView &view, const TaskKey &task)
+std::uint32_t Dispatcher::runsOfStepOn(const std::string &worker, const WorkerView &view,
+                                       const TaskKey &task) const
 {
     const auto &reserved = view.reserved;
-    std::uint32_t count = 0;
+    std::uint32_t count = m_unassignedRuns.countOfStep(worker, task);
     for (auto row = reserved.lower_bound({task.job, task.occurrence, task.step, 0});
          row != reserved.end() && row->first.job == task.job
          && row->first.occurrence == task.occurrence && row->first.step == task.step;
@@ -498,14 +499,14 @@
         const WorkerRecord &worker = *candidate.worker;
         const WorkerView &view = *candidate.view;
         const std::string &id = worker.id;
-        const TaskResources freeCapacity = worker.capacity - view.used;
+        const TaskResources freeCapacity = worker.capacity - view.used - m_unassignedRuns.useOn(id);
         if (!fits(need, freeCapacity) || (tickets != nullptr && !tickets->byWorker.contains(id))) {
             continue;
         }
         if (!hasRequiredLabel(worker, step)) {
             continue;
         }
-        if (step.maxPerWorker > 0 && runsOfStepOn(view, task) >= step.maxPerWorker) {
+        if (step.maxPerWorker > 0 && runsOfStepOn(id, view, task) >= step.maxPerWorker) {
             continue;
         }
         // Best fit, with a preference for workers that already hold long-running tasks: it keeps
@@ -520,7 +521,7 @@
         }
         score -= view.failuresInRow;
         if (step.longRunning && step.maxUnavailable > 0
-            && runsOfStepOn(view, task) >= step.maxUnavailable) {
+            && runsOfStepOn(id, view, task) >= step.maxUnavailable) {
             // Maintenance of the worker would exceed the disruption budget of the step.
             if (isSpreadKept(job, step, now)) {
                 continue;
--- a/Source/Scheduling/UnassignedRuns.cpp
+++ b/Source/Scheduling/UnassignedRuns.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <vector>
 
+#include "Scheduling/StepFacts.h"
+
 namespace dandelionloom {
 
-// A run counts against its team's quota until its end is recorded. It certainly does not run after
+// A run counts against all limits until its end is recorded. It certainly does not run after
 // that, except for the runs that are counted here:
 // - Ends that the worker lists: the run has ended there.
 // - Refused: no start was sent, or the worker refused the only one, or it has confirmed the stop
@@ -31,7 +33,7 @@
 {
     const TaskKey &task = run.first;
     const JobRecord *job = m_state.job(task.job);
-    if (job == nullptr || job->spec.team.empty()) {
+    if (job == nullptr) {
         return;
     }
     const auto [slot, added] = m_runs[worker].try_emplace(run);
@@ -39,10 +41,37 @@
     if (added) {
         slot->second.team = job->spec.team;
         slot->second.need = job->spec.steps[task.step].need;
+        slot->second.reserved = reservedNeed(job->spec.steps[task.step]);
         m_use.add(slot->second.team, slot->second.need);
     }
 }
 
+TaskResources UnassignedRuns::useOn(const std::string &worker) const
+{
+    TaskResources use;
+    const auto runs = m_runs.find(worker);
+    if (runs != m_runs.end()) {
+        for (const auto &[key, run] : runs->second) {
+            use = use + run.reserved;
+        }
+    }
+    return use;
+}
+
+std::uint32_t UnassignedRuns::countOfStep(const std::string &worker, const TaskKey &task) const
+{
+    const auto runs = m_runs.find(worker);
+    if (runs == m_runs.end()) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(
+            std::count_if(runs->second.begin(), runs->second.end(), [&task](const auto &item) {
+                const TaskKey &other = item.first.first;
+                return other.job == task.job && other.occurrence == task.occurrence
+                        && other.step == task.step;
+            }));
+}
+
 bool UnassignedRuns::forget(const std::string &worker,
                             const std::function<bool(const RunKey &, const Run &)> &hasEnded)
 {
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(restartWithEarlierClock);
     CPPUNIT_TEST(answerToEarlierIncarnation);
     CPPUNIT_TEST(renewalWhileRestartIsRecorded);
+    CPPUNIT_TEST(limitWhileRunIsStopped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +193,36 @@
         fleet.workers.at("w1").partitioned = false;
         fleet.runUntil("the job", 5000, [&] { return isCompleted(fleet, "a"); });
     }
+
+    /// Guards against a task that is started beside the run of an earlier task of its step, beyond
+    /// the step's limit for a worker, because that run needs to be stopped only: its task has
+    /// completed elsewhere (ROUTE).
+    void limitWhileRunIsStopped()
+    {
+        FleetSimulation fleet(48);
+        fleet.durationOf = [](const TaskKey &task) { return task.index == 0 ? 1500 : 3000; };
+        setUpFleet(fleet, 2);
+        StepSpec step = shortStep(8);
+        step.maxPerWorker = 1;
+        fleet.submit("a", "quotes", {step});
+        fleet.runUntil("the starts", 1000, [&] { return fleet.starts == 2; });
+        const TaskKey first{"a", 0, 0, 0};
+        const bool isOnFirst = fleet.workers.at("w1").running.contains(first);
+        const std::string lost = isOnFirst ? "w1" : "w2";
+        const std::string other = isOnFirst ? "w2" : "w1";
+        fleet.run(300);
+        fleet.workers.at(lost).partitioned = true;
+        fleet.runUntil("the next run of the first task", 12000,
+                       [&] { return fleet.workers.at(other).running.contains(first); });
+        fleet.dispatcher->setCordoned(lost, true);
+        fleet.workers.at(lost).partitioned = false;
+        fleet.runUntil("the end of the first run", 1000,
+                       [&] { return fleet.state.task(first)->phase == TaskPhase::Done; });
+        CPPUNIT_ASSERT(fleet.workers.at(other).running.contains(first));
+        const std::uint32_t starts = fleet.starts;
+        fleet.runUntil("the next start", 2000, [&] { return fleet.starts > starts; });
+        CPPUNIT_ASSERT(!fleet.workers.at(other).running.contains(first));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
--- a/Tests/Scheduling/UnassignedRunsTest.cpp
+++ b/Tests/Scheduling/UnassignedRunsTest.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(listedRuns);
     CPPUNIT_TEST(expiredLeases);
     CPPUNIT_TEST(goneWorkers);
+    CPPUNIT_TEST(limitsOfTheWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,25 @@
         });
     }
 
+    /// Guards against a worker that gets more than it can hold while it still has runs to stop.
+    void limitsOfTheWorker()
+    {
+        Fixture fixture;
+        fixture.runs.count("w1", runOf(0), countedAt);
+        fixture.runs.count("w1", runOf(1, 1, "open"), countedAt);
+        const TaskKey sameStep{"open", 0, 0, 0};
+        const TaskKey otherStep{"open", 0, 1, 0};
+        CPPUNIT_ASSERT_EQUAL(2 * taskMilli, fixture.runs.useOn("w1").processorMilli);
+        CPPUNIT_ASSERT_EQUAL(1U, fixture.runs.countOfStep("w1", sameStep));
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.runs.countOfStep("w1", otherStep));
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.runs.countOfStep("w2", sameStep));
+        section("runs that are no longer listed don't count", [&] {
+            fixture.runs.forgetUnlisted("w1", answerOf({runOf(0)}), countedAt);
+            CPPUNIT_ASSERT_EQUAL(taskMilli, fixture.runs.useOn("w1").processorMilli);
+            CPPUNIT_ASSERT_EQUAL(0U, fixture.runs.countOfStep("w1", sameStep));
+        });
+    }
+
     /// Guards against a quota that is exceeded because a run that goes on no longer counts, and
     /// against one that is taken by a run that has ended.
     void listedRuns()
