Scheduling: Measure the retention of ended jobs on one clock

A next leader whose clock was 120 s ahead dropped jobs at once, and clients were told that they didn't exist.

The period is measured on the leader's steady clock. The time of day only bounds the number of records while leaders change often.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -95,6 +95,8 @@
     m_jobsByDueTime.clear();
     m_lastWallTime = 0;
     m_pendingCountedAt = 0;
+    m_nextPurge = 0;
+    m_endedSince.clear();
 }
 
 void Dispatcher::renewed(const std::string &worker, std::int64_t startTimeMs,
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Model/Result.h"
@@ -235,7 +236,7 @@
                      DispatchOrders &orders);
     void endRunsWithExpiredLeases(SteadyTimeMs now);
     void removeDeregisteredWorkers();
-    void purgeOldJobs(WallTimeMs wallNow);
+    void purgeOldJobs(SteadyTimeMs now, WallTimeMs wallNow);
     std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
 
     // Placement.
@@ -345,7 +346,9 @@
     SteadyTimeMs m_termStartedAt = 0;
     bool m_placementDirty = true;
     SteadyTimeMs m_nextPlacement = 0;
-    WallTimeMs m_nextPurge = 0;
+    SteadyTimeMs m_nextPurge = 0;
+    /// Jobs that have ended, with the time of this term since which they are known to.
+    std::unordered_map<JobId, SteadyTimeMs> m_endedSince;
     SteadyTimeMs m_nextLeaseCheck = 0;
     std::map<std::string, WorkerView> m_workers;
     /// The recorded workers by service; rebuilt when empty. Most placement passes change none.
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -18,6 +18,10 @@
 /// Interval of the search for jobs past their retention period.
 constexpr std::int64_t purgeIntervalMs = 3000;
 
+/// Larger than the difference between the times of day of two control instances, which may be
+/// minutes after one was set.
+constexpr std::int64_t maxWallClockDifferenceMs = 300000;
+
 /// Additional delay between renewals of a worker without runs.
 constexpr std::int64_t idleRenewDelayMs = 400;
 
@@ -45,7 +49,7 @@
     emitStops(now, orders);
     emitRenewals(now, orders);
     removeDeregisteredWorkers();
-    purgeOldJobs(wallNow);
+    purgeOldJobs(now, wallNow);
     std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
     std::move(m_decisions.begin(), m_decisions.end(), std::back_inserter(orders.dispatchDecisions));
     m_changes.clear();
@@ -361,14 +365,21 @@
     });
 }
 
-void Dispatcher::purgeOldJobs(WallTimeMs wallNow)
+void Dispatcher::purgeOldJobs(SteadyTimeMs now, WallTimeMs wallNow)
 {
-    if (wallNow < m_nextPurge) {
+    if (now < m_nextPurge) {
         return;
     }
-    m_nextPurge = wallNow + purgeIntervalMs;
+    m_nextPurge = now + purgeIntervalMs;
     for (const auto &[id, job] : m_state.jobs()) {
-        if (job.isPurgeable() && job.endedAtMs + m_options.retentionMs < wallNow) {
+        if (!job.isPurgeable()) {
+            continue;
+        }
+        // The time of day of the end may be that of an earlier leader, whose clock is set
+        // differently. It only bounds the number of records if the leader changes often.
+        const auto since = m_endedSince.try_emplace(id, now).first;
+        if (now - since->second >= m_options.retentionMs
+            || wallNow - job.endedAtMs >= m_options.retentionMs + maxWallClockDifferenceMs) {
             m_changes.emplace_back(JobPurged{id.text()});
         }
     }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -282,6 +282,7 @@
         m_changedJobs.insert(m_activeJobs.begin(), m_activeJobs.end());
         m_quotas = m_state.quotas();
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
+        m_endedSince.erase(forgotten->job);
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
     }
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(queueOnAnotherService);
     CPPUNIT_TEST(largeLongRunningTask);
     CPPUNIT_TEST(hungWorker);
+    CPPUNIT_TEST(retentionOfEndedJobs);
     CPPUNIT_TEST(randomFaults);
     CPPUNIT_TEST_SUITE_END();
 
@@ -383,6 +384,42 @@
         }
     }
 
+    /// Guards against ended jobs that are forgotten early, and then reported as unknown, because
+    /// the clock of the next leader is ahead (LOST), and against records that are kept for good.
+    void retentionOfEndedJobs()
+    {
+        const std::int64_t retentionMs = DispatchOptions{}.retentionMs;
+        for (const std::int64_t offsetMs : {120000, 0, -3600000}) {
+            section("of a leader whose clock differs by " + std::to_string(offsetMs) + " ms", [&] {
+                FleetSimulation fleet(49);
+                setUpFleet(fleet, 1);
+                fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+                fleet.run(500);
+                fleet.cancel("a");
+                fleet.run(1000);
+                CPPUNIT_ASSERT(fleet.state.job("a")->isPurgeable());
+                fleet.wallOffsetMs = offsetMs;
+                fleet.changeLeader();
+                fleet.run(retentionMs - 2000);
+                CPPUNIT_ASSERT(fleet.state.job("a") != nullptr);
+                fleet.run(10000);
+                CPPUNIT_ASSERT(fleet.state.job("a") == nullptr);
+            });
+        }
+        section("of leaders that change more often", [&] {
+            FleetSimulation fleet(50);
+            setUpFleet(fleet, 1);
+            fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+            fleet.run(500);
+            fleet.cancel("a");
+            for (int change = 0; change < 5 && fleet.state.job("a") != nullptr; ++change) {
+                fleet.run(retentionMs - 10000);
+                fleet.changeLeader();
+            }
+            CPPUNIT_ASSERT(fleet.state.job("a") == nullptr);
+        });
+    }
+
     /// Guards against a second run of a task on another worker because the answer to its first
     /// start was lost.
     void lostStartAnswers()
