Scheduling: Remove only the incarnation that an order has ended

When an order for an instance had been carried out, the planners proposed that the recorded incarnation of its worker had left. A successor with the same id that had joined by then was removed for good.

The planners note the incarnation when they give the order.

Measured: PlannersTest::successorWithTheSameId fails with the recorded incarnation and passes with the noted one.

--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -270,13 +270,23 @@
 
 void MaintenancePlanner::proposeWorkerLeft(Progress &progress)
 {
-    const WorkerRecord *worker = m_state.worker(progress.worker);
-    if (worker != nullptr && !progress.leftProposed) {
+    // The worker may have left by itself and started again under its id since.
+    if (m_state.worker(progress.worker) != nullptr && progress.orderedStartTimeMs != 0
+        && !progress.leftProposed) {
         progress.leftProposed = true;
-        m_changes.emplace_back(WorkerLeft{worker->id, worker->startTimeMs});
+        m_changes.emplace_back(WorkerLeft{progress.worker, progress.orderedStartTimeMs});
     }
 }
 
+void MaintenancePlanner::order(const std::string &instance, Progress &progress,
+                               MaintenanceOrders &orders)
+{
+    const WorkerRecord *worker = m_state.worker(progress.worker);
+    progress.orderedStartTimeMs = worker == nullptr ? 0 : worker->startTimeMs;
+    progress.nextOrderAt = 0;
+    orders.begin.push_back({instance, progress.wave, progress.worker});
+}
+
 void MaintenancePlanner::finishReturned(SteadyTimeMs now, MaintenanceOrders &orders)
 {
     for (auto item = m_progress.begin(); item != m_progress.end();) {
@@ -382,8 +392,7 @@
             // unavailable since.
             if (progress.nextOrderAt != 0 && now >= progress.nextOrderAt
                 && m_dispatcher.disruptionBudgetViolation(progress.worker, now).empty()) {
-                progress.nextOrderAt = 0;
-                orders.begin.push_back({instance, wave.id, progress.worker});
+                order(instance, progress, orders);
             }
             continue;
         }
@@ -409,11 +418,10 @@
             continue;
         }
         progress.phase = Phase::Ordered;
-        progress.nextOrderAt = 0;
         m_dispatcher.setLeaving(progress.worker, true);
         ++unavailable;
         --draining;
-        orders.begin.push_back({instance, wave.id, progress.worker});
+        order(instance, progress, orders);
         orders.dispatchDecisions.push_back({"maintenance", instance, 0, progress.worker,
                                             "wave-" + std::to_string(wave.id),
                                             now - progress.since});
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -82,6 +82,8 @@
         SteadyTimeMs since = 0;
         SteadyTimeMs nextOrderAt = 0;
         std::string worker;
+        /// Incarnation of the worker when the last order was given; 0 before the first.
+        std::int64_t orderedStartTimeMs = 0;
         /// Time from which on it is logged again that the order waits.
         SteadyTimeMs nextWaitLogAt = 0;
         /// An order got no answer: it may be carried out even if a later one is not sent or
@@ -97,6 +99,8 @@
     void followWorker(const std::string &instance, Progress &progress);
     void stepWave(const MaintenanceWave &wave, SteadyTimeMs now, WallTimeMs wallNow,
                   MaintenanceOrders &orders);
+    /// Gives an order for the instance.
+    void order(const std::string &instance, Progress &progress, MaintenanceOrders &orders);
     /// Proposes WorkerLeft, once a listing shows that the worker has ended.
     void proposeWorkerLeft(Progress &progress);
     /// Ends the drain of instances that count as finished for another reason than an order of this
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -239,6 +239,8 @@
     }
     for (auto &[id, progress] : m_progress) {
         if (!progress.ordered && progress.nextOrderAt != 0 && now >= progress.nextOrderAt) {
+            const WorkerRecord *worker = m_state.worker(progress.worker);
+            progress.orderedStartTimeMs = worker == nullptr ? 0 : worker->startTimeMs;
             progress.nextOrderAt = 0;
             orders.moves.push_back({id, progress.pool, progress.worker});
         }
@@ -272,8 +274,9 @@
     if (!fault) {
         progress.ordered = true;
         progress.since = now;
-        if (const WorkerRecord *worker = m_state.worker(progress.worker)) {
-            m_changes.emplace_back(WorkerLeft{worker->id, worker->startTimeMs});
+        // The next worker may have joined under the same id before the answer arrived.
+        if (m_state.worker(progress.worker) != nullptr && progress.orderedStartTimeMs != 0) {
+            m_changes.emplace_back(WorkerLeft{progress.worker, progress.orderedStartTimeMs});
         }
         return;
     }
--- a/Source/Scheduling/PoolBalancer.h
+++ b/Source/Scheduling/PoolBalancer.h
@@ -72,6 +72,8 @@
         SteadyTimeMs nextOrderAt = 0;
         /// An order got no answer: it may be carried out even if a later one is not sent.
         bool unanswered = false;
+        /// Incarnation of the worker when the last order was given; 0 before the first.
+        std::int64_t orderedStartTimeMs = 0;
     };
 
     std::vector<PoolStatus> poolStatuses(SteadyTimeMs now);
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -725,8 +725,15 @@
         workers.erase(instance.worker);
         instance.state = InstanceState::Moving;
         returning[order.instance] = {now + moveMs, order.pool};
-        balancer->answered(order, std::nullopt, now);
+        m_unansweredMoves.emplace_back(now + moveAnswerMs, order);
     }
+    std::erase_if(m_unansweredMoves, [this](const auto &move) {
+        if (move.first > now) {
+            return false;
+        }
+        balancer->answered(move.second, std::nullopt, now);
+        return true;
+    });
     for (const JobChange &change : orders.changes) {
         propose(change);
     }
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -80,6 +80,8 @@
     double answerLossRate = 0;
     /// If above 0, the provider answers no maintenance order and carries each out after this time.
     std::int64_t maintenanceDelayMs = 0;
+    /// Time that the provider takes to answer a move that it has carried out.
+    std::int64_t moveAnswerMs = 0;
     /// False while the provider does not list its instances.
     bool listsInstances = true;
     /// Time between a maintenance order and the commit of its record in the journal.
@@ -221,6 +223,7 @@
         MaintenanceOrder order;
     };
     std::vector<DelayedOrder> m_pendingOrders;
+    std::vector<std::pair<SteadyTimeMs, MoveOrder>> m_unansweredMoves;
     /// Instances that the provider takes out of service later.
     std::vector<std::pair<SteadyTimeMs, std::string>> m_delayedTakeDowns;
     /// Instances that the provider has taken out of service for the wave; it confirms repeated
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(longRunningTaskSpread);
     CPPUNIT_TEST(overdueWithoutListing);
     CPPUNIT_TEST(drainOfMissedInstance);
+    CPPUNIT_TEST(successorWithTheSameId);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -856,6 +857,54 @@
         CPPUNIT_ASSERT(fleet.state.waves().at(1).isCompleted());
         CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->cordoned);
     }
+
+    /// Guards against a worker that is removed for good because an order has ended its earlier
+    /// incarnation: an incarnation that has left is not recorded again.
+    void successorWithTheSameId()
+    {
+        const auto apply = [](FleetSimulation &fleet, const JobChange &change) {
+            fleet.state.apply(change);
+            fleet.dispatcher->applied(change, fleet.now);
+        };
+        section("it has joined before a listing shows the maintenance", [&] {
+            FleetSimulation fleet(39);
+            fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+            fleet.addWorker("pricing");
+            fleet.start();
+            fleet.run(100);
+            fleet.startWave({"m1"}, 1);
+            fleet.runUntil("the order", 2000, [&] { return !fleet.maintainedInstances.empty(); });
+            WorkerRecord next = *fleet.state.worker("w1");
+            apply(fleet, WorkerLeft{next.id, next.startTimeMs});
+            ++next.startTimeMs;
+            apply(fleet, WorkerJoined{next});
+            fleet.run(1000);
+            CPPUNIT_ASSERT(fleet.state.worker("w1") != nullptr);
+        });
+        section("it has joined before the order of a move is answered", [&] {
+            FleetSimulation fleet(40);
+            fleet.balancerEnabled = true;
+            fleet.moveAnswerMs = 1000;
+            fleet.configure({queueOf("first", "a"), queueOf("second", "b")}, {"a", "b"});
+            for (int worker = 0; worker < 3; ++worker) {
+                fleet.addWorker("a");
+            }
+            fleet.addWorker("b");
+            fleet.start();
+            fleet.run(1000);
+            for (int job = 0; job < 10; ++job) {
+                fleet.submit("second" + std::to_string(job), "second", {shortStep(8, 2000)});
+            }
+            fleet.runUntil("a move", 5000, [&] { return fleet.moves > 0; });
+            const std::string moved = fleet.returning.begin()->first;
+            const std::string worker = fleet.instances.at(moved).worker;
+            WorkerRecord next = *fleet.state.worker(worker);
+            ++next.startTimeMs;
+            apply(fleet, WorkerJoined{next});
+            fleet.run(1400);
+            CPPUNIT_ASSERT(fleet.state.worker(worker) != nullptr);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannersTest);
