Scheduling: Keep the cordon of a worker that restarts

The cordon of a worker was lost when it restarted under its id, while an unanswered move, or an order of an earlier leader, could still end it.

The planners cordon in each step while an order may be carried out, as maintenance does for its drains. An announced restart keeps the marks.

Measured: PlannersTest::restartBeforeOrderIsAnswered fails without the change and passes with it.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -209,6 +209,9 @@
     void queueStopsOfEndedJob(const JobId &job);
     void queueStartsAndStops(const std::string &worker);
     void removeWorker(const std::string &worker);
+    /// Forgets what is known of a worker, but for the planners' marks: an order for its instance
+    /// may still be carried out, whichever incarnation runs there.
+    void resetWorker(const std::string &worker);
     void onStartConfirmed(const TaskKey &task, RunView &run, SteadyTimeMs now);
     void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
                       SteadyTimeMs now);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -266,7 +266,7 @@
             if (m_workers[record->id].startTimeMs != record->startTimeMs) {
                 // An assignment or end that was applied since the announcement may have made a view
                 // of the earlier incarnation, with a renewal that is never answered for this one.
-                removeWorker(record->id);
+                resetWorker(record->id);
             }
             syncRuns(record->id);
         }
@@ -326,7 +326,7 @@
             changes.emplace_back(WorkerLeft{id, other.startTimeMs});
         }
         m_disruptionBudgets.forgetAvailability();
-        removeWorker(worker.id);
+        resetWorker(worker.id);
     }
     changes.emplace_back(WorkerJoined{worker});
     return changes;
@@ -368,6 +368,19 @@
     m_placementDirty = m_unassignedRuns.forgetWorker(worker) || m_placementDirty;
 }
 
+void Dispatcher::resetWorker(const std::string &worker)
+{
+    const WorkerView *known = view(worker);
+    const bool cordoned = known != nullptr && known->cordoned;
+    const bool leaving = known != nullptr && known->leaving;
+    removeWorker(worker);
+    if (cordoned || leaving) {
+        WorkerView &next = m_workers[worker];
+        next.cordoned = cordoned;
+        next.leaving = leaving;
+    }
+}
+
 void Dispatcher::countUnassignedRun(const std::string &worker, const TaskKey &task,
                                     std::uint32_t run, SteadyTimeMs now)
 {
--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -97,11 +97,14 @@
         const std::string worker = m_orderLog.workerWithPendingOrder(id, m_term, now);
         if (!worker.empty() && worker == instance.worker
             && m_earlierOrders.emplace(id, worker).second) {
-            m_dispatcher.setCordoned(instance.worker, true);
-            m_dispatcher.setLeaving(instance.worker, true);
             m_decisions.push_back({"earlier-order", id, 0, worker, "counts-as-leaving", -1});
         }
     }
+    for (const auto &[id, worker] : m_earlierOrders) {
+        // A worker that has restarted since is not cordoned yet.
+        m_dispatcher.setCordoned(worker, true);
+        m_dispatcher.setLeaving(worker, true);
+    }
     std::erase_if(m_earlierOrders, [&](const auto &item) {
         if (!m_orderLog.mayOrder(item.first, m_term, now)) {
             return false;
--- a/Source/Scheduling/PoolBalancer.cpp
+++ b/Source/Scheduling/PoolBalancer.cpp
@@ -69,6 +69,8 @@
         const bool overdue =
                 now - progress.since >= m_options.arrivalLimitMs && m_listedAt > progress.since;
         if (progress.ordered && (arrived || overdue)) {
+            m_dispatcher.setCordoned(progress.worker, false);
+            m_dispatcher.setLeaving(progress.worker, false);
             m_orderLog.release(item->first);
             item = m_progress.erase(item);
         } else {
@@ -238,6 +240,11 @@
         setDraining(std::move(draining));
     }
     for (auto &[id, progress] : m_progress) {
+        if (!progress.ordered) {
+            // A worker that has restarted since is not cordoned yet.
+            m_dispatcher.setCordoned(progress.worker, true);
+            m_dispatcher.setLeaving(progress.worker, true);
+        }
         if (!progress.ordered && progress.nextOrderAt != 0 && now >= progress.nextOrderAt) {
             const WorkerRecord *worker = m_state.worker(progress.worker);
             progress.orderedStartTimeMs = worker == nullptr ? 0 : worker->startTimeMs;
@@ -274,10 +281,15 @@
     if (!fault) {
         progress.ordered = true;
         progress.since = now;
-        // The next worker may have joined under the same id before the answer arrived.
-        if (m_state.worker(progress.worker) != nullptr && progress.orderedStartTimeMs != 0) {
+        const WorkerRecord *worker = m_state.worker(progress.worker);
+        if (worker != nullptr && progress.orderedStartTimeMs != 0) {
             m_changes.emplace_back(WorkerLeft{progress.worker, progress.orderedStartTimeMs});
         }
+        if (worker != nullptr && worker->startTimeMs != progress.orderedStartTimeMs) {
+            // The next worker has joined under the same id before the answer arrived.
+            m_dispatcher.setCordoned(progress.worker, false);
+            m_dispatcher.setLeaving(progress.worker, false);
+        }
         return;
     }
     m_decisions.push_back({"move-refused", order.instance, 0, progress.worker,
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(overdueWithoutListing);
     CPPUNIT_TEST(drainOfMissedInstance);
     CPPUNIT_TEST(successorWithTheSameId);
+    CPPUNIT_TEST(restartBeforeOrderIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -858,6 +859,72 @@
         CPPUNIT_ASSERT(!fleet.dispatcher->view("w1")->cordoned);
     }
 
+    /// Guards against tasks that are started on a worker that has restarted under its id, while an
+    /// unanswered order may still end them.
+    void restartBeforeOrderIsAnswered()
+    {
+        FleetSimulation fleet(41);
+        fleet.balancerEnabled = true;
+        fleet.moveAnswerMs = 60000;
+        fleet.configure({queueOf("first", "a"), queueOf("second", "b")}, {"a", "b"});
+        for (int worker = 0; worker < 3; ++worker) {
+            fleet.addWorker("a");
+        }
+        fleet.addWorker("b");
+        fleet.start();
+        fleet.run(1000);
+        for (int job = 0; job < 10; ++job) {
+            fleet.submit("second" + std::to_string(job), "second", {shortStep(8, 2000)});
+        }
+        fleet.runUntil("a move", 5000, [&] { return fleet.moves > 0; });
+        const std::string worker = fleet.instances.at(fleet.returning.begin()->first).worker;
+        WorkerRecord next = *fleet.state.worker(worker);
+        section("an announced restart keeps the cordon", [&] {
+            ++next.startTimeMs;
+            for (const JobChange &change : fleet.dispatcher->announced({next, 1, -1}, fleet.now)) {
+                fleet.state.apply(change);
+                fleet.dispatcher->applied(change, fleet.now);
+            }
+            CPPUNIT_ASSERT(fleet.dispatcher->view(worker)->cordoned);
+            CPPUNIT_ASSERT(fleet.dispatcher->view(worker)->leaving);
+        });
+        section("one that a renewal has shown before is cordoned by the next step", [&] {
+            const WorkerLeft left{next.id, next.startTimeMs};
+            fleet.state.apply(left);
+            fleet.dispatcher->applied(left, fleet.now);
+            ++next.startTimeMs;
+            fleet.state.apply(WorkerJoined{next});
+            fleet.dispatcher->applied(WorkerJoined{next}, fleet.now);
+            fleet.run(fleet.planMs + fleet.stepMs);
+            CPPUNIT_ASSERT(fleet.dispatcher->view(worker)->cordoned);
+            CPPUNIT_ASSERT(fleet.dispatcher->view(worker)->leaving);
+        });
+        section("so is one with an order of an earlier leader", [] {
+            FleetSimulation other(42);
+            other.configure({queueOf("quotes", "pricing")}, {"pricing"});
+            other.addWorker("pricing");
+            other.addWorker("pricing");
+            other.start();
+            other.run(1000);
+            other.maintenanceDelayMs = 60000;
+            other.startWave({"m1"}, 1);
+            other.runUntil("the order", 3000, [&] { return other.ordersReceived == 1; });
+            other.changeLeader();
+            other.run(600);
+            CPPUNIT_ASSERT(other.dispatcher->view("w1")->cordoned);
+            WorkerRecord restarted = *other.state.worker("w1");
+            const WorkerLeft left{restarted.id, restarted.startTimeMs};
+            other.state.apply(left);
+            other.dispatcher->applied(left, other.now);
+            ++restarted.startTimeMs;
+            other.state.apply(WorkerJoined{restarted});
+            other.dispatcher->applied(WorkerJoined{restarted}, other.now);
+            other.run(other.planMs + other.stepMs);
+            CPPUNIT_ASSERT(other.dispatcher->view("w1")->cordoned);
+            CPPUNIT_ASSERT(other.dispatcher->view("w1")->leaving);
+        });
+    }
+
     /// Guards against a worker that is removed for good because an order has ended its earlier
     /// incarnation: an incarnation that has left is not recorded again.
     void successorWithTheSameId()
@@ -903,6 +970,8 @@
             apply(fleet, WorkerJoined{next});
             fleet.run(1400);
             CPPUNIT_ASSERT(fleet.state.worker(worker) != nullptr);
+            CPPUNIT_ASSERT(!fleet.dispatcher->view(worker)->cordoned);
+            CPPUNIT_ASSERT(!fleet.dispatcher->view(worker)->leaving);
         });
     }
 };
