--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -337,7 +337,7 @@
 void JobService::proposeChanges(SteadyTimeMs now)
 {
     if (m_leading && !m_unproposedChanges.empty()) {
-        m_journal->propose(encodeChanges(m_unproposedChanges));
+        m_journal->propose(m_status.term, encodeChanges(m_unproposedChanges));
         m_unproposedChanges.clear();
         const bool largeFleet = m_schedulerState.workers().size() > largeFleetWorkers;
         m_nextProposal = now + (largeFleet ? largeFleetStepIntervalMs : 0);
@@ -564,13 +564,14 @@
     }
     for (const RenewOrder &order : orders.renewals) {
         m_workers.renew(order, fence,
-                        [alive, fence,
-                         worker = order.worker](const Result<RenewAnswer, CallFault> &answer) {
+                        [alive, fence, worker = order.worker, startTimeMs = order.startTimeMs](
+                                const Result<RenewAnswer, CallFault> &answer) {
                             const auto service = alive.lock();
                             if (!service || (*service)->m_status.term != fence) {
                                 return;
                             }
-                            (*service)->m_dispatcher.renewed(worker, answer, steadyTimeNow());
+                            (*service)->m_dispatcher.renewed(worker, startTimeMs, answer,
+                                                             steadyTimeNow());
                             (*service)->onWorkerAnswered();
                         });
     }
--- a/Source/Runtime/WorkerCallRelay.cpp
+++ b/Source/Runtime/WorkerCallRelay.cpp
@@ -33,18 +33,19 @@
 void WorkerCallRelay::handle(const std::string &from, const std::string &body,
                              SteadyTimeMs receivedAt, const PeerTransport::Reply &reply)
 {
-    reply(packMessage(WorkerCallAck{receive(from, body, receivedAt), m_availabilityZone}));
+    const WorkerCallReceipt receipt = receive(from, body, receivedAt);
+    reply(packMessage(WorkerCallAck{receipt, m_availabilityZone, steadyTimeNow()}));
 }
 
 WorkerCallReceipt WorkerCallRelay::receive(const std::string &from, const std::string &body,
                                            SteadyTimeMs receivedAt)
 {
-    const auto unpacked = unpackMessage<WorkerCallBatch>(body);
+    auto unpacked = unpackMessage<WorkerCallBatch>(body);
     if (!isOk(unpacked)) {
         m_log.event(LogSeverity::Warning, "worker-calls", "unreadable batch of " + from);
         return WorkerCallReceipt::Unreadable;
     }
-    const WorkerCallBatch &batch = valueOf(unpacked);
+    WorkerCallBatch batch = takeValue(std::move(unpacked));
     if (batch.term < m_term) {
         m_log.event(LogSeverity::Warning, "worker-calls",
                     "refused orders of " + from + " of term " + std::to_string(batch.term)
@@ -59,11 +60,11 @@
                             + " ms");
         return WorkerCallReceipt::Stale;
     }
-    makeCalls(from, batch);
+    makeCalls(from, std::move(batch));
     return WorkerCallReceipt::Accepted;
 }
 
-WorkerCalls::OrderCallback WorkerCallRelay::orderCallback(const std::string &leader,
+WorkerCalls::OrderCallback WorkerCallRelay::orderCallback(const LeaderProcess &leader,
                                                           std::uint64_t call)
 {
     return [alive = std::weak_ptr(m_alive), leader, call](std::optional<CallFault> fault) {
@@ -74,20 +75,22 @@
     };
 }
 
-void WorkerCallRelay::makeCalls(const std::string &from, const WorkerCallBatch &batch)
+void WorkerCallRelay::makeCalls(const std::string &from, WorkerCallBatch batch)
 {
-    for (const auto &[call, order] : batch.starts) {
-        m_workers.start(order, batch.term, orderCallback(from, call));
+    const LeaderProcess leader(from, batch.process);
+    for (auto &[call, order] : batch.starts) {
+        order.sendUntil = batch.sendStartsUntilMs;
+        m_workers.start(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.stops) {
-        m_workers.stop(order, batch.term, orderCallback(from, call));
+        m_workers.stop(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.paces) {
-        m_workers.pace(order, batch.term, orderCallback(from, call));
+        m_workers.pace(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.renewals) {
         m_workers.renew(order, batch.term,
-                        [alive = std::weak_ptr(m_alive), from,
+                        [alive = std::weak_ptr(m_alive), leader,
                          id = call](Result<RenewAnswer, CallFault> answer) {
                             const auto relay = alive.lock();
                             if (!relay) {
@@ -99,7 +102,7 @@
                             } else {
                                 result.fault = errorOf(answer);
                             }
-                            (*relay)->m_results[from].renewals.push_back(std::move(result));
+                            (*relay)->m_results[leader].renewals.push_back(std::move(result));
                             (*relay)->scheduleFlush();
                         });
     }
@@ -121,10 +124,11 @@
 void WorkerCallRelay::flush()
 {
     m_flushScheduled = false;
-    for (const auto &[leader, results] : m_results) {
+    for (auto &[leader, results] : m_results) {
+        results.process = leader.second;
         // Results that are lost need no repetition: the leader's calls time out, and workers list
         // the ends of runs until the leader has acknowledged them.
-        m_transport.call(leader, PeerMessageKind::WorkerCallResults, packMessage(results),
+        m_transport.call(leader.first, PeerMessageKind::WorkerCallResults, packMessage(results),
                          resultTimeout, [](const PeerResult &) {});
     }
     m_results.clear();
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -183,8 +183,10 @@
     /// Lease on the worker's clock; unset while that clock is unknown.
     std::optional<std::int64_t> leaseUntilMs;
     std::int64_t waitMs = 0;
+    /// Recorded incarnation of the worker when the order was issued.
+    std::int64_t startTimeMs = 0;
 
-    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs)
+    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs, startTimeMs)
 };
 
 struct StartOrder
@@ -197,6 +199,9 @@
     std::int64_t leaseUntilMs = 0;
     std::string checkpoint;
     std::string ticket;
+    /// Time on the local clock after which the order must not be sent, as the leader's lease has
+    /// ended; 0 for none. Not encoded: each control instance has its own clock.
+    SteadyTimeMs sendUntil = 0;
 
     MSGPACK_DEFINE_ARRAY(worker, address, task, run, payload, leaseUntilMs, checkpoint, ticket)
 };
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Model/Result.h"
@@ -79,8 +80,10 @@
     /// on when the next one is already in use. The worker is removed by a later step(), when all
     /// its runs have ended: until it gets an answer it goes on with them.
     bool deregistered(const std::string &worker);
-    void renewed(const std::string &worker, const Result<RenewAnswer, CallFault> &answer,
-                 SteadyTimeMs now);
+    /// Called when the renewal sent to the incarnation of the worker with this start time is
+    /// answered or has failed.
+    void renewed(const std::string &worker, std::int64_t startTimeMs,
+                 const Result<RenewAnswer, CallFault> &answer, SteadyTimeMs now);
     void startAnswered(const std::string &worker, const TaskKey &task, std::uint32_t run,
                        std::optional<CallFault> fault, SteadyTimeMs now);
     void stopAnswered(const StopOrder &order, std::optional<CallFault> fault, SteadyTimeMs now);
@@ -218,6 +221,9 @@
     void queueStopsOfEndedJob(const JobId &job);
     void queueStartsAndStops(const std::string &worker);
     void removeWorker(const std::string &worker);
+    /// Forgets what is known of a worker, but for the planners' marks: an order for its instance
+    /// may still be carried out, whichever incarnation runs there.
+    void resetWorker(const std::string &worker);
     void onStartConfirmed(const TaskKey &task, RunView &run, SteadyTimeMs now);
     void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
                       SteadyTimeMs now);
@@ -245,7 +251,7 @@
                      DispatchOrders &orders);
     void endRunsWithExpiredLeases(SteadyTimeMs now);
     void removeDeregisteredWorkers();
-    void purgeOldJobs(WallTimeMs wallNow);
+    void purgeOldJobs(SteadyTimeMs now, WallTimeMs wallNow);
     std::int64_t extendLease(WorkerView &view, SteadyTimeMs now);
     /// False from the proposal that the worker is silent until it is recorded that it answers.
     bool mayExtendLease(const std::string &worker, const WorkerView &view) const
@@ -343,7 +349,10 @@
     /// this end is not recorded yet.
     bool isListedAsDone(const TaskKey &task) const;
     bool isBestEffort(const TaskKey &task) const;
-    static std::uint32_t runsOfStepOn(const WorkerView &view, const TaskKey &task);
+    /// Number of runs of the task's step that the worker has or gets, also those that it still has
+    /// to stop.
+    std::uint32_t runsOfStepOn(const std::string &worker, const WorkerView &view,
+                               const TaskKey &task) const;
     bool hasLatencyTarget(const WorkerView &view) const;
     void recordEnd(const RunEnded &ended, const std::string &worker, SteadyTimeMs now);
 
@@ -375,7 +384,9 @@
     bool m_leaseLimitProposed = false;
     bool m_placementDirty = true;
     SteadyTimeMs m_nextPlacement = 0;
-    WallTimeMs m_nextPurge = 0;
+    SteadyTimeMs m_nextPurge = 0;
+    /// Jobs that have ended, with the time of this term since which they are known to.
+    std::unordered_map<JobId, SteadyTimeMs> m_endedSince;
     SteadyTimeMs m_nextLeaseCheck = 0;
     std::map<std::string, WorkerView> m_workers;
     /// The recorded workers by service; rebuilt when empty. Most placement passes change none.
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -95,6 +95,7 @@
 void Dispatcher::syncRuns(const std::string &worker)
 {
     WorkerView &view = m_workers[worker];
+    view.startTimeMs = m_state.worker(worker)->startTimeMs;
     const std::set<TaskKey> &assigned = m_state.tasksOf(worker);
     std::vector<TaskKey> gone;
     for (const auto &[task, run] : view.runs) {
@@ -260,8 +261,14 @@
         m_startedJobs.erase(cancelled->job);
         queueStopsOfEndedJob(cancelled->job);
     } else if (const auto *joined = std::get_if<WorkerJoined>(&change)) {
-        if (m_state.worker(joined->worker.id) != nullptr) {
-            syncRuns(joined->worker.id);
+        const WorkerRecord *record = m_state.worker(joined->worker.id);
+        if (record != nullptr) {
+            if (m_workers[record->id].startTimeMs != record->startTimeMs) {
+                // An assignment or end that was applied since the announcement may have made a view
+                // of the earlier incarnation, with a renewal that is never answered for this one.
+                resetWorker(record->id);
+            }
+            syncRuns(record->id);
         }
         m_workersOfService.clear();
         m_demand.onWorkerJoined(joined->worker);
@@ -282,6 +289,7 @@
         m_changedJobs.insert(m_activeJobs.begin(), m_activeJobs.end());
         m_quotas = m_state.quotas();
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
+        m_endedSince.erase(forgotten->job);
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
     }
@@ -325,7 +333,7 @@
             changes.emplace_back(WorkerLeft{id, other.startTimeMs});
         }
         m_disruptionBudgets.forgetAvailability();
-        removeWorker(worker.id);
+        resetWorker(worker.id);
     }
     changes.emplace_back(WorkerJoined{worker});
     return changes;
@@ -367,6 +375,19 @@
     m_placementDirty = m_unassignedRuns.forgetWorker(worker) || m_placementDirty;
 }
 
+void Dispatcher::resetWorker(const std::string &worker)
+{
+    const WorkerView *known = view(worker);
+    const bool cordoned = known != nullptr && known->cordoned;
+    const bool leaving = known != nullptr && known->leaving;
+    removeWorker(worker);
+    if (cordoned || leaving) {
+        WorkerView &next = m_workers[worker];
+        next.cordoned = cordoned;
+        next.leaving = leaving;
+    }
+}
+
 void Dispatcher::countUnassignedRun(const std::string &worker, const TaskKey &task,
                                     std::uint32_t run, SteadyTimeMs now)
 {
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -47,6 +47,9 @@
     CPPUNIT_TEST(reachableAtEndOfLease);
     CPPUNIT_TEST(answerThatIsNotRecorded);
     CPPUNIT_TEST(partitionsAndLeaderChanges);
+    CPPUNIT_TEST(answerToEarlierIncarnation);
+    CPPUNIT_TEST(renewalWhileRestartIsRecorded);
+    CPPUNIT_TEST(limitWhileRunIsStopped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -279,6 +282,79 @@
             }
         }
     }
+
+    /// Guards against a worker that is removed for good, with its runs, because a call to its
+    /// earlier incarnation is answered late: another worker at the earlier address refuses it.
+    void answerToEarlierIncarnation()
+    {
+        FleetSimulation fleet(46);
+        setUpFleet(fleet, 1);
+        const std::int64_t earlier = fleet.state.worker("w1")->startTimeMs;
+        fleet.workers.at("w1").record.address = "10.0.1.1:8080";
+        fleet.restart("w1");
+        fleet.runUntil("the next incarnation", 1000,
+                       [&] { return fleet.state.worker("w1")->startTimeMs != earlier; });
+        fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+        fleet.runUntil("the start", 1000, [&] { return fleet.runningCount("a") == 1; });
+        fleet.dispatcher->renewed("w1", earlier, CallFault::OtherIncarnation, fleet.now);
+        fleet.run(2000);
+        CPPUNIT_ASSERT(fleet.state.worker("w1") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(1U, fleet.starts);
+        section("nor does a call without an answer count against the worker", [&] {
+            fleet.dispatcher->renewed("w1", earlier, CallFault::NoAnswer, fleet.now);
+            CPPUNIT_ASSERT_EQUAL(0U, fleet.dispatcher->view("w1")->renewFailures);
+        });
+    }
+
+    /// Guards against a worker that is never renewed because an assignment to its earlier
+    /// incarnation was recorded between the announcement of the next one and its record.
+    void renewalWhileRestartIsRecorded()
+    {
+        FleetSimulation fleet(47);
+        setUpFleet(fleet, 1);
+        fleet.commitMs = 200;
+        fleet.submit("a", "quotes", {shortStep(1)});
+        fleet.runUntil("the proposed assignment", 1000,
+                       [&] { return !fleet.dispatcher->view("w1")->reserved.empty(); });
+        const std::int64_t earlier = fleet.state.worker("w1")->startTimeMs;
+        fleet.run(50);
+        fleet.restart("w1");
+        fleet.workers.at("w1").partitioned = true;
+        fleet.runUntil("the next incarnation", 1000,
+                       [&] { return fleet.state.worker("w1")->startTimeMs != earlier; });
+        fleet.workers.at("w1").partitioned = false;
+        fleet.runUntil("the job", 5000, [&] { return isCompleted(fleet, "a"); });
+    }
+
+    /// Guards against a task that is started beside the run of an earlier task of its step, beyond
+    /// the step's limit for a worker, because that run needs to be stopped only: its task has
+    /// completed elsewhere (ROUTE).
+    void limitWhileRunIsStopped()
+    {
+        FleetSimulation fleet(48);
+        fleet.durationOf = [](const TaskKey &task) { return task.index == 0 ? 1500 : 3000; };
+        setUpFleet(fleet, 2);
+        StepSpec step = shortStep(8);
+        step.maxPerWorker = 1;
+        fleet.submit("a", "quotes", {step});
+        fleet.runUntil("the starts", 1000, [&] { return fleet.starts == 2; });
+        const TaskKey first{"a", 0, 0, 0};
+        const bool isOnFirst = fleet.workers.at("w1").running.contains(first);
+        const std::string lost = isOnFirst ? "w1" : "w2";
+        const std::string other = isOnFirst ? "w2" : "w1";
+        fleet.run(300);
+        fleet.workers.at(lost).partitioned = true;
+        fleet.runUntil("the next run of the first task", 12000,
+                       [&] { return fleet.workers.at(other).running.contains(first); });
+        fleet.dispatcher->setCordoned(lost, true);
+        fleet.workers.at(lost).partitioned = false;
+        fleet.runUntil("the end of the first run", 1000,
+                       [&] { return fleet.state.task(first)->phase == TaskPhase::Done; });
+        CPPUNIT_ASSERT(fleet.workers.at(other).running.contains(first));
+        const std::uint32_t starts = fleet.starts;
+        fleet.runUntil("the next start", 2000, [&] { return fleet.starts > starts; });
+        CPPUNIT_ASSERT(!fleet.workers.at(other).running.contains(first));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
