Scheduling: Extend the lease as soon as an answer is recorded

The record of an answer counts for the incarnation that it names only, and of two records of silence the later end of the lease counts.

LostRunsTest::reachableBeforeEndOfLease plays partitions of 1.5 to 2.7 s.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -172,7 +172,9 @@
     view.renewedAt = now;
     view.leasesExpired = false;
     const bool pause = !list.ended.empty() && m_workers.size() > m_options.largeFleetWorkers;
-    view.nextRenewAt = pause ? now + m_options.renewalPauseMs : now;
+    view.nextRenewAt = !mayExtendLease(worker, view) ? now + m_options.retryMs
+            : pause                                  ? now + m_options.renewalPauseMs
+                                                     : now;
     view.longRunningStarting = false;
     m_placementDirty =
             m_unassignedRuns.forgetUnlisted(worker, list, view.renewSentAt) || m_placementDirty;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -98,7 +98,9 @@
         if (view.clockMs && view.renewFailures == 0 && mayExtendLease(id, view)) {
             order.leaseUntilMs = extendLease(view, now);
         }
-        if (view.renewedAt != 0 && view.renewFailures == 0
+        // The lease is extended as soon as it is recorded that the worker answers, which a held
+        // renewal would delay.
+        if (view.renewedAt != 0 && view.renewFailures == 0 && mayExtendLease(id, view)
             && !std::exchange(view.stopToVerify, false)) {
             order.waitMs = view.longRunningStarting ? m_options.startingRenewalWaitMs
                     : view.reserved.size() > view.longRunningCount
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -274,9 +274,12 @@
         m_demand.onWorkerJoined(joined->worker);
     } else if (const auto *answered = std::get_if<WorkerAnswered>(&change)) {
         const auto found = m_workers.find(answered->worker);
-        if (found != m_workers.end()) {
+        const WorkerRecord *known = m_state.worker(answered->worker);
+        if (found != m_workers.end() && known != nullptr
+            && known->startTimeMs == answered->startTimeMs) {
             found->second.silenceProposed = false;
             found->second.answerProposed = false;
+            found->second.nextRenewAt = std::min(found->second.nextRenewAt, now);
             queueStartsAndStops(answered->worker);
         }
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -322,7 +322,8 @@
 {
     const WorkerRecord *known = worker(change.worker);
     if (known != nullptr && known->startTimeMs == change.startTimeMs) {
-        m_silentWorkers[change.worker] = change.leaseLeftMs;
+        std::int64_t &leaseLeftMs = m_silentWorkers[change.worker];
+        leaseLeftMs = std::max(leaseLeftMs, change.leaseLeftMs);
     }
 }
 
--- a/Source/Scheduling/SilenceLog.h
+++ b/Source/Scheduling/SilenceLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <variant>
@@ -22,7 +23,8 @@
     {
         if (const auto *silent = std::get_if<WorkerSilent>(&change)) {
             if (state.isSilent(silent->worker)) {
-                m_leaseEnds.try_emplace(silent->worker, now + silent->leaseLeftMs);
+                SteadyTimeMs &end = m_leaseEnds[silent->worker];
+                end = std::max(end, now + silent->leaseLeftMs);
             }
         } else if (const auto *answered = std::get_if<WorkerAnswered>(&change)) {
             forgetUnlessSilent(answered->worker, state);
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -54,7 +54,8 @@
     SteadyTimeMs clockAt = 0;
     /// End of the latest lease requested by this leader, on the worker's clock.
     std::int64_t leaseUntilMs = 0;
-    /// Proposed in this term: that the worker is silent, and after it that the worker answers.
+    /// A record that the worker is silent was proposed, and none that it answers was applied since.
+    /// `answerProposed`: that one was proposed.
     bool silenceProposed = false;
     bool answerProposed = false;
     bool renewalInFlight = false;
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(lossTogetherWithLeader);
     CPPUNIT_TEST(reachableAtEndOfLease);
     CPPUNIT_TEST(answerThatIsNotRecorded);
+    CPPUNIT_TEST(reachableBeforeEndOfLease);
     CPPUNIT_TEST(partitionsAndLeaderChanges);
     CPPUNIT_TEST(answerToEarlierIncarnation);
     CPPUNIT_TEST(renewalWhileRestartIsRecorded);
@@ -247,6 +248,26 @@
         });
     }
 
+    /// Guards against runs that end with their lease although their worker could be reached in time
+    /// to extend it, because the extension waits for more than the record that it answers.
+    void reachableBeforeEndOfLease()
+    {
+        for (std::int64_t lengthMs = 1500; lengthMs <= 2700; lengthMs += 50) {
+            FleetSimulation fleet(50);
+            setUpFleet(fleet, 1);
+            fleet.run(8000);
+            fleet.submit("a", "quotes", {longRunningStep(1, 1)});
+            fleet.run(2000);
+            FakeWorker &worker = fleet.workers.at("w1");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker.running.size());
+            worker.partitioned = true;
+            fleet.run(lengthMs);
+            worker.partitioned = false;
+            fleet.run(5000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(lengthMs) + " ms", 1U, fleet.starts);
+        }
+    }
+
     /// Guards against a worker that is given up while it holds a lease, or much later, when
     /// partitions and changes of the leader overlap. Each start is checked by the simulation.
     void partitionsAndLeaderChanges()
