Scheduling: Wait once for a worker that keeps a step spread

Found by the review: a task with a disruption budget waits for up to 2 s for a worker that keeps its step spread, from the acceptance of its job or, for a job of an earlier term, from the start of the term. A task whose worker was lost so waited anew under each leader. A task that had a worker in an earlier term doesn't wait any more, as one of the present term.

LostRunsTest::lossThatBreaksTheSpread changes the leader 4.5 s after the loss.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -333,7 +333,7 @@
     static bool isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                              const TaskResources &need);
     /// True while a task of the step waits rather than exceed the disruption budget on a worker.
-    bool isSpreadKept(const JobRecord &job, const StepSpec &step, SteadyTimeMs now) const;
+    bool isSpreadKept(const JobRecord &job, const TaskKey &task, SteadyTimeMs now) const;
     std::optional<std::string> chooseWorker(const JobRecord &job, const TaskKey &task,
                                             const Candidates &candidates, const Tickets *tickets,
                                             SteadyTimeMs now) const;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -370,7 +370,7 @@
         if (!worker) {
             ++pass.failedSearches;
             ++m_waitCounts.capacity;
-            const bool isSpread = isSpreadKept(job, step, pass.now);
+            const bool isSpread = isSpreadKept(job, task, pass.now);
             recordObstacle(key, isSpread ? PlacementObstacle::Spread : PlacementObstacle::Capacity,
                            pass.now);
             if (step.longRunning) {
@@ -475,15 +475,19 @@
     });
 }
 
-bool Dispatcher::isSpreadKept(const JobRecord &job, const StepSpec &step, SteadyTimeMs now) const
+bool Dispatcher::isSpreadKept(const JobRecord &job, const TaskKey &task, SteadyTimeMs now) const
 {
+    const StepSpec &step = job.spec.steps[task.step];
     if (!step.longRunning || step.maxUnavailable == 0) {
         return false;
     }
     // The time of day of the acceptance is that of another instance, and either may be set.
     const auto accepted = m_acceptedAt.find(job.spec.id);
-    const SteadyTimeMs since = accepted == m_acceptedAt.end() ? m_termStartedAt : accepted->second;
-    return now - since < m_options.spreadWaitMs;
+    if (accepted != m_acceptedAt.end()) {
+        return now - accepted->second < m_options.spreadWaitMs;
+    }
+    // A task that had a worker in an earlier term has waited then.
+    return m_state.task(task)->run == 0 && now - m_termStartedAt < m_options.spreadWaitMs;
 }
 
 std::optional<std::string> Dispatcher::chooseWorker(const JobRecord &job, const TaskKey &task,
@@ -523,7 +527,7 @@
         if (step.longRunning && step.maxUnavailable > 0
             && runsOfStepOn(id, view, task) >= step.maxUnavailable) {
             // Maintenance of the worker would exceed the disruption budget of the step.
-            if (isSpreadKept(job, step, now)) {
+            if (isSpreadKept(job, task, now)) {
                 continue;
             }
             score -= spreadViolationPenalty;
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(reachableAtEndOfLease);
     CPPUNIT_TEST(answerThatIsNotRecorded);
     CPPUNIT_TEST(reachableBeforeEndOfLease);
+    CPPUNIT_TEST(lossThatBreaksTheSpread);
     CPPUNIT_TEST(partitionsAndLeaderChanges);
     CPPUNIT_TEST(answerToEarlierIncarnation);
     CPPUNIT_TEST(renewalWhileRestartIsRecorded);
@@ -268,6 +269,23 @@
         }
     }
 
+    /// Guards against a long-running task without a run because each new leader waits anew for a
+    /// worker that keeps its step spread.
+    void lossThatBreaksTheSpread()
+    {
+        FleetSimulation fleet(51);
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {longRunningStep(2, 1)});
+        fleet.run(8000);
+        fleet.crash(fleet.state.task({std::string("a"), 0, 0, 0})->worker);
+        const SteadyTimeMs lostAt = fleet.now;
+        fleet.run(4500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
+        fleet.changeLeader();
+        fleet.runUntil("the next run", lostAt + replacementMs - fleet.now,
+                       [&] { return fleet.runningCount("a") == 2; });
+    }
+
     /// Guards against a worker that is given up while it holds a lease, or much later, when
     /// partitions and changes of the leader overlap. Each start is checked by the simulation.
     void partitionsAndLeaderChanges()
