--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -170,6 +170,7 @@
     m_schedulerState = takeValue(std::move(restored));
     m_appliedIndex = index;
     m_silences.restored(m_schedulerState, steadyTimeNow());
+    m_orderLog.restored(m_schedulerState.lastOrders(), steadyTimeNow());
     rebuildTeams();
 }
 
--- a/Source/Scheduling/InstanceOrderLog.h
+++ b/Source/Scheduling/InstanceOrderLog.h
@@ -26,6 +26,15 @@
         m_lastOrders[order.instance] = {order.term, now, order.worker};
     }
 
+    /// Called when the state was replaced by a snapshot: the orders in it may just have been sent.
+    void restored(const std::map<std::string, InstanceOrdered> &orders, SteadyTimeMs now)
+    {
+        m_lastOrders.clear();
+        for (const auto &[instance, order] : orders) {
+            applied(order, now);
+        }
+    }
+
     bool mayOrder(const std::string &instance, std::uint64_t term, SteadyTimeMs now) const
     {
         const auto last = m_lastOrders.find(instance);
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -87,6 +87,8 @@
     bool isSilent(const std::string &worker) const { return m_silentWorkers.contains(worker); }
     /// WorkerSilent::leaseLeftMs of the silent workers.
     const std::map<std::string, std::int64_t> &silentWorkers() const { return m_silentWorkers; }
+    /// The last order for each instance, for InstanceOrderLog after a restart.
+    const std::map<std::string, InstanceOrdered> &lastOrders() const { return m_lastOrders; }
     /// Longest lease that a leader requests, in milliseconds; 0 if none is recorded.
     std::int64_t leaseLimitMs() const { return m_leaseLimitMs; }
     const std::map<std::uint64_t, MaintenanceWave> &waves() const { return m_waves; }
@@ -112,7 +114,7 @@
 
     // Snapshots of earlier versions end before the later fields, which then stay empty.
     MSGPACK_DEFINE_ARRAY(m_configuration, m_jobs, m_workers, m_endedIncarnations, m_waves,
-                         m_silentWorkers, m_leaseLimitMs)
+                         m_silentWorkers, m_leaseLimitMs, m_lastOrders)
 
 private:
     void on(const ConfigurationAccepted &change);
@@ -125,8 +127,7 @@
     void on(const JobPurged &change);
     void on(const WaveStarted &change);
     void on(const MaintenanceBegun &change);
-    /// Tracked by InstanceOrderLog, not here, as it is needed for a few seconds only.
-    void on(const InstanceOrdered &) { }
+    void on(const InstanceOrdered &change) { m_lastOrders[change.instance] = change; }
     void on(const WorkerSilent &change);
     void on(const WorkerAnswered &change);
     void on(const LeaseLimitSet &change) { m_leaseLimitMs = change.leaseMs; }
@@ -152,6 +153,7 @@
     std::map<std::uint64_t, MaintenanceWave> m_waves;
     std::map<std::string, std::int64_t> m_silentWorkers;
     std::int64_t m_leaseLimitMs = 0;
+    std::map<std::string, InstanceOrdered> m_lastOrders;
     /// Index of the assigned tasks by worker; derived from m_jobs and not stored.
     std::map<std::string, std::set<TaskKey>> m_tasksOfWorker;
     /// Use of the assigned tasks by team, and of the long-running ones among them; derived from
