Scheduling: Place a job of a team that others have passed

Cause: within a group of the placement order the least work goes first, so that the large jobs of a team within its share wait behind the small ones of another until they are of no more use.

Change: TeamWaits measures for each service how long a team with a weight has had steps that are on time or late and none of them was placed. After 0.75 s, once the team's part of the core time since then covers the job of its first step, this job is placed ahead of others of its group and priority. Without weights the order is as before.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -43,6 +43,7 @@
     m_placementDirty = true;
     m_turnsUnknown = true;
     m_quotas = m_state.quotas();
+    m_weights = weightsOf(m_state.configuration());
     m_demand.beginTerm(now);
     for (const auto &[id, worker] : m_state.workers()) {
         syncRuns(id);
@@ -68,6 +69,8 @@
     m_proposedUse.clear();
     m_unassignedRuns.clear();
     m_quotas.clear();
+    m_weights.clear();
+    m_teamWaits.clear();
     m_waitCounts = {};
     m_longRunningWaits.clear();
     m_reservations.clear();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -17,6 +17,7 @@
 #include "Scheduling/RunDurations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/TeamQuota.h"
+#include "Scheduling/TeamWaits.h"
 #include "Scheduling/UnassignedRuns.h"
 #include "Scheduling/WaitingSteps.h"
 #include "Scheduling/WorkerView.h"
@@ -169,6 +170,12 @@
     using NeglectedSteps = std::map<std::string, std::vector<std::pair<std::int64_t, StepKey>>>;
     /// Needs of tasks that their team's quota does not allow, by team.
     using HeldNeeds = std::map<std::string, std::vector<TaskResources>>;
+    /// A step that is placed at a better position than its own.
+    struct AdvancedStep
+    {
+        StepPosition placedAt;
+        StepPosition position;
+    };
     /// State of a placement pass over the steps of one service.
     struct PlacementPass
     {
@@ -181,8 +188,8 @@
         HeldNeeds &heldNeeds;
         /// Steps with such requirements are skipped: free capacity only shrinks within a pass.
         std::vector<UnmetNeed> unmetNeeds;
-        /// Steps that were searched workers for before all others.
-        std::set<StepKey> neglected;
+        /// Steps that were searched workers for before their turn.
+        std::set<StepKey> searched;
         /// Steps that wait for advice or for which no worker was found.
         std::uint32_t failedSearches = 0;
         /// Tasks for which no worker could be held.
@@ -251,6 +258,13 @@
     void placeNeglectedSteps(const std::vector<std::pair<std::int64_t, StepKey>> &steps,
                              PlacementPass &pass);
     void placeSteps(const std::string &service, const ServiceSteps &steps, PlacementPass &pass);
+    /// Chooses the jobs of starved teams that are placed ahead of those of other teams.
+    void reviewTeamWaits(SteadyTimeMs now, DispatchOrders &orders);
+    /// Steps of the service's advanced jobs, with the positions at which they are placed.
+    std::vector<AdvancedStep> advancedSteps(const std::string &service);
+    /// Places the advanced steps that come before the position, and removes them from the list.
+    void placeAdvancedSteps(std::vector<AdvancedStep> &steps, const StepPosition &before,
+                            PlacementPass &pass);
     /// Records why the waiting tasks of a long-running step got no worker; nothing for other steps.
     void recordObstacle(const StepKey &key, PlacementObstacle obstacle, SteadyTimeMs now);
     /// The same for the steps of a service that has no worker for tasks.
@@ -351,6 +365,8 @@
     TeamUse m_proposedUse;
     UnassignedRuns m_unassignedRuns;
     std::map<std::string, TaskResources> m_quotas;
+    std::map<std::string, std::int64_t> m_weights;
+    TeamWaits m_teamWaits;
     WaitCounts m_waitCounts;
     LongRunningWaits m_longRunningWaits;
     QuotaReservations m_reservations;
--- a/Source/Scheduling/DispatcherPlacement.cpp
+++ b/Source/Scheduling/DispatcherPlacement.cpp
@@ -31,6 +31,7 @@
 {
     const std::vector<std::int64_t> stepMs = m_durations.expectedStepMs(job.spec);
     const bool hasQuota = !job.spec.team.empty() && m_quotas.contains(job.spec.team);
+    const bool hasWeight = !job.spec.team.empty() && m_weights.contains(job.spec.team);
     std::vector<WaitingStep> waiting;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const OccurrenceRecord &record = job.occurrences[occurrence];
@@ -72,6 +73,9 @@
                 const StepSpec &spec = job.spec.steps[step];
                 entry.lane = {job.spec.team, spec.need, spec.gang ? spec.count : 1};
             }
+            if (hasWeight) {
+                entry.team = job.spec.team;
+            }
             waiting.push_back(std::move(entry));
         }
     }
@@ -136,6 +140,7 @@
 {
     updateWaitingSteps(now, wallNow);
     reviewReservations(now);
+    reviewTeamWaits(now, orders);
     m_waitCounts = {};
     HeldNeeds heldNeeds;
     const NeglectedSteps neglected = neglectedSteps(now);
@@ -188,7 +193,7 @@
         const StepLane &lane = m_waiting.laneOf(key);
         if (isAllowedByQuota(lane, pass) && !isReservedForOther(lane, position.rank)) {
             placeStep(position, lane, pass);
-            pass.neglected.insert(key);
+            pass.searched.insert(key);
         } else {
             recordObstacle(key, PlacementObstacle::Quota, pass.now);
         }
@@ -264,8 +269,10 @@
 {
     StepCursor cursor(steps);
     const StepPosition *lastSearched = nullptr;
+    std::vector<AdvancedStep> advanced = advancedSteps(service);
     const auto placeUntilFailed = [&](std::uint32_t limit) {
         while (!cursor.isAtEnd() && pass.failedSearches < limit) {
+            placeAdvancedSteps(advanced, cursor.position(), pass);
             lastSearched = &cursor.position();
             if (placeStep(*lastSearched, cursor.lane(), pass)) {
                 cursor.next();
@@ -291,6 +298,70 @@
     }
 }
 
+void Dispatcher::reviewTeamWaits(SteadyTimeMs now, DispatchOrders &orders)
+{
+    if (m_weights.empty() || !m_teamWaits.beginReview(m_waiting, now)) {
+        return;
+    }
+    for (const auto &[service, steps] : m_waiting.byService()) {
+        std::int64_t capacityMilli = 0;
+        for (const Candidate &candidate : candidatesOf(service, now)) {
+            capacityMilli += std::max<std::int64_t>(
+                    0,
+                    candidate.worker->capacity.processorMilli
+                            - candidate.view->longRunningNeed.processorMilli);
+        }
+        for (const TeamWaits::AdvancedJob &advanced :
+             m_teamWaits.review(service, steps, m_waiting, m_weights, capacityMilli, now)) {
+            const StepKey first = m_waiting.positionsOf(advanced.job).front().key;
+            orders.dispatchDecisions.push_back({"advance",
+                                                taskName({first.job, first.occurrence, first.step,
+                                                          m_waiting.at(first).indices.front()}),
+                                                0,
+                                                {},
+                                                "share",
+                                                advanced.waitedMs});
+        }
+    }
+}
+
+std::vector<Dispatcher::AdvancedStep> Dispatcher::advancedSteps(const std::string &service)
+{
+    std::vector<AdvancedStep> advanced;
+    for (const auto &[team, job] : m_teamWaits.advanced(service)) {
+        const JobRecord *record = m_state.job(job.job);
+        if (record == nullptr || record->phase != JobPhase::Active) {
+            m_teamWaits.endAdvance(service, team);
+            continue;
+        }
+        for (const StepPosition &position : m_waiting.positionsOf(job.job)) {
+            if (isOfUse(position.rank.group)) {
+                const StepRank rank{std::min(job.group, position.rank.group),
+                                    position.rank.priority,
+                                    -std::numeric_limits<double>::infinity()};
+                advanced.push_back({{rank, position.key}, position});
+            }
+        }
+    }
+    std::sort(advanced.begin(), advanced.end(),
+              [](const AdvancedStep &left, const AdvancedStep &right) {
+                  return left.placedAt < right.placedAt;
+              });
+    return advanced;
+}
+
+void Dispatcher::placeAdvancedSteps(std::vector<AdvancedStep> &steps, const StepPosition &before,
+                                    PlacementPass &pass)
+{
+    auto next = steps.begin();
+    for (; next != steps.end() && next->placedAt < before; ++next) {
+        const StepKey &key = next->position.key;
+        placeStep(next->position, m_waiting.laneOf(key), pass);
+        pass.searched.insert(key);
+    }
+    steps.erase(steps.begin(), next);
+}
+
 bool Dispatcher::isKnownUnmet(const PlacementPass &pass, const StepSpec &step,
                               const TaskResources &need)
 {
@@ -302,7 +373,7 @@
 
 bool Dispatcher::placeStep(const StepPosition &position, const StepLane &lane, PlacementPass &pass)
 {
-    if (pass.neglected.contains(position.key)) {
+    if (pass.searched.contains(position.key)) {
         return true;
     }
     const std::uint32_t index = m_waiting.at(position.key).indices.front();
@@ -324,7 +395,12 @@
     }
     const std::size_t changes = pass.orders.changes.size();
     const bool goesOn = placeTasks(position, lane, pass);
-    recordSearch(lane, pass.orders.changes.size() > changes, pass.now);
+    const bool isPlaced = pass.orders.changes.size() > changes;
+    recordSearch(lane, isPlaced, pass.now);
+    const std::string &team = m_waiting.at(position.key).team;
+    if (isPlaced && isOfUse(position.rank.group) && !team.empty()) {
+        m_teamWaits.placed(lane.service, team, pass.now);
+    }
     return goesOn;
 }
 
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -274,6 +274,7 @@
         // Queues may be served by other services from now on, and quotas change the lanes of steps.
         m_changedJobs.insert(m_activeJobs.begin(), m_activeJobs.end());
         m_quotas = m_state.quotas();
+        m_weights = weightsOf(m_state.configuration());
     } else if (const auto *forgotten = std::get_if<JobPurged>(&change)) {
         std::erase_if(m_failedOn,
                       [&](const auto &item) { return item.first.job == forgotten->job; });
--- a/Source/Scheduling/StepRanking.h
+++ b/Source/Scheduling/StepRanking.h
@@ -47,6 +47,12 @@
 inline constexpr EnumNames<StepGroup, 6> stepGroupNames{
         {"long-running", "on-time", "late", "beyond-share", "best-effort", "overdue"}};
 
+/// True for steps within their team's share whose job is still of use.
+inline bool isOfUse(StepGroup group)
+{
+    return group == StepGroup::OnTime || group == StepGroup::Late;
+}
+
 /// Smaller ranks are placed first.
 struct StepRank
 {
--- a/Source/Scheduling/TeamQuota.cpp
+++ b/Source/Scheduling/TeamQuota.cpp
@@ -96,6 +96,17 @@
     return quotas;
 }
 
+std::map<std::string, std::int64_t> weightsOf(const FleetConfiguration &configuration)
+{
+    std::map<std::string, std::int64_t> weights;
+    for (const TeamConfig &team : configuration.teams) {
+        if (team.weight > 0) {
+            weights.emplace(team.name, team.weight);
+        }
+    }
+    return weights;
+}
+
 void TeamUse::add(const std::string &team, const TaskResources &need)
 {
     if (!team.empty()) {
--- a/Source/Scheduling/TeamQuota.h
+++ b/Source/Scheduling/TeamQuota.h
@@ -48,6 +48,9 @@
 /// Quotas of the teams that have one, by team.
 std::map<std::string, TaskResources> quotasOf(const FleetConfiguration &configuration);
 
+/// Weights of the teams that have one, by team.
+std::map<std::string, std::int64_t> weightsOf(const FleetConfiguration &configuration);
+
 /// Resources that tasks take of their teams' quotas, from the assignment of a run to the record of
 /// its end. Tasks without a team are not counted.
 class TeamUse
--- a/Source/Scheduling/WaitingSteps.cpp
+++ b/Source/Scheduling/WaitingSteps.cpp
@@ -123,6 +123,17 @@
     return first != m_steps.end() && first->first.job == job;
 }
 
+std::vector<StepPosition> WaitingSteps::positionsOf(const JobId &job) const
+{
+    std::vector<StepPosition> positions;
+    for (auto found = m_steps.lower_bound({job, 0, 0});
+         found != m_steps.end() && found->first.job == job; ++found) {
+        positions.push_back({found->second.rank, found->first});
+    }
+    std::sort(positions.begin(), positions.end());
+    return positions;
+}
+
 void WaitingSteps::setHold(const StepLane &lane, std::optional<QuotaHold> hold)
 {
     laneOf(lane.service, lane.key).hold = hold;
@@ -211,6 +222,9 @@
     if (entry.changesAt != 0) {
         m_rankChanges.insert({entry.changesAt, key});
     }
+    if (isOfUse(entry.rank.group) && !entry.step.team.empty()) {
+        m_byService[entry.lane->service].ofUseByTeam[entry.step.team].insert({entry.rank, key});
+    }
 }
 
 void WaitingSteps::removeFromOrder(const StepKey &key, const Entry &entry)
@@ -218,6 +232,14 @@
     entry.lane->steps.erase({entry.rank, key});
     entry.lane->unreported.erase({entry.rank, key});
     m_rankChanges.erase({entry.changesAt, key});
+    if (isOfUse(entry.rank.group) && !entry.step.team.empty()) {
+        auto &byTeam = m_byService[entry.lane->service].ofUseByTeam;
+        const auto team = byTeam.find(entry.step.team);
+        team->second.erase({entry.rank, key});
+        if (team->second.empty()) {
+            byTeam.erase(team);
+        }
+    }
 }
 
 } // namespace dandelionloom
--- a/Source/Scheduling/WaitingSteps.h
+++ b/Source/Scheduling/WaitingSteps.h
@@ -67,6 +67,8 @@
     /// Indices of the waiting tasks.
     std::vector<std::uint32_t> indices;
     LaneKey lane = {};
+    /// Team of the job if it has a weight; otherwise empty.
+    std::string team = {};
 };
 
 /// How long a quota has held a lane.
@@ -102,6 +104,9 @@
 struct ServiceSteps
 {
     std::map<LaneKey, StepLane> lanes;
+    /// Steps of teams with a weight that are on time or late, by team, in placement order. No team
+    /// is without any.
+    std::map<std::string, StepLane::Order> ofUseByTeam;
 
     std::size_t size() const;
 };
@@ -167,6 +172,8 @@
     const StepLane *lane(const std::string &service, const LaneKey &key) const;
     /// True if a step of the job waits.
     bool contains(const JobId &job) const;
+    /// Waiting steps of the job, in placement order.
+    std::vector<StepPosition> positionsOf(const JobId &job) const;
     void setHold(const StepLane &lane, std::optional<QuotaHold> hold);
     void setUnusedReservations(const StepLane &lane, std::uint32_t count);
     /// Returns a step of each job that waits in the lane from the position on and has not been
