JobService: Log and measure how late the event loop is

Ruled out: logging each late event. An overloaded leader would write hundreds of lines a second.

Change: the leader exports the longest time that an event of the scheduler waited for the loop, each second, and logs it from 250 ms on.

--- a/Source/Runtime/JobService.cpp
+++ b/Source/Runtime/JobService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "Scheduling/StepFacts.h"
 
@@ -36,6 +37,10 @@
 
 constexpr std::int64_t gaugeIntervalMs = 1000;
 
+/// Lag that is logged. Calls to workers time out after 300 ms, so that a loop that is nearly as
+/// late is a reason for workers that count as silent.
+constexpr std::int64_t loggedLagMs = 250;
+
 /// Intervals between listings of the instances, while maintenance waits for an instance to return
 /// and otherwise.
 constexpr Milliseconds maintenanceListInterval{500};
@@ -319,6 +324,7 @@
         if (const auto service = alive.lock()) {
             (*service)->m_flushScheduled = false;
             (*service)->m_lagMs = steadyTimeNow() - postedAt;
+            (*service)->m_longestLagMs = std::max((*service)->m_longestLagMs, (*service)->m_lagMs);
             (*service)->flush();
         }
     });
@@ -423,6 +429,17 @@
                     static_cast<double>(longRunning.longestMs(now)) / 1000);
     m_metrics.gauge("dandelionloom_oldest_renewal_seconds", "",
                     static_cast<double>(m_dispatcher.oldestRenewalMs(now)) / 1000);
+    reportLag();
+}
+
+void JobService::reportLag()
+{
+    const std::int64_t lagMs = std::exchange(m_longestLagMs, 0);
+    m_metrics.gauge("dandelionloom_event_loop_lag_seconds", "", static_cast<double>(lagMs) / 1000);
+    if (lagMs >= loggedLagMs) {
+        m_log.line(LogSeverity::Warning, "loop-late",
+                   {{"lag_ms", lagMs}, {"term", static_cast<std::int64_t>(m_status.term)}});
+    }
 }
 
 void JobService::scheduleIdleStep()
--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -117,6 +117,7 @@
                          std::function<void(bool)> send);
     void logDecisions(const std::vector<DispatchDecision> &dispatchDecisions);
     void exportGauges(SteadyTimeMs now);
+    void reportLag();
 
     /// Must be called whenever the configuration applied here may have changed.
     void rebuildTeams();
@@ -177,6 +178,8 @@
     bool m_inStep = false;
     /// Time that the last flush waited for the event loop.
     std::int64_t m_lagMs = 0;
+    /// Longest such time since the last export of the gauges.
+    std::int64_t m_longestLagMs = 0;
     SteadyTimeMs m_nextProposal = 0;
     bool m_stepScheduled = false;
     SteadyTimeMs m_nextMaintenance = 0;
--- a/Tests/Consensus/SlowStepsTest.cpp
+++ b/Tests/Consensus/SlowStepsTest.cpp
@@ -1,10 +1,14 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <string>
 
@@ -63,6 +67,8 @@
     /// Longest time from one renewal to the next, of any worker, once all tasks run.
     std::atomic<std::int64_t> longestGap{0};
     int callsAnswered = 0;
+    /// Lines that the control instance has logged.
+    std::string log;
 };
 
 void spin(std::int64_t milliseconds)
@@ -121,6 +127,28 @@
     std::map<std::string, std::map<TaskKey, std::uint32_t>> m_running;
 };
 
+struct LogFile
+{
+    explicit LogFile(std::string filePath)
+        : path(std::move(filePath)),
+          descriptor(::open(path.c_str(), O_CREAT | O_WRONLY, S_IRUSR | S_IWUSR))
+    {
+        CPPUNIT_ASSERT(descriptor >= 0);
+    }
+    ~LogFile() { ::close(descriptor); }
+    LogFile(const LogFile &) = delete;
+    LogFile &operator=(const LogFile &) = delete;
+
+    std::string read() const
+    {
+        std::ifstream lines(path);
+        return {std::istreambuf_iterator<char>(lines), std::istreambuf_iterator<char>()};
+    }
+
+    const std::string path;
+    const int descriptor;
+};
+
 std::uint16_t freePort()
 {
     const auto listener = listenOn(*parseSocketAddress("127.0.1.1:0"));
@@ -198,7 +226,8 @@
 
     /// Guards against a leader that places nothing until it has handled all answers that have
     /// arrived (chamdakam-loom-large scale-2: 1.7 s from one step to the next, while workers stood
-    /// idle and budgets were judged by views of that age).
+    /// idle and budgets were judged by views of that age), and against a log that doesn't tell why
+    /// calls of such a leader end late.
     void stepsAmongAnswers()
     {
         // The answers of all workers take 0.6 s.
@@ -208,6 +237,7 @@
         CPPUNIT_ASSERT(measured.longestGap > 0);
         CPPUNIT_ASSERT(measured.longestGap < 300);
         CPPUNIT_ASSERT(measured.callsAnswered >= 2);
+        CPPUNIT_ASSERT(measured.log.find("\"loop-late\"") != std::string::npos);
     }
 
 private:
@@ -216,7 +246,8 @@
     {
         TemporaryFolder folder;
         NoJobProtocol protocol;
-        JsonLineLog log{"control", STDERR_FILENO + 1000};
+        const LogFile logFile(folder.path() + "/control.log");
+        JsonLineLog log{"control", logFile.descriptor};
         ControlSettings settings;
         settings.peers.name = "127.0.1.1";
         settings.peers.availabilityZone = "zone";
@@ -225,7 +256,7 @@
         settings.peers.controlInstances = {settings.peers.name};
         settings.controlAddress = "127.0.1.1:" + std::to_string(freePort());
         settings.metricsAddress = "127.0.1.1:" + std::to_string(freePort());
-        settings.dataFolder = folder.path();
+        settings.dataFolder = folder.path() + "/data";
         settings.bootstrap = true;
         settings.toleratedFailures = 0;
         settings.service.name = settings.peers.name;
@@ -262,6 +293,9 @@
                 / static_cast<double>(steadyTimeNow() - begin);
         std::cout << " " << measured.callsAnswered << " calls answered,";
         transport.stop();
+        log.flush();
+        log.flush();
+        measured.log = logFile.read();
         return share;
     }
 
