Revert "Scheduling: Call a worker directly after two relays have failed for it"

The leader also called each worker itself whose instance was moved or maintained, as nothing answers there either.

--- a/Source/Scheduling/RelayRouting.cpp
+++ b/Source/Scheduling/RelayRouting.cpp
@@ -11,10 +11,6 @@
 
 constexpr std::uint32_t maxAvoidDoublings = 8;
 
-/// Relays that may fail for a worker before the leader calls it itself. A lease outlasts the
-/// time-outs of calls through two relays and of a direct one.
-constexpr std::size_t maxAvoidedRelays = 2;
-
 /// Largest difference in speed between the steady clocks of two control instances, as for the
 /// leader lease.
 constexpr double clockDrift = 0.02;
@@ -38,19 +34,10 @@
                         const std::string &availabilityZone, const WorkerRoute &route,
                         SteadyTimeMs now, const RelayRoutingOptions &options)
 {
-    const auto isAvoided = [&route, now](const std::string &relay) {
-        const auto avoided = route.avoidedUntil.find(relay);
-        return avoided != route.avoidedUntil.end() && now < avoided->second;
-    };
     const std::string *best = nullptr;
     std::tuple<bool, std::uint64_t> bestRank;
-    std::size_t avoidedRelays = 0;
     for (const auto &[name, relay] : relays) {
-        if (isAvoided(name)) {
-            ++avoidedRelays;
-            continue;
-        }
-        if (!isUsable(relay, now, options)) {
+        if (!isUsable(relay, now, options) || (now < route.avoidUntil && name == route.avoided)) {
             continue;
         }
         const std::tuple rank(relay.availabilityZone == availabilityZone,
@@ -60,7 +47,7 @@
             bestRank = rank;
         }
     }
-    return best == nullptr || avoidedRelays >= maxAvoidedRelays ? std::string() : *best;
+    return best == nullptr ? std::string() : *best;
 }
 
 void recordClock(RelayView &relay, std::int64_t clockMs, SteadyTimeMs sentAt,
@@ -91,7 +78,8 @@
                         const RelayRoutingOptions &options)
 {
     const std::int64_t avoidMs = options.avoidMs << std::min(route.failures, maxAvoidDoublings);
-    route.avoidedUntil[relay] = now + std::min(avoidMs, options.maxAvoidMs);
+    route.avoided = relay;
+    route.avoidUntil = now + std::min(avoidMs, options.maxAvoidMs);
     ++route.failures;
 }
 
--- a/Source/Scheduling/RelayRouting.h
+++ b/Source/Scheduling/RelayRouting.h
@@ -43,8 +43,9 @@
 /// How one worker was called lately.
 struct WorkerRoute
 {
-    /// Until when relays are avoided through which the worker did not answer.
-    std::map<std::string, SteadyTimeMs> avoidedUntil;
+    /// Relay that is avoided until `avoidUntil`; empty for none.
+    std::string avoided;
+    SteadyTimeMs avoidUntil = 0;
     /// Consecutive failures through a relay.
     std::uint32_t failures = 0;
     SteadyTimeMs usedAt = 0;
@@ -56,8 +57,7 @@
 /// Answers a load that grows with the number of workers: the calls of 1,100 workers take more than
 /// the processor and the descriptors of one control instance. Relays in the worker's zone come
 /// first, so that a cut zone affects its own workers only; among equals a hash of both names
-/// decides, so that each relay keeps its workers and their connections when another one fails. A
-/// worker that did not answer through two relays is called by the leader itself.
+/// decides, so that each relay keeps its workers and their connections when another one fails.
 std::string chooseRelay(const std::map<std::string, RelayView> &relays, const std::string &worker,
                         const std::string &availabilityZone, const WorkerRoute &route,
                         SteadyTimeMs now, const RelayRoutingOptions &options);
