Revert "Runtime: Send no start after the leader's lease"

A start that waits under load for longer than the rest of the leader's lease ends as not sent, and its worker gets no tasks for 1.5 s. That this is the cause is suspected, not shown. The fault that it fixed is open again: a start that waits in a suspended process can be sent after the leader's lease.

--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -103,12 +103,10 @@
     m_outgoingClients = factory(m_loop);
     m_workerCalls = std::make_unique<RelayedWorkerCalls>(
             m_loop, *m_transport, *m_outgoingClients.workers, m_log,
-            m_settings.service.dispatch.calls,
-            [this](const std::string &worker) {
+            m_settings.service.dispatch.calls, [this](const std::string &worker) {
                 const WorkerRecord *record = m_service->book().worker(worker);
                 return record == nullptr ? std::string() : record->availabilityZone;
-            },
-            [this] { return m_journal->lease(); });
+            });
     m_relay = std::make_unique<WorkerCallRelay>(m_loop, *m_transport, *m_outgoingClients.workers,
                                                 m_log, peers.availabilityZone);
     m_service = std::make_unique<JobService>(m_loop, m_settings.service, m_log, m_metrics,
--- a/Source/Runtime/RelayedWorkerCalls.cpp
+++ b/Source/Runtime/RelayedWorkerCalls.cpp
@@ -1,6 +1,5 @@
 #include "Runtime/RelayedWorkerCalls.h"
 
-#include <algorithm>
 #include <random>
 
 #include "Runtime/ReplicaMessages.h"
@@ -39,9 +38,9 @@
 RelayedWorkerCalls::RelayedWorkerCalls(EventLoop &loop, PeerTransport &transport,
                                        WorkerCalls &direct, DecisionLog &log,
                                        WorkerCallTimeouts timeouts, ZoneLookup zoneOf,
-                                       LeaseLookup lease, RelayRoutingOptions options)
+                                       RelayRoutingOptions options)
     : m_loop(loop), m_transport(transport), m_direct(direct), m_log(log), m_timeouts(timeouts),
-      m_zoneOf(std::move(zoneOf)), m_lease(std::move(lease)), m_options(options),
+      m_zoneOf(std::move(zoneOf)), m_options(options),
       m_alive(std::make_shared<RelayedWorkerCalls *>(this)), m_process(randomNumber())
 { }
 
@@ -106,7 +105,7 @@
 {
     const std::string relay = route(order.worker, fence);
     if (relay.empty()) {
-        startDirectly(order, fence, std::move(done));
+        m_direct.start(order, fence, std::move(done));
         return;
     }
     const std::uint64_t call =
@@ -114,19 +113,6 @@
     batchFor(relay).starts.push_back({call, order});
 }
 
-void RelayedWorkerCalls::startDirectly(StartOrder order, std::uint64_t fence, OrderCallback done)
-{
-    order.sendUntil = leaseEnd(fence);
-    m_direct.start(order, fence, std::move(done));
-}
-
-SteadyTimeMs RelayedWorkerCalls::leaseEnd(std::uint64_t term) const
-{
-    const LeaderLease lease = m_lease();
-    // 0 would stand for no limit.
-    return lease.term == term && lease.until > 0 ? lease.until : 1;
-}
-
 void RelayedWorkerCalls::stop(const StopOrder &order, std::uint64_t fence, OrderCallback done)
 {
     const std::string relay = route(order.worker, fence);
@@ -177,14 +163,6 @@
     for (auto &[relay, batch] : batches) {
         batch.term = m_fence;
         batch.process = m_process;
-        if (!batch.starts.empty()) {
-            const auto until = clockLowerBound(m_relays[relay], leaseEnd(m_fence));
-            if (!until) {
-                callDirectly(batch);
-                continue;
-            }
-            batch.sendStartsUntilMs = std::max<std::int64_t>(*until, 1);
-        }
         send(relay, std::make_shared<const WorkerCallBatch>(std::move(batch)));
     }
 }
@@ -196,18 +174,16 @@
     m_transport.call(relay, PeerMessageKind::WorkerCalls, packMessage(*batch), acceptTimeout,
                      [alive = std::weak_ptr(m_alive), &loop = m_loop, relay, batch,
                       now](const PeerResult &result) {
-                         loop.post(
-                                 [alive, relay, batch, now, receivedAt = steadyTimeNow(), result] {
-                                     if (const auto calls = alive.lock()) {
-                                         (*calls)->onAck(relay, batch, now, receivedAt, result);
-                                     }
-                                 });
+                         loop.post([alive, relay, batch, now, result] {
+                             if (const auto calls = alive.lock()) {
+                                 (*calls)->onAck(relay, batch, now, result);
+                             }
+                         });
                      });
 }
 
 void RelayedWorkerCalls::onAck(const std::string &relay, const SharedBatch &batch,
-                               SteadyTimeMs sentAt, SteadyTimeMs receivedAt,
-                               const PeerResult &result)
+                               SteadyTimeMs sentAt, const PeerResult &result)
 {
     if (!isOk(result)) {
         const PeerError &error = errorOf(result);
@@ -246,9 +222,6 @@
     view.availabilityZone = ack.availabilityZone;
     view.heardAt = now;
     view.acceptMs = now - sentAt;
-    if (ack.clockMs > 0) {
-        recordClock(view, ack.clockMs, sentAt, receivedAt);
-    }
 }
 
 void RelayedWorkerCalls::onRelayLost(const std::string &relay, const std::string &reason)
@@ -258,7 +231,6 @@
         m_log.event(LogSeverity::Warning, "worker-calls", "relay " + relay + " lost: " + reason);
     }
     view.heardAt = 0;
-    view.clockMs.reset();
     std::vector<std::uint64_t> calls;
     for (const auto &[call, pending] : m_pending) {
         if (pending.relay == relay) {
@@ -279,7 +251,7 @@
     }
     for (const auto &[call, order] : batch.starts) {
         if (auto pending = takePending(call)) {
-            startDirectly(order, batch.term, std::get<OrderCallback>(std::move(pending->done)));
+            m_direct.start(order, batch.term, std::get<OrderCallback>(std::move(pending->done)));
         }
     }
     for (const auto &[call, order] : batch.stops) {
--- a/Source/Runtime/RelayedWorkerCalls.h
+++ b/Source/Runtime/RelayedWorkerCalls.h
@@ -14,7 +14,6 @@
 #include "Ports/DecisionLog.h"
 #include "Ports/PeerTransport.h"
 #include "Ports/WorkerCalls.h"
-#include "Runtime/ReplicatedJournal.h"
 #include "Runtime/WorkerCallMessages.h"
 #include "Scheduling/RelayRouting.h"
 
@@ -23,21 +22,17 @@
 /// Makes the leader's calls to workers through other control instances, in batches. With few
 /// workers, or when no relay is usable, it calls them directly. A call whose relay fails before it
 /// has sent the call is made directly instead; otherwise it ends with CallFault::NoAnswer, like a
-/// call that the worker does not answer. A start is not sent after the leader's lease: a worker
-/// that has restarted knows no fencing token and would carry it out, although the next leader may
-/// have started the task elsewhere. Used on the event loop's thread only.
+/// call that the worker does not answer. Used on the event loop's thread only.
 class RelayedWorkerCalls : public WorkerCalls
 {
 public:
     /// Returns the availability zone of a worker; empty if it is unknown.
     using ZoneLookup = std::function<std::string(const std::string &worker)>;
-    /// Returns the leader lease of this instance.
-    using LeaseLookup = std::function<LeaderLease()>;
 
     /// The references must outlive the object.
     RelayedWorkerCalls(EventLoop &loop, PeerTransport &transport, WorkerCalls &direct,
                        DecisionLog &log, WorkerCallTimeouts timeouts, ZoneLookup zoneOf,
-                       LeaseLookup lease, RelayRoutingOptions options = {});
+                       RelayRoutingOptions options = {});
     ~RelayedWorkerCalls() override;
     RelayedWorkerCalls(const RelayedWorkerCalls &) = delete;
     RelayedWorkerCalls &operator=(const RelayedWorkerCalls &) = delete;
@@ -77,11 +72,8 @@
     void flush();
     void send(const std::string &relay, const SharedBatch &batch);
     void onAck(const std::string &relay, const SharedBatch &batch, SteadyTimeMs sentAt,
-               SteadyTimeMs receivedAt, const PeerResult &result);
+               const PeerResult &result);
     void onRelayLost(const std::string &relay, const std::string &reason);
-    void startDirectly(StartOrder order, std::uint64_t fence, OrderCallback done);
-    /// End of the lease of the term; in the past if this instance holds none.
-    SteadyTimeMs leaseEnd(std::uint64_t term) const;
     /// Makes the calls of a batch directly that no worker has received.
     void callDirectly(const WorkerCallBatch &batch);
     /// Ends all calls of a batch with the fault.
@@ -103,7 +95,6 @@
     DecisionLog &m_log;
     const WorkerCallTimeouts m_timeouts;
     const ZoneLookup m_zoneOf;
-    const LeaseLookup m_lease;
     const RelayRoutingOptions m_options;
     /// Empty once the object is destroyed; callbacks check it.
     std::shared_ptr<RelayedWorkerCalls *> m_alive;
--- a/Source/Runtime/WorkerCallMessages.h
+++ b/Source/Runtime/WorkerCallMessages.h
@@ -32,15 +32,12 @@
     std::vector<NumberedOrder<PaceOrder>> paces;
     /// The leader's process. Each numbers its calls from 1.
     std::uint64_t process = 0;
-    /// Time on the relay's steady clock after which the starts must not be sent, as the leader's
-    /// lease has ended; 0 for none.
-    std::int64_t sendStartsUntilMs = 0;
 
     bool isEmpty() const
     {
         return renewals.empty() && starts.empty() && stops.empty() && paces.empty();
     }
-    MSGPACK_DEFINE_ARRAY(term, renewals, starts, stops, paces, process, sendStartsUntilMs)
+    MSGPACK_DEFINE_ARRAY(term, renewals, starts, stops, paces, process)
 };
 
 /// How a relay received a batch. Enumerators are encoded as integers, so new ones must be appended.
@@ -63,10 +60,8 @@
     WorkerCallReceipt receipt = WorkerCallReceipt::Accepted;
     /// Availability zone of the relay.
     std::string availabilityZone;
-    /// Reading of the relay's steady clock.
-    std::int64_t clockMs = 0;
 
-    MSGPACK_DEFINE_ARRAY(receipt, availabilityZone, clockMs)
+    MSGPACK_DEFINE_ARRAY(receipt, availabilityZone)
 };
 
 struct OrderResult
--- a/Source/Runtime/WorkerCallRelay.cpp
+++ b/Source/Runtime/WorkerCallRelay.cpp
@@ -33,19 +33,18 @@
 void WorkerCallRelay::handle(const std::string &from, const std::string &body,
                              SteadyTimeMs receivedAt, const PeerTransport::Reply &reply)
 {
-    const WorkerCallReceipt receipt = receive(from, body, receivedAt);
-    reply(packMessage(WorkerCallAck{receipt, m_availabilityZone, steadyTimeNow()}));
+    reply(packMessage(WorkerCallAck{receive(from, body, receivedAt), m_availabilityZone}));
 }
 
 WorkerCallReceipt WorkerCallRelay::receive(const std::string &from, const std::string &body,
                                            SteadyTimeMs receivedAt)
 {
-    auto unpacked = unpackMessage<WorkerCallBatch>(body);
+    const auto unpacked = unpackMessage<WorkerCallBatch>(body);
     if (!isOk(unpacked)) {
         m_log.event(LogSeverity::Warning, "worker-calls", "unreadable batch of " + from);
         return WorkerCallReceipt::Unreadable;
     }
-    WorkerCallBatch batch = takeValue(std::move(unpacked));
+    const WorkerCallBatch &batch = valueOf(unpacked);
     if (batch.term < m_term) {
         m_log.event(LogSeverity::Warning, "worker-calls",
                     "refused orders of " + from + " of term " + std::to_string(batch.term)
@@ -60,7 +59,7 @@
                             + " ms");
         return WorkerCallReceipt::Stale;
     }
-    makeCalls(from, std::move(batch));
+    makeCalls(from, batch);
     return WorkerCallReceipt::Accepted;
 }
 
@@ -75,11 +74,10 @@
     };
 }
 
-void WorkerCallRelay::makeCalls(const std::string &from, WorkerCallBatch batch)
+void WorkerCallRelay::makeCalls(const std::string &from, const WorkerCallBatch &batch)
 {
     const LeaderProcess leader(from, batch.process);
-    for (auto &[call, order] : batch.starts) {
-        order.sendUntil = batch.sendStartsUntilMs;
+    for (const auto &[call, order] : batch.starts) {
         m_workers.start(order, batch.term, orderCallback(leader, call));
     }
     for (const auto &[call, order] : batch.stops) {
--- a/Source/Runtime/WorkerCallRelay.h
+++ b/Source/Runtime/WorkerCallRelay.h
@@ -15,9 +15,9 @@
 namespace dandelionloom {
 
 /// Makes calls to workers for the leader of the journal. It holds no state beyond the calls in
-/// progress: fencing tokens, run numbers and leases belong to the leader. An order that is carried
-/// out late is as harmless as one that the network delayed, but for a start after the end of the
-/// leader's lease, which is not sent. Used on the event loop's thread only.
+/// progress: fencing tokens, run numbers and leases belong to the leader, so an order that is
+/// carried out late is as harmless as one that the network delayed. Used on the event loop's thread
+/// only.
 class WorkerCallRelay
 {
 public:
@@ -38,7 +38,7 @@
 
     WorkerCallReceipt receive(const std::string &from, const std::string &body,
                               SteadyTimeMs receivedAt);
-    void makeCalls(const std::string &from, WorkerCallBatch batch);
+    void makeCalls(const std::string &from, const WorkerCallBatch &batch);
     WorkerCalls::OrderCallback orderCallback(const LeaderProcess &leader, std::uint64_t call);
     void scheduleFlush();
     void flush();
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -205,9 +205,6 @@
     std::int64_t leaseUntilMs = 0;
     std::string checkpoint;
     std::string ticket;
-    /// Time on the local clock after which the order must not be sent, as the leader's lease has
-    /// ended; 0 for none. Not encoded: each control instance has its own clock.
-    SteadyTimeMs sendUntil = 0;
 
     MSGPACK_DEFINE_ARRAY(worker, address, task, run, payload, leaseUntilMs, checkpoint, ticket)
 };
--- a/Source/Scheduling/RelayRouting.h
+++ b/Source/Scheduling/RelayRouting.h
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "Model/Time.h"
@@ -34,10 +33,6 @@
     SteadyTimeMs heardAt = 0;
     /// Time that it took to accept the last batch.
     std::int64_t acceptMs = 0;
-    /// Reading of its steady clock, and the local time by which it was taken; unset before the
-    /// first one.
-    std::optional<std::int64_t> clockMs = std::nullopt;
-    SteadyTimeMs clockAt = 0;
 };
 
 /// How one worker was called lately.
@@ -62,13 +57,6 @@
                         const std::string &availabilityZone, const WorkerRoute &route,
                         SteadyTimeMs now, const RelayRoutingOptions &options);
 
-/// Records the reading of a relay's clock in the answer to a call.
-void recordClock(RelayView &relay, std::int64_t clockMs, SteadyTimeMs sentAt,
-                 SteadyTimeMs receivedAt);
-
-/// Lower bound of a relay's clock at a local time; none while the clock is unknown.
-std::optional<std::int64_t> clockLowerBound(const RelayView &relay, SteadyTimeMs time);
-
 /// Records that a worker did not answer through a relay.
 void recordRelayFailure(WorkerRoute &route, const std::string &relay, SteadyTimeMs now,
                         const RelayRoutingOptions &options);
