Scheduling: Make the test of partitions before the end of a lease fail without its fix

reachableBeforeEndOfLease passed without the change that it was written for, as the partitions always began at the same time of a lease. It now ends each one 650 to 2,500 ms before the worker's lease does: 2 starts in place of 1 without the change, at 650 ms; 1 start with it. The same check, on more cases.

--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -253,7 +253,8 @@
     /// to extend it, because the extension waits for more than the record that it answers.
     void reachableBeforeEndOfLease()
     {
-        for (std::int64_t lengthMs = 1500; lengthMs <= 2700; lengthMs += 50) {
+        // A call of the leader takes 300 ms to fail and is repeated 250 ms later.
+        for (std::int64_t leftMs = 650; leftMs <= 2500; leftMs += 25) {
             FleetSimulation fleet(50);
             setUpFleet(fleet, 1);
             fleet.run(8000);
@@ -262,10 +263,11 @@
             FakeWorker &worker = fleet.workers.at("w1");
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker.running.size());
             worker.partitioned = true;
-            fleet.run(lengthMs);
+            fleet.runUntil("the end of the partition", 5000,
+                           [&] { return fleet.now >= worker.leaseUntil - leftMs; });
             worker.partitioned = false;
             fleet.run(5000);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(lengthMs) + " ms", 1U, fleet.starts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(leftMs) + " ms left", 1U, fleet.starts);
         }
     }
 
