--- a/review/standIns2/Fleet.h
+++ b/review/standIns2/Fleet.h
@@ -400,7 +400,7 @@
         Run started;
         started.run = run;
         started.startedAt = steadyMs();
-        started.workMs = std::stoll(order.at("spec").get<std::string>());
+        started.workMs = std::strtoll(order.at("spec").get<std::string>().c_str(), nullptr, 10);
         machine.running[task] = started;
         return workerAnswer(machine, 200, Json::object());
     }
