Review: Show that a job starts after its cancelling was acknowledged

A gateway is cut off with a submission on its way; the client leaves, and cancels the job at another gateway, which answers 410. When the cut heals, the leader carries out the old call, and the tasks start.

--- a/review/standIns2/main.cpp
+++ b/review/standIns2/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "CutProxy.h"
 #include "Fleet.h"
 
 namespace {
@@ -106,9 +107,17 @@
 /// A deployment of three control instances, a gateway, and workers of one service.
 struct Deployment
 {
-    Deployment(Record &record, int workers, int gateways = 1)
-        : system(record, 3, gateways), fleet(system, record)
+    Deployment(Record &record, int workers, int gateways = 1, bool withCut = false)
+        : system(record, 3, gateways), fleet(system, record), links(record)
     {
+        if (withCut) {
+            // The links of the first gateway to the control instances.
+            const int port = system.peerPort() + 4;
+            system.setPeerPort(3, port);
+            for (std::size_t index = 0; index < 3; ++index) {
+                links.listen(system.ipOf(index), port, system.peerPort());
+            }
+        }
         for (int index = 0; index < workers; ++index) {
             fleet.add("m-" + std::to_string(index + 1), "svc-a", 100 + index);
         }
@@ -121,6 +130,7 @@
 
     System system;
     Fleet fleet;
+    CutProxy links;
 };
 
 /// A heartbeat of another writer names a service that the configuration does not have. TWICE.
@@ -464,7 +474,63 @@
     }
 }
 
+/// The first gateway is cut off with a client's call on its way. The client leaves and cancels the
+/// job at another gateway, and the cut heals. UNASKED.
+void cancelledAndRun(Record &record)
+{
+    constexpr std::int64_t cutMs = 5500;
+    constexpr std::int64_t leaveMs = 150;
+    constexpr std::int64_t cancelMs = 3000;
+    Deployment deployment(record, 3, 2, true);
+    System &system = deployment.system;
+    Fleet &fleet = deployment.fleet;
+    const std::string id = "00000000000000c1";
+    std::atomic<std::int64_t> acknowledgedAt{0};
+    fleet.onStart = [&](const Machine &machine, const std::string &task, std::uint64_t) {
+        const std::int64_t at = acknowledgedAt;
+        if (at != 0 && steadyMs() - at > cancelMs) {
+            record.broken("UNASKED: " + task + " starts on " + machine.name + " "
+                          + std::to_string(steadyMs() - at)
+                          + " ms after the cancelling of its job was acknowledged");
+        }
+    };
+    order(system, record, "PUT", "/v1/config", configuration(1));
+    sleepMs(4000);
+    const Json job = {{"spec", "0"},
+                      {"steps",
+                       {{{"count", 2}, {"cpu", 4000}, {"mem_mb", 256}, {"long_running", true}}}}};
+    const std::int64_t begin = steadyMs();
+    if (hasTrouble()) {
+        deployment.links.setCut(true);
+        sleepMs(20);
+    }
+    const Answer handedIn = call(system.fronts()[0], "POST", prefix + id, job.dump(), leaveMs, host,
+                                 "X-Dandelionloom-Deadline-Ms: 3000\r\n");
+    record.line("POST " + prefix + id + " -> "
+                + (handedIn.status == 0 ? "no response, the client leaves"
+                                        : std::to_string(handedIn.status)));
+    const Answer cancelled = call(system.fronts()[1], "DELETE", prefix + id, "", 3000, host,
+                                  "X-Dandelionloom-Deadline-Ms: 3000\r\n");
+    record.line("DELETE " + prefix + id + " -> " + std::to_string(cancelled.status) + " "
+                + cancelled.body);
+    if (cancelled.status != 200 && cancelled.status != 410) {
+        throw CannotRun{"the cancelling was not acknowledged"};
+    }
+    acknowledgedAt = steadyMs();
+    if (hasTrouble()) {
+        sleepMs(begin + cutMs - steadyMs());
+        deployment.links.setCut(false);
+    }
+    for (int second = 0; second < 12; ++second) {
+        sleepMs(1000);
+        record.line("GET " + prefix + id + " -> "
+                    + call(system.fronts()[1], "GET", prefix + id, "", 3000, host).body + ", "
+                    + std::to_string(fleet.countRunning()) + " tasks run");
+    }
+}
+
 const std::map<std::string, void (*)(Record &)> cases = {
+        {"cancelled-and-run", cancelledAndRun},
         {"odd-heartbeat", oddHeartbeat},
         {"late-upkeep", lateUpkeep},
         {"unreadable-heartbeat", unreadableHeartbeat},
