Review: Show that the members of a gang start with different checkpoints

A worker with one of four members of a checkpointing gang crashes. In the next run three members carry the checkpoint that they had listed, and the fourth carries none.

--- a/review/standIns2/Fleet.h
+++ b/review/standIns2/Fleet.h
@@ -18,6 +18,20 @@
     std::string task;
     std::uint64_t run = 0;
     std::string how;
+    std::string saved;
+};
+
+/// A step whose tasks work only together, and produce a new checkpoint with each interval of work.
+struct Gang
+{
+    std::size_t count = 0;
+    std::int64_t workMs = 0;
+    /// Work of the present run and the one that it resumed, in milliseconds.
+    std::int64_t workedMs = 0;
+    std::string saved;
+    bool works = false;
+    /// Checkpoints that members of the gang carried, by run and task.
+    std::map<std::uint64_t, std::map<std::string, std::string>> carried;
 };
 
 /// One machine with the life of a worker that runs on it.
@@ -59,6 +73,9 @@
     static constexpr std::int64_t upkeepMs = 2000;
     static constexpr std::int64_t moveMs = 1500;
     static constexpr std::int64_t startupMs = 300;
+    static constexpr std::int64_t tickMs = 10;
+    static constexpr std::int64_t gangTimeoutMs = 3000;
+    static constexpr std::int64_t checkpointMs = 500;
     static constexpr std::int64_t capacityMilli = 16000;
 
     Fleet(System &system, Record &record) : m_system(system), m_record(record) { }
@@ -130,6 +147,21 @@
         }
         return others;
     }
+    /// Gangs by the name of their step, "ID.K.STEP". Their checkpoints are "c" and the work so far.
+    std::map<std::string, Gang> gangs;
+    /// Called with the mutex held when a member of a gang is told to start.
+    std::function<void(const Gang &, const std::string &task, std::uint64_t run)> onGangStart;
+
+    /// The worker on the machine crashes; another one is there after the given time.
+    void crash(Machine &machine, std::int64_t downMs)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_record.line(machine.name + " crashes with " + std::to_string(machine.running.size())
+                      + " tasks");
+        machine.up = false;
+        machine.running.clear();
+        machine.downUntil = steadyMs() + downMs;
+    }
     bool isNotedDone(const std::string &task) const { return m_notedDone.contains(task); }
     std::size_t countRunning()
     {
@@ -349,7 +381,7 @@
         }
         Json ended = Json::array();
         for (const End &end : machine.ended) {
-            ended.push_back({end.number, end.task, end.run, end.how, ""});
+            ended.push_back({end.number, end.task, end.run, end.how, end.saved});
         }
         return workerAnswer(machine, 200, {{"running", running}, {"ended_runs", ended}});
     }
@@ -401,14 +433,88 @@
         started.run = run;
         started.startedAt = steadyMs();
         started.workMs = std::strtoll(order.at("spec").get<std::string>().c_str(), nullptr, 10);
+        if (Gang *const gang = gangOf(task)) {
+            const std::string checkpoint = order.value("last_checkpoint", std::string());
+            m_record.line(task + " run " + std::to_string(run) + " carries the checkpoint \""
+                          + checkpoint + "\"");
+            gang->carried[run][task] = checkpoint;
+            started.workMs = 0;
+            if (onGangStart) {
+                onGangStart(*gang, task, run);
+            }
+        }
         machine.running[task] = started;
         return workerAnswer(machine, 200, Json::object());
     }
 
+    Gang *gangOf(const std::string &task)
+    {
+        const auto found = gangs.find(task.substr(0, task.rfind('.')));
+        return found == gangs.end() ? nullptr : &found->second;
+    }
+
+    /// Lets the gangs work whose members are all present, and ends the others in time.
+    void tickGangs(std::int64_t now)
+    {
+        for (auto &[step, gang] : gangs) {
+            std::vector<std::pair<Machine *, std::string>> members;
+            std::set<std::uint64_t> runs;
+            bool waitsTooLong = false;
+            for (auto &machine : m_machines) {
+                for (const auto &[task, run] : machine->running) {
+                    if (task.substr(0, task.rfind('.')) == step) {
+                        members.emplace_back(machine.get(), task);
+                        runs.insert(run.run);
+                        waitsTooLong = waitsTooLong || now - run.startedAt > gangTimeoutMs;
+                    }
+                }
+            }
+            if (members.empty()) {
+                continue;
+            }
+            std::string how;
+            if (members.size() == gang.count && runs.size() == 1) {
+                if (!gang.works) {
+                    gang.works = true;
+                    m_record.line("all members of " + step + " work");
+                }
+                gang.workedMs += tickMs;
+                if (gang.workedMs % checkpointMs < tickMs) {
+                    gang.saved = "c" + std::to_string(gang.workedMs);
+                }
+                how = gang.workedMs >= gang.workMs ? "done" : "";
+            } else if (gang.works) {
+                how = "broken";
+            } else if (waitsTooLong) {
+                how = "alone";
+            }
+            if (how.empty()) {
+                continue;
+            }
+            gang.works = false;
+            for (const auto &[machine, task] : members) {
+                endRun(*machine, task, how, gang.saved);
+            }
+        }
+    }
+
+    void endRun(Machine &machine, const std::string &task, const std::string &how,
+                const std::string &saved = {})
+    {
+        const std::uint64_t run = machine.running.at(task).run;
+        machine.running.erase(task);
+        machine.highestEnded[task] = std::max(machine.highestEnded[task], run);
+        machine.ended.push_back({++machine.lastEnd, task, run, how, saved});
+        if (!quiet) {
+            m_record.line(machine.name + " end " + task + " run " + std::to_string(run) + " " + how
+                          + (saved.empty() ? "" : " saved " + saved));
+        }
+    }
+
     void tick()
     {
         while (!m_stopped) {
-            sleepMs(10);
+            sleepMs(tickMs);
             const std::lock_guard lock(m_mutex);
             const std::int64_t now = steadyMs();
             for (auto &machine : m_machines) {
@@ -432,16 +538,10 @@
                     }
                 }
                 for (const auto &[task, how] : ends) {
-                    const std::uint64_t run = machine->running.at(task).run;
-                    machine->running.erase(task);
-                    machine->highestEnded[task] = std::max(machine->highestEnded[task], run);
-                    machine->ended.push_back({++machine->lastEnd, task, run, how});
-                    if (!quiet) {
-                        m_record.line(machine->name + " end " + task + " run "
-                                      + std::to_string(run) + " " + how);
-                    }
+                    endRun(*machine, task, how);
                 }
             }
+            tickGangs(now);
             m_changed.notify_all();
         }
     }
--- a/review/standIns2/System.h
+++ b/review/standIns2/System.h
@@ -274,10 +274,10 @@
             throw CannotRun{"no free ports"};
         }
         for (int index = 0; index < controls; ++index) {
-            m_processes.push_back({"control", ip(10 + index), 0, 0});
+            m_processes.push_back({"control", ip(10 + index), 0});
         }
         for (int index = 0; index < gateways; ++index) {
-            m_processes.push_back({"gateway", ip(60 + index), 0, 0});
+            m_processes.push_back({"gateway", ip(60 + index), 0});
         }
     }
     ~System()
@@ -306,7 +306,6 @@
         return -1;
     }
     std::string ipOf(std::size_t index) const { return m_processes[index].ip; }
-    pid_t pidOf(std::size_t index) const { return m_processes[index].pid; }
     std::string control(std::size_t index) const
     {
         return m_processes[index].ip + ":" + std::to_string(m_port + 16);
@@ -333,9 +332,6 @@
     }
 
     void setCloud(const std::string &address) { m_cloud = address; }
-    int peerPort() const { return m_port; }
-    /// Makes the process call the others at other ports, where a proxy listens.
-    void setPeerPort(std::size_t index, int port) { m_processes[index].peerPort = port; }
 
     void startAll()
     {
@@ -437,12 +433,11 @@
         std::string role;
         std::string ip;
         pid_t pid = 0;
-        int peerPort = 0;
     };
 
     bool isFree(const std::string &network) const
     {
-        for (const int port : {9464, m_port, m_port + 1, m_port + 4, m_port + 5, m_port + 16, m_port + 17, m_port + 18,
+        for (const int port : {9464, m_port, m_port + 1, m_port + 16, m_port + 17, m_port + 18,
                                m_port + 20}) {
             const int descriptor = listenOn(network + ".10", port);
             if (descriptor < 0) {
@@ -466,8 +461,8 @@
             << process.role << "\"\nmachine_class = \"" << (control ? "core" : "front")
             << "\"\nserves = [\"" << (control ? "control" : "front") << "\"]\nip = \""
             << process.ip << "\"\nzone = \"" << zones[static_cast<std::size_t>(indexOf(process.ip)) % 3]
-            << "\"\nregion = \"region-1\"\ninternal_port_range = ["
-            << (process.peerPort != 0 ? process.peerPort : m_port) << "," << m_port + 15 << "]\nseeds = [" << seeds << "]\nbootstrap = " << (bootstrap ? "true" : "false")
+            << "\"\nregion = \"region-1\"\ninternal_port_range = [" << m_port << "," << m_port + 15
+            << "]\nseeds = [" << seeds << "]\nbootstrap = " << (bootstrap ? "true" : "false")
             << "\nin_tolerance = " << (control ? "true" : "false")
             << "\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1500\n"
             << "config_mode = \"highest\"\norders = \"call\"\n";
--- a/review/standIns2/main.cpp
+++ b/review/standIns2/main.cpp
@@ -5,7 +5,6 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "CutProxy.h"
 #include "Fleet.h"
 
 namespace {
@@ -107,17 +106,9 @@
 /// A deployment of three control instances, a gateway, and workers of one service.
 struct Deployment
 {
-    Deployment(Record &record, int workers, int gateways = 1, bool withCut = false)
-        : system(record, 3, gateways), fleet(system, record), links(record)
+    Deployment(Record &record, int workers, int gateways = 1)
+        : system(record, 3, gateways), fleet(system, record)
     {
-        if (withCut) {
-            // The links of the first gateway to the control instances.
-            const int port = system.peerPort() + 4;
-            system.setPeerPort(3, port);
-            for (std::size_t index = 0; index < 3; ++index) {
-                links.listen(system.ipOf(index), port, system.peerPort());
-            }
-        }
         for (int index = 0; index < workers; ++index) {
             fleet.add("m-" + std::to_string(index + 1), "svc-a", 100 + index);
         }
@@ -130,7 +121,6 @@
 
     System system;
     Fleet fleet;
-    CutProxy links;
 };
 
 /// A heartbeat of another writer names a service that the configuration does not have. TWICE.
@@ -474,63 +464,67 @@
     }
 }
 
-/// The first gateway is cut off with a client's call on its way. The client leaves and cancels the
-/// job at another gateway, and the cut heals. UNASKED.
-void cancelledAndRun(Record &record)
+/// A worker with a member of a gang crashes. UNASKED.
+void gangCheckpoints(Record &record)
 {
-    constexpr std::int64_t cutMs = 5500;
-    constexpr std::int64_t leaveMs = 150;
-    constexpr std::int64_t cancelMs = 3000;
-    Deployment deployment(record, 3, 2, true);
+    constexpr std::size_t members = 4;
+    Deployment deployment(record, 5);
     System &system = deployment.system;
     Fleet &fleet = deployment.fleet;
-    const std::string id = "00000000000000c1";
-    std::atomic<std::int64_t> acknowledgedAt{0};
-    fleet.onStart = [&](const Machine &machine, const std::string &task, std::uint64_t) {
-        const std::int64_t at = acknowledgedAt;
-        if (at != 0 && steadyMs() - at > cancelMs) {
-            record.broken("UNASKED: " + task + " starts on " + machine.name + " "
-                          + std::to_string(steadyMs() - at)
-                          + " ms after the cancelling of its job was acknowledged");
+    // A worker has room for one member.
+    fleet.taskMilli = 12000;
+    const std::string id = "00000000000000d1";
+    {
+        const std::lock_guard lock(fleet.mutex());
+        Gang &gang = fleet.gangs[id + ".0.0"];
+        gang.count = members;
+        gang.workMs = 12000;
+    }
+    fleet.onGangStart = [&](const Gang &gang, const std::string &task, std::uint64_t run) {
+        const auto &carried = gang.carried.at(run);
+        for (const auto &[other, checkpoint] : carried) {
+            if (checkpoint != carried.at(task)) {
+                record.broken("UNASKED: in run " + std::to_string(run) + " " + task
+                              + " carries the checkpoint \"" + carried.at(task) + "\" and " + other
+                              + " carries \"" + checkpoint + "\"");
+                return;
+            }
         }
     };
     order(system, record, "PUT", "/v1/config", configuration(1));
-    sleepMs(4000);
-    const Json job = {{"spec", "0"},
-                      {"steps",
-                       {{{"count", 2}, {"cpu", 4000}, {"mem_mb", 256}, {"long_running", true}}}}};
-    const std::int64_t begin = steadyMs();
-    if (hasTrouble()) {
-        deployment.links.setCut(true);
-        sleepMs(20);
-    }
-    const Answer handedIn = call(system.fronts()[0], "POST", prefix + id, job.dump(), leaveMs, host,
-                                 "X-Dandelionloom-Deadline-Ms: 3000\r\n");
-    record.line("POST " + prefix + id + " -> "
-                + (handedIn.status == 0 ? "no response, the client leaves"
-                                        : std::to_string(handedIn.status)));
-    const Answer cancelled = call(system.fronts()[1], "DELETE", prefix + id, "", 3000, host,
-                                  "X-Dandelionloom-Deadline-Ms: 3000\r\n");
-    record.line("DELETE " + prefix + id + " -> " + std::to_string(cancelled.status) + " "
-                + cancelled.body);
-    if (cancelled.status != 200 && cancelled.status != 410) {
-        throw CannotRun{"the cancelling was not acknowledged"};
+    sleepMs(3000);
+    submit(system, record, id,
+           {{"spec", "0"},
+            {"steps",
+             {{{"count", members},
+               {"cpu", 12000},
+               {"mem_mb", 256},
+               {"estimate_ms", 12000},
+               {"gang", true},
+               {"checkpointing", true}}}}});
+    if (!waitFor(10000, [&] { return fleet.countRunning() == members; })) {
+        throw CannotRun{"the gang did not start"};
     }
-    acknowledgedAt = steadyMs();
+    sleepMs(3200);
     if (hasTrouble()) {
-        sleepMs(begin + cutMs - steadyMs());
-        deployment.links.setCut(false);
-    }
-    for (int second = 0; second < 12; ++second) {
-        sleepMs(1000);
-        record.line("GET " + prefix + id + " -> "
-                    + call(system.fronts()[1], "GET", prefix + id, "", 3000, host).body + ", "
-                    + std::to_string(fleet.countRunning()) + " tasks run");
+        for (auto &machine : fleet.machines()) {
+            bool runs = false;
+            {
+                const std::lock_guard lock(fleet.mutex());
+                runs = !machine->running.empty();
+            }
+            if (runs) {
+                fleet.crash(*machine, 4500);
+                break;
+            }
+        }
     }
+    waitFor(40000, [&] { return stateOf(system, id) == "completed"; });
+    record.line("job " + id + " is shown as " + stateOf(system, id));
 }
 
 const std::map<std::string, void (*)(Record &)> cases = {
-        {"cancelled-and-run", cancelledAndRun},
+        {"gang-checkpoints", gangCheckpoints},
         {"odd-heartbeat", oddHeartbeat},
         {"late-upkeep", lateUpkeep},
         {"unreadable-heartbeat", unreadableHeartbeat},
