--- a/review/standIns2/Fleet.h
+++ b/review/standIns2/Fleet.h
@@ -126,8 +126,8 @@
         return machine.ip + ":" + std::to_string(m_system.port());
     }
 
-    /// May hold back the answer to an order of the platform and let it be carried out later: returns
-    /// the delay, or 0 for the usual way.
+    /// May hold back the answer to an order of the platform and let it be carried out later:
+    /// returns the delay, or 0 for the usual way.
     std::function<std::int64_t(const std::string &holder, const std::string &machine)> delayUpkeep;
     /// Called with the mutex held when a machine begins its upkeep.
     std::function<void(const Machine &, const std::string &holder, std::uint64_t fence)>
@@ -174,7 +174,10 @@
     }
 
 private:
-    std::int64_t clock(const Machine &machine) const { return steadyMs() - machine.bootedAt + 1000; }
+    std::int64_t clock(const Machine &machine) const
+    {
+        return steadyMs() - machine.bootedAt + 1000;
+    }
 
     void boot(Machine &machine, const std::string &id)
     {
@@ -259,8 +262,7 @@
                             {"slots", 8},
                             {"state", machine.draining ? "draining" : "ready"},
                             {"cold_remaining_ms", 0},
-                            {"capacity",
-                             {{"cpu", capacityMilli}, {"mem_mb", 32768}, {"gpu", 0}}},
+                            {"capacity", {{"cpu", capacityMilli}, {"mem_mb", 32768}, {"gpu", 0}}},
                             {"labels", {"a", machine.rack}},
                             {"clock_ms", clock(machine)},
                             {"born", machine.born},
@@ -388,8 +390,8 @@
 
     void extendLease(Machine &machine, std::int64_t deadlineMs)
     {
-        machine.leaseUntil = std::max(machine.leaseUntil,
-                                      std::min(deadlineMs, clock(machine) + maxHoldMs));
+        machine.leaseUntil =
+                std::max(machine.leaseUntil, std::min(deadlineMs, clock(machine) + maxHoldMs));
     }
 
     /// `spec` holds the run time in milliseconds; 0 for a task that lasts.
@@ -596,8 +598,9 @@
                       + " fence " + std::to_string(fence));
         const std::int64_t delay = upkeep && delayUpkeep ? delayUpkeep(holder, name) : 0;
         if (delay > 0) {
-            m_record.line("platform leaves the order for " + name + " unanswered and carries it out "
-                          + std::to_string(delay) + " ms later");
+            m_record.line("platform leaves the order for " + name
+                          + " unanswered and carries it out " + std::to_string(delay)
+                          + " ms later");
             ++m_connections;
             std::thread([this, order, holder, fence, delay, upkeep] {
                 const std::int64_t at = steadyMs() + delay;
--- a/review/standIns2/System.h
+++ b/review/standIns2/System.h
@@ -237,8 +237,8 @@
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     std::string buffer;
     HttpMessage response;
-    const bool answered = sendAll(descriptor, request)
-            && readMessage(descriptor, buffer, response, timeoutMs);
+    const bool answered =
+            sendAll(descriptor, request) && readMessage(descriptor, buffer, response, timeoutMs);
     ::close(descriptor);
     return answered ? Answer{response.status, response.body} : Answer{};
 }
@@ -437,8 +437,8 @@
 
     bool isFree(const std::string &network) const
     {
-        for (const int port : {9464, m_port, m_port + 1, m_port + 16, m_port + 17, m_port + 18,
-                               m_port + 20}) {
+        for (const int port :
+             {9464, m_port, m_port + 1, m_port + 16, m_port + 17, m_port + 18, m_port + 20}) {
             const int descriptor = listenOn(network + ".10", port);
             if (descriptor < 0) {
                 return false;
@@ -459,8 +459,8 @@
         const bool control = process.role == "control";
         out << "node_name = \"" << process.role << "-" << process.ip << "\"\nrole = \""
             << process.role << "\"\nmachine_class = \"" << (control ? "core" : "front")
-            << "\"\nserves = [\"" << (control ? "control" : "front") << "\"]\nip = \""
-            << process.ip << "\"\nzone = \"" << zones[static_cast<std::size_t>(indexOf(process.ip)) % 3]
+            << "\"\nserves = [\"" << (control ? "control" : "front") << "\"]\nip = \"" << process.ip
+            << "\"\nzone = \"" << zones[static_cast<std::size_t>(indexOf(process.ip)) % 3]
             << "\"\nregion = \"region-1\"\ninternal_port_range = [" << m_port << "," << m_port + 15
             << "]\nseeds = [" << seeds << "]\nbootstrap = " << (bootstrap ? "true" : "false")
             << "\nin_tolerance = " << (control ? "true" : "false")
--- a/review/standIns2/main.cpp
+++ b/review/standIns2/main.cpp
@@ -71,8 +71,8 @@
     const std::int64_t until = steadyMs() + 20000;
     for (std::size_t attempt = 0; steadyMs() < until; ++attempt) {
         const auto fronts = system.fronts();
-        const Answer answer = call(fronts[attempt % fronts.size()], "POST", prefix + id,
-                                   job.dump(), 3000, host, "X-Dandelionloom-Deadline-Ms: 3000\r\n");
+        const Answer answer = call(fronts[attempt % fronts.size()], "POST", prefix + id, job.dump(),
+                                   3000, host, "X-Dandelionloom-Deadline-Ms: 3000\r\n");
         record.line("POST " + prefix + id + " -> " + std::to_string(answer.status));
         if (answer.status == 200) {
             return;
@@ -173,8 +173,8 @@
                                 {"clock_ms", 1000},
                                 {"born", wallMs()},
                                 {"sequence", 1}};
-        const Answer answer = call(system.control(0), "PUT", "/v1/instances/w-other",
-                                   heartbeat.dump(), 1000);
+        const Answer answer =
+                call(system.control(0), "PUT", "/v1/instances/w-other", heartbeat.dump(), 1000);
         record.line("PUT /v1/instances/w-other " + heartbeat.dump() + " -> "
                     + std::to_string(answer.status) + " " + answer.body);
     }
@@ -213,10 +213,11 @@
             }
         }
         record.line("upkeep of " + machine.name + " begins, order of " + holder + " fence "
-                    + std::to_string(fence) + "; down for theirs:" + (down.empty() ? " none" : down));
+                    + std::to_string(fence)
+                    + "; down for theirs:" + (down.empty() ? " none" : down));
         if (count >= maxCount) {
-            record.broken("LIMIT: the upkeep of " + machine.name + " begins while"
-                          + down + " is down for its own, and max_count is 1");
+            record.broken("LIMIT: the upkeep of " + machine.name + " begins while" + down
+                          + " is down for its own, and max_count is 1");
         }
     };
     order(system, record, "PUT", "/v1/config", configuration(1));
@@ -256,8 +257,8 @@
 }
 
 /// Another writer sends a heartbeat that can't be read: brackets that are opened and never closed.
-/// The stand-in for the machines ends a process that uses more than its memory, and starts it again.
-/// Fault.
+/// The stand-in for the machines ends a process that uses more than its memory, and starts it
+/// again. Fault.
 void unreadableHeartbeat(Record &record)
 {
     constexpr std::size_t memoryMb = 256;
@@ -297,10 +298,10 @@
         std::size_t next = 0;
         const std::int64_t until = steadyMs() + 25000;
         while (hasTrouble() && steadyMs() < until) {
-            const Answer answer = call(system.control(next % 3), "PUT", "/v1/instances/w-other",
-                                       body, 1000);
-            record.line("PUT /v1/instances/w-other, " + std::to_string(body.size())
-                        + " bytes, to " + system.control(next % 3) + " -> "
+            const Answer answer =
+                    call(system.control(next % 3), "PUT", "/v1/instances/w-other", body, 1000);
+            record.line("PUT /v1/instances/w-other, " + std::to_string(body.size()) + " bytes, to "
+                        + system.control(next % 3) + " -> "
                         + (answer.status == 0 ? "no response" : std::to_string(answer.status)));
             ++next;
             sleepMs(answer.status == 0 ? 100 : Fleet::heartbeatMs);
@@ -333,7 +334,9 @@
 {
     constexpr int gateways = 3;
     constexpr int clientsPerGateway = 6;
-    constexpr std::uint64_t rounds = 8;
+    constexpr std::uint64_t rounds = 12;
+    /// No round begins after this time, so that the case ends in time on a slow machine.
+    const std::int64_t lastRoundAt = steadyMs() + 85000;
     Deployment deployment(record, 6, gateways);
     System &system = deployment.system;
     Fleet &fleet = deployment.fleet;
@@ -358,7 +361,8 @@
         }
         return document;
     };
-    for (std::uint64_t round = 0; round < rounds && record.breaks() == 0; ++round) {
+    for (std::uint64_t round = 0;
+         round < rounds && record.breaks() == 0 && steadyMs() < lastRoundAt; ++round) {
         order(system, record, "PUT", "/v1/config", configurationWith(1 + 2 * round, true));
         sleepMs(2500);
         const int leader = system.leader();
@@ -468,7 +472,7 @@
 void gangCheckpoints(Record &record)
 {
     constexpr std::size_t members = 4;
-    Deployment deployment(record, 5);
+    Deployment deployment(record, 8);
     System &system = deployment.system;
     Fleet &fleet = deployment.fleet;
     // A worker has room for one member.
