Scheduling: Ask a worker before an announcement of its address ends its runs

Cause: Dispatcher::announced() took an announcement with a later start as proof that the worker recorded at the address had ended, and proposed WorkerLeft for it. That record ends the runs and shuts the incarnation out. The service has nothing to do with it: the same happens with a configured one.

Change: the recorded worker is called at once. Only an answer from the address proves an end: the worker that has it refuses calls for another one with 421.

Evidence: LostRunsTest::announcementOfAddressInUse failed before ("runs twice: a.0.0.0 on w1 and w2") and passes now.

--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -324,8 +324,8 @@
     if (!newIncarnation && (*known == worker || (known->draining && !worker.draining))) {
         return {};
     }
-    std::vector<JobChange> changes;
     if (newIncarnation) {
+        std::vector<std::string> earlier;
         for (const auto &[id, other] : m_state.workers()) {
             if (id == worker.id || other.address != worker.address) {
                 continue;
@@ -334,13 +334,17 @@
                 // Delayed announcement of an incarnation whose address a newer one has taken over.
                 return {};
             }
-            changes.emplace_back(WorkerLeft{id, other.startTimeMs});
+            earlier.push_back(id);
+        }
+        for (const std::string &id : earlier) {
+            // The announcement may be wrong. Whoever answers at the address tells whether the
+            // earlier worker has ended, see renewed().
+            m_workers[id].nextRenewAt = now;
         }
         m_disruptionBudgets.forgetAvailability();
         resetWorker(worker.id);
     }
-    changes.emplace_back(WorkerJoined{worker});
-    return changes;
+    return {WorkerJoined{worker}};
 }
 
 bool Dispatcher::deregistered(const std::string &worker)
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -125,9 +125,15 @@
 
 void FleetSimulation::announce(const std::string &worker)
 {
-    const FakeWorker &fake = workers.at(worker);
-    for (JobChange &change : dispatcher->announced(
-                 {fake.record, static_cast<std::uint64_t>(now), now - fake.bootedAt}, now)) {
+    announceRecord(workers.at(worker).record);
+}
+
+void FleetSimulation::announceRecord(const WorkerRecord &worker)
+{
+    const auto fake = workers.find(worker.id);
+    const std::int64_t clockMs = fake == workers.end() ? -1 : now - fake->second.bootedAt;
+    for (JobChange &change :
+         dispatcher->announced({worker, static_cast<std::uint64_t>(now), clockMs}, now)) {
         propose(std::move(change));
     }
 }
@@ -411,6 +417,14 @@
     worker.running.erase(run);
 }
 
+bool FleetSimulation::isHeldByOther(const std::string &address, const std::string &worker) const
+{
+    return std::any_of(workers.begin(), workers.end(), [&](const auto &item) {
+        const auto &[id, other] = item;
+        return id != worker && other.up && !other.partitioned && other.record.address == address;
+    });
+}
+
 bool FleetSimulation::isAnswerLost()
 {
     return answerLossRate > 0
@@ -431,6 +445,12 @@
         std::erase_if(worker.ended, [&worker = worker](const EndedRun &end) {
             return end.number <= worker.pendingRenewal->cursor;
         });
+        if (!worker.up && isHeldByOther(worker.record.address, id)) {
+            const std::int64_t startTimeMs = worker.pendingRenewal->startTimeMs;
+            worker.pendingRenewal.reset();
+            dispatcher->renewed(id, startTimeMs, CallFault::OtherIncarnation, now);
+            continue;
+        }
         const bool reachable = worker.up && !worker.partitioned && !worker.pendingRenewal->lost;
         if (!reachable) {
             if (now >= worker.pendingRenewal->answerBy + dispatchOptions.calls.renewalMarginMs) {
@@ -627,7 +647,11 @@
     for (const RenewOrder &order : orders.renewals) {
         const auto found = workers.find(order.worker);
         if (found == workers.end()) {
-            dispatcher->renewed(order.worker, order.startTimeMs, CallFault::NoAnswer, now);
+            dispatcher->renewed(order.worker, order.startTimeMs,
+                                isHeldByOther(order.address, order.worker)
+                                        ? CallFault::OtherIncarnation
+                                        : CallFault::NoAnswer,
+                                now);
             continue;
         }
         FakeWorker &worker = found->second;
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -124,6 +124,8 @@
     std::string replaceWorker(const std::string &instance);
     /// Restarts a worker under its id.
     void restart(const std::string &worker);
+    /// Announces a worker that need not be one of `workers`.
+    void announceRecord(const WorkerRecord &worker);
     [[noreturn]] void reportViolation(const std::string &what) const;
 
     SchedulerState state;
@@ -184,6 +186,8 @@
     void advanceWorker(FakeWorker &worker);
     void endRun(FakeWorker &worker, const TaskKey &task, RunOutcome runOutcome);
     void answerRenewals();
+    /// True if calls to the address reach another worker, which refuses those for this one.
+    bool isHeldByOther(const std::string &address, const std::string &worker) const;
     bool isAnswerLost();
     void execute(const MaintenanceOrders &orders);
     void beginMaintenance(const MaintenanceOrder &order);
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(answerToEarlierIncarnation);
     CPPUNIT_TEST(renewalWhileRestartIsRecorded);
     CPPUNIT_TEST(limitWhileRunIsStopped);
+    CPPUNIT_TEST(announcementOfAddressInUse);
+    CPPUNIT_TEST(addressOfNextWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -398,6 +400,52 @@
         fleet.runUntil("the next start", 2000, [&] { return fleet.starts > starts; });
         CPPUNIT_ASSERT(!fleet.workers.at(other).running.contains(first));
     }
+
+    /// Guards against a second run of the tasks of a worker that goes on, because an announcement
+    /// of another writer names its address (review/6: TWICE).
+    void announcementOfAddressInUse()
+    {
+        for (const char *service : {"pricing", "archive"}) {
+            FleetSimulation fleet(52);
+            fleet.durationOf = [](const TaskKey &) { return 6000; };
+            setUpFleet(fleet, 3);
+            fleet.submit("a", "quotes", {shortStep(8)});
+            fleet.runUntil("the starts", 1000, [&] { return fleet.starts == 8; });
+            WorkerRecord other = fleet.workers.at("w1").record;
+            other.id = "other";
+            other.service = service;
+            other.startTimeMs = fleet.now;
+            fleet.announceRecord(other);
+            fleet.runUntil("the job", 8000, [&] { return isCompleted(fleet, "a"); });
+            CPPUNIT_ASSERT_EQUAL(8U, fleet.starts);
+            section("the worker gets tasks, the other one none", [&] {
+                CPPUNIT_ASSERT(fleet.state.worker("other") == nullptr);
+                fleet.submit("b", "quotes", {shortStep(12)});
+                fleet.runUntil("a task", 1000,
+                               [&] { return !fleet.workers.at("w1").running.empty(); });
+            });
+        }
+    }
+
+    /// Guards against tasks that wait for the leases of a worker whose address the next one has:
+    /// the next one refuses its calls.
+    void addressOfNextWorker()
+    {
+        FleetSimulation fleet(53);
+        setUpFleet(fleet, 2);
+        fleet.submit("a", "quotes", {longRunningStep(2, 1)});
+        fleet.run(1000);
+        fleet.crash("w1");
+        FakeWorker next;
+        next.record = fleet.workers.at("w1").record;
+        next.record.id = "next";
+        next.record.startTimeMs = fleet.now;
+        next.bootedAt = fleet.now;
+        fleet.workers["next"] = next;
+        fleet.announceRecord(next.record);
+        fleet.runUntil("the next run", 2500, [&] { return fleet.runningCount("a") == 2; });
+        CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
