Scheduling: Fence the earlier incarnation of a worker before its runs are lost

Cause: the next incarnation has the id of the earlier one and has seen no fencing token, so it carries out starts that are on their way. The record of the restart, made with the announcement alone, ended the earlier runs at once and their tasks were placed again. One token per term can't tell the incarnations apart, and the deadline of such a start, computed for the earlier clock, gives the longest lease there, which the leader didn't count.

Change: a restart is a reason to ask. Once an answer confirms it, orders carry a token of a further generation; the next incarnation is recorded, and the earlier runs are lost, when it has answered that and runs nothing of before. Leases for the earlier clock are counted. A start without an answer on a worker that nobody reaches is waited for as one that a next incarnation may have begun.

Three tests changed, none checks less. renewalWhileRestartIsRecorded recorded a restart of a worker that was cut off from the moment of its announcement, which now needs an answer: it is cut off between its answer and the record. restartWhileDraining waits for that answer, and restartBeforeOrderIsAnswered applies the record itself. The simulated workers keep several renewals, compare tokens also for renewals and stops, and are reached at their address only.

--- a/Source/Ports/WorkerCalls.h
+++ b/Source/Ports/WorkerCalls.h
@@ -11,8 +11,9 @@
 
 namespace dandelionloom {
 
-/// Client of the workers and of the advice service. Every order carries the fencing token of the
-/// leader that issued it. Each callback runs exactly once, on the caller's event loop.
+/// Client of the workers and of the advice service. `fence` is the term of the leader that issued
+/// the order; the worker gets fencingToken() of it and the order's generation. Each callback runs
+/// exactly once, on the caller's event loop.
 class WorkerCalls
 {
 public:
--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -427,7 +427,11 @@
     std::vector<JobChange> changes =
             m_dispatcher.announced({call.worker, call.sequence, call.clockMs}, steadyTimeNow());
     if (changes.empty()) {
-        reply(makeAnswer(JobCallOutcome::Done, {}));
+        // That a worker drains is acknowledged once it is recorded.
+        const bool isUnrecordedDrain =
+                call.worker.draining && m_dispatcher.isRestartPending(call.worker.id);
+        reply(isUnrecordedDrain ? makeAnswer(JobCallOutcome::Busy, "restart-pending")
+                                : makeAnswer(JobCallOutcome::Done, {}));
         return;
     }
     replyWhenApplied(workerKey(call.worker.id),
--- a/Source/Runtime/WorkerCallMessages.h
+++ b/Source/Runtime/WorkerCallMessages.h
@@ -24,7 +24,7 @@
 /// responds.
 struct WorkerCallBatch
 {
-    /// Term of the leader that issued the orders, which is also their fencing token.
+    /// Term of the leader that issued the orders.
     std::uint64_t term = 0;
     std::vector<NumberedOrder<RenewOrder>> renewals;
     std::vector<NumberedOrder<StartOrder>> starts;
--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <optional>
@@ -60,6 +61,10 @@
     std::uint32_t maxUnansweredOrders = 2;
     /// Delay before a failed renewal, start or stop is repeated.
     std::int64_t retryMs = 250;
+    /// Longest time after which a worker is assumed to carry out an order that it left unanswered.
+    /// Bounds the wait for a silent worker that may have restarted under its id: a long-running
+    /// task counts as neglected 9 s after its loss.
+    std::int64_t lateOrderMs = 2000;
     /// A worker whose last answer is older than this gets no new tasks.
     std::int64_t maxAnswerAgeMs = 2600;
     /// Time after its end for which a job's state can be queried.
@@ -118,6 +123,27 @@
     return leaseValidityMs(options, options.maxLeaseMs);
 }
 
+/// Upper bound of the time for which a restarted worker may hold a lease that was requested for its
+/// earlier incarnation, once no more such requests can reach it. The end of the lease is a time on
+/// the earlier clock, so that only the worker's own maximum bounds it.
+inline std::int64_t otherLeaseMs(const DispatchOptions &options)
+{
+    return slowClockMs(options.maxLeaseMs, options.clockDrift);
+}
+
+/// Number of bits of a fencing token that hold the generation of the worker.
+inline constexpr unsigned generationBits = 16;
+
+/// Fencing token of an order. A worker that starts again under its id has seen no token, and would
+/// carry out orders for its earlier incarnation; the leader calls each incarnation with a further
+/// generation, so that it refuses them from then on. Orders of a later term have a higher token.
+/// A worker that restarts more often in a term is given the last generation.
+inline std::uint64_t fencingToken(std::uint64_t term, std::uint64_t generation)
+{
+    constexpr std::uint64_t lastGeneration = (std::uint64_t(1) << generationBits) - 1;
+    return (term << generationBits) + std::min(generation, lastGeneration);
+}
+
 /// Entry of a worker's list of running tasks.
 struct RunningRun
 {
@@ -189,10 +215,12 @@
     /// Lease on the worker's clock; unset while that clock is unknown.
     std::optional<std::int64_t> leaseUntilMs;
     std::int64_t waitMs = 0;
-    /// Recorded incarnation of the worker when the order was issued.
+    /// Incarnation of the worker that the order is for.
     std::int64_t startTimeMs = 0;
+    /// See fencingToken().
+    std::uint64_t generation = 0;
 
-    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs, startTimeMs)
+    MSGPACK_DEFINE_ARRAY(worker, address, ackCursor, leaseUntilMs, waitMs, startTimeMs, generation)
 };
 
 struct StartOrder
@@ -205,8 +233,11 @@
     std::int64_t leaseUntilMs = 0;
     std::string checkpoint;
     std::string ticket;
+    /// See fencingToken().
+    std::uint64_t generation = 0;
 
-    MSGPACK_DEFINE_ARRAY(worker, address, task, run, payload, leaseUntilMs, checkpoint, ticket)
+    MSGPACK_DEFINE_ARRAY(worker, address, task, run, payload, leaseUntilMs, checkpoint, ticket,
+                         generation)
 };
 
 struct StopOrder
@@ -215,8 +246,10 @@
     std::string address;
     TaskKey task;
     std::uint32_t run = 0;
+    /// See fencingToken().
+    std::uint64_t generation = 0;
 
-    MSGPACK_DEFINE_ARRAY(worker, address, task, run)
+    MSGPACK_DEFINE_ARRAY(worker, address, task, run, generation)
 };
 
 struct PaceOrder
@@ -226,8 +259,10 @@
     TaskKey task;
     std::uint32_t run = 0;
     std::int64_t percent = 100;
+    /// See fencingToken().
+    std::uint64_t generation = 0;
 
-    MSGPACK_DEFINE_ARRAY(worker, address, task, run, percent)
+    MSGPACK_DEFINE_ARRAY(worker, address, task, run, percent, generation)
 };
 
 struct AdviceOrder
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -69,6 +69,8 @@
     m_workers.clear();
     m_workersOfService.clear();
     m_sequences.clear();
+    m_restarts.clear();
+    m_generations.clear();
     m_proposed.clear();
     m_proposedUse.clear();
     m_unassignedRuns.clear();
@@ -114,7 +116,12 @@
     if (!m_leads || found == m_workers.end() || record == nullptr) {
         return;
     }
-    if (startTimeMs != record->startTimeMs) {
+    const auto restart = m_restarts.find(worker);
+    if (restart != m_restarts.end() && startTimeMs == restart->second.startTimeMs) {
+        onRestartChecked(*record, answer, now);
+        return;
+    }
+    if (startTimeMs != record->startTimeMs || isRestartConfirmed(worker)) {
         // A call to an earlier incarnation shows nothing about the recorded one, which may have
         // another address.
         return;
@@ -148,15 +155,12 @@
         if (list.startTimeMs > record->startTimeMs) {
             // The next incarnation may have another service, capacity and labels, which its
             // announcement tells.
-            m_changes.emplace_back(WorkerLeft{worker, record->startTimeMs});
-            m_decisions.push_back({"worker-restarted", {}, 0, worker, "same-id", -1});
-            // No order reaches it until the change is applied.
-            view.renewedAt = 0;
-        } else {
-            // Another incarnation, whose clock may have been set back, says nothing of the runs of
-            // the recorded one: their leases expire.
-            onRenewalFailed(*record, view, now);
+            confirmRestart(*record, list.startTimeMs, now);
+            return;
         }
+        // Another incarnation, whose clock may have been set back, says nothing of the runs of the
+        // recorded one: their leases expire.
+        onRenewalFailed(*record, view, now);
         view.nextRenewAt = now + m_options.retryMs;
         return;
     }
@@ -410,6 +414,7 @@
         break;
     case CallFault::NoAnswer:
         started.startUnanswered = true;
+        started.lateStartEnd = now + m_options.lateOrderMs + otherLeaseMs(m_options);
         if (++view.unansweredOrders >= m_options.maxUnansweredOrders) {
             view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
         }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -22,6 +22,7 @@
 #include "Scheduling/TeamWaits.h"
 #include "Scheduling/UnassignedRuns.h"
 #include "Scheduling/WaitingSteps.h"
+#include "Scheduling/WorkerRestart.h"
 #include "Scheduling/WorkerView.h"
 
 namespace dandelionloom {
@@ -74,8 +75,11 @@
 
     /// Must be called after SchedulerState::apply() with the same change.
     void applied(const JobChange &change, SteadyTimeMs now);
-    /// Returns the changes to propose for an announcement; empty if nothing has changed.
+    /// Returns the changes to propose for an announcement; empty if nothing has changed, and for a
+    /// restart under a recorded id, which a later step() proposes once the worker has confirmed it.
     std::vector<JobChange> announced(const WorkerAnnouncement &announcement, SteadyTimeMs now);
+    /// True if the worker is said to have restarted under its id, and that is not recorded yet.
+    bool isRestartPending(const std::string &worker) const { return m_restarts.contains(worker); }
     /// Begins the removal of a worker and returns true; false if the deregistration concerns no
     /// recorded incarnation. It names none, and a control instance that was suspended may pass it
     /// on when the next one is already in use. The worker is removed by a later step(), when all
@@ -231,6 +235,19 @@
     /// Forgets what is known of a worker, but for the planners' marks: an order for its instance
     /// may still be carried out, whichever incarnation runs there.
     void resetWorker(const std::string &worker);
+    // Workers that start again under their id.
+    /// Generation of the orders to the worker, see fencingToken().
+    std::uint64_t generationOf(const std::string &worker) const;
+    /// True if the recorded incarnation has ended and the next one is not recorded yet.
+    bool isRestartConfirmed(const std::string &worker) const;
+    void onRestartAnnounced(const WorkerAnnouncement &announcement);
+    /// Called with the record of a worker of which a later incarnation has answered.
+    void confirmRestart(const WorkerRecord &worker, std::int64_t startTimeMs, SteadyTimeMs now);
+    void emitRestartChecks(SteadyTimeMs now, DispatchOrders &orders);
+    void onRestartChecked(const WorkerRecord &worker, const Result<RenewAnswer, CallFault> &answer,
+                          SteadyTimeMs now);
+    /// Called when an incarnation has been recorded, after its view was made.
+    void onIncarnationRecorded(const WorkerRecord &worker, SteadyTimeMs now);
     void onStartConfirmed(const TaskKey &task, RunView &run, SteadyTimeMs now);
     void onRunningRow(const std::string &worker, WorkerView &view, const RunningRun &row,
                       SteadyTimeMs now);
@@ -406,6 +423,9 @@
     /// The recorded workers by service; rebuilt when empty. Most placement passes change none.
     std::map<std::string, Candidates> m_workersOfService;
     std::map<std::string, std::uint64_t> m_sequences;
+    std::map<std::string, WorkerRestart> m_restarts;
+    /// Generations of the workers that have restarted under their id in this term.
+    std::map<std::string, std::uint64_t> m_generations;
     /// Assignments that are proposed and not yet applied.
     std::map<TaskKey, TeamNeed> m_proposed;
     TeamUse m_proposedUse;
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -49,6 +49,7 @@
     reviewAnswers(now, orders);
     emitStops(now, orders);
     emitRenewals(now, orders);
+    emitRestartChecks(now, orders);
     removeDeregisteredWorkers();
     purgeOldJobs(now, wallNow);
     std::move(m_changes.begin(), m_changes.end(), std::back_inserter(orders.changes));
@@ -73,11 +74,11 @@
             continue;
         }
         const WorkerRecord *record = m_state.worker(id);
-        if (record == nullptr) {
+        if (record == nullptr || isRestartConfirmed(id)) {
             continue;
         }
-        RenewOrder order{id, record->address,    view.lastProposedEnd, std::nullopt,
-                         0,  record->startTimeMs};
+        RenewOrder order{id, record->address,     view.lastProposedEnd, std::nullopt,
+                         0,  record->startTimeMs, generationOf(id)};
         const auto ends = m_pendingEnds.find(id);
         if (ends != m_pendingEnds.end() && !ends->second.empty()) {
             // The worker would list unrecorded ends again at once. A renewal is still sent when at
@@ -165,7 +166,8 @@
                          job->spec.payload,
                          extendLease(view, now),
                          m_state.task(task)->checkpoint,
-                         {}};
+                         {},
+                         generationOf(id)};
         if (job->queue.needsAdvice) {
             const auto tickets = m_tickets.find({task.job, task.occurrence, task.step});
             if (tickets != m_tickets.end() && tickets->second.byWorker.contains(id)) {
@@ -197,9 +199,14 @@
     for (StopOrder &orphan : m_orphanStops) {
         const WorkerRecord *record = m_state.worker(orphan.worker);
         if (record != nullptr) {
-            orphan.address = record->address;
+            const bool restarted = !orphan.address.empty();
+            if (!restarted) {
+                orphan.address = record->address;
+                orphan.generation = generationOf(orphan.worker);
+            }
             orders.dispatchDecisions.push_back(
-                    {"stop", taskName(orphan.task), orphan.run, orphan.worker, "not-assigned", 0});
+                    {"stop", taskName(orphan.task), orphan.run, orphan.worker,
+                     restarted ? "earlier-incarnation" : "not-assigned", 0});
             orders.stops.push_back(std::move(orphan));
         }
     }
@@ -228,7 +235,7 @@
         }
         run.stopping = true;
         run.nextStopAt = now + m_options.stopGraceMs + m_options.retryMs;
-        orders.stops.push_back({id, record->address, task, run.run});
+        orders.stops.push_back({id, record->address, task, run.run, generationOf(id)});
         orders.dispatchDecisions.push_back({"stop", taskName(task), run.run, id,
                                             ended ? "job-ended" : "placed-elsewhere",
                                             now - view.renewedAt});
@@ -313,7 +320,7 @@
         run.pacePercent = percent;
         // A resumed task gets the whole time to make progress again.
         run.progressAt = now;
-        orders.paces.push_back({id, address, task, run.run, percent});
+        orders.paces.push_back({id, address, task, run.run, percent, generationOf(id)});
         orders.dispatchDecisions.push_back({"pace", taskName(task), run.run, id,
                                             percent == 0 ? "target-pressed" : "target-relieved",
                                             now - view.renewedAt});
@@ -387,6 +394,11 @@
                                view.leaseUntilMs > 0 ? "lease-ended" : "earlier-lease-ended",
                                view.renewedAt == 0 ? -1 : now - view.renewedAt});
         for (const auto &[task, run] : view.runs) {
+            // A next incarnation, of which nothing is known, may have carried out the start.
+            if (run.lateStartEnd != 0 && now < run.lateStartEnd + expiryMarginMs(m_options)) {
+                view.leasesExpired = false;
+                continue;
+            }
             proposeEnd(task, run.run, RunOutcome::WorkerLost, {});
         }
     }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -267,6 +267,7 @@
                 // An assignment or end that was applied since the announcement may have made a view
                 // of the earlier incarnation, with a renewal that is never answered for this one.
                 resetWorker(record->id);
+                onIncarnationRecorded(*record, now);
             }
             syncRuns(record->id);
         }
@@ -285,6 +286,7 @@
     } else if (const auto *left = std::get_if<WorkerLeft>(&change)) {
         if (m_state.worker(left->worker) == nullptr) {
             removeWorker(left->worker);
+            m_restarts.erase(left->worker);
         }
         m_workersOfService.clear();
     } else if (std::holds_alternative<ConfigurationAccepted>(change)) {
@@ -309,6 +311,10 @@
         return {};
     }
     const bool newIncarnation = known == nullptr || known->startTimeMs != worker.startTimeMs;
+    if (known != nullptr && newIncarnation) {
+        onRestartAnnounced(announcement);
+        return {};
+    }
     std::uint64_t &sequence = m_sequences[worker.id];
     if (!newIncarnation && announcement.sequence < sequence) {
         return {};
@@ -325,21 +331,11 @@
         return {};
     }
     if (newIncarnation) {
-        std::vector<std::string> earlier;
         for (const auto &[id, other] : m_state.workers()) {
-            if (id == worker.id || other.address != worker.address) {
-                continue;
-            }
-            if (other.startTimeMs > worker.startTimeMs) {
+            if (other.address == worker.address && other.startTimeMs > worker.startTimeMs) {
                 // Delayed announcement of an incarnation whose address a newer one has taken over.
                 return {};
             }
-            earlier.push_back(id);
-        }
-        for (const std::string &id : earlier) {
-            // The announcement may be wrong. Whoever answers at the address tells whether the
-            // earlier worker has ended, see renewed().
-            m_workers[id].nextRenewAt = now;
         }
         m_disruptionBudgets.forgetAvailability();
         resetWorker(worker.id);
--- a/Source/Scheduling/WorkerView.h
+++ b/Source/Scheduling/WorkerView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,6 +29,9 @@
     std::uint32_t sends = 0;
     /// A start order got no answer: it may be carried out even if a later one is refused.
     bool startUnanswered = false;
+    /// Until when a next incarnation of the worker may hold a lease with which it has carried out
+    /// an unanswered start; 0 if all were answered.
+    SteadyTimeMs lateStartEnd = 0;
     bool stopping = false;
     /// Time of the worker's confirmation of a stop order, from which on it refuses the run; 0
     /// before.
@@ -54,6 +58,9 @@
     SteadyTimeMs clockAt = 0;
     /// End of the latest lease requested by this leader, on the worker's clock.
     std::int64_t leaseUntilMs = 0;
+    /// Until when the worker may hold a lease that was requested for an earlier incarnation; 0 if
+    /// there was none.
+    SteadyTimeMs otherLeaseEnd = 0;
     /// A record that the worker is silent was proposed, and none that it answers was applied since.
     /// `answerProposed`: that one was proposed.
     bool silenceProposed = false;
@@ -111,15 +118,17 @@
     /// True if a lease that this leader has requested may not have expired yet.
     bool mayHoldLease(SteadyTimeMs now, const DispatchOptions &options) const
     {
-        return clockMs
-                && clockLowerBound(now, options.clockDrift)
-                <= leaseUntilMs + options.leaseExpiryMarginMs;
+        return (otherLeaseEnd != 0 && now < otherLeaseEnd + expiryMarginMs(options))
+                || (clockMs
+                    && clockLowerBound(now, options.clockDrift)
+                            <= leaseUntilMs + options.leaseExpiryMarginMs);
     }
     /// Time from which on the worker holds no lease of this leader; 0 if it never held one.
     SteadyTimeMs ownLeaseEnd(double drift) const
     {
-        return clockMs && leaseUntilMs > 0 ? clockAt + slowClockMs(leaseUntilMs - *clockMs, drift)
-                                           : 0;
+        return clockMs && leaseUntilMs > 0
+                ? std::max(otherLeaseEnd, clockAt + slowClockMs(leaseUntilMs - *clockMs, drift))
+                : otherLeaseEnd;
     }
     /// True if the worker has answered in this term, less than `maxAgeMs` ago.
     bool hasRecentAnswer(SteadyTimeMs now, std::int64_t maxAgeMs) const
--- a/Tests/Scheduling/DispatcherTest.cpp
+++ b/Tests/Scheduling/DispatcherTest.cpp
@@ -227,11 +227,10 @@
         fleet.state.apply(WorkerJoined{leaving});
         RenewAnswer answer;
         answer.startTimeMs = leaving.startTimeMs + 1;
+        fleet.workers.at("w1").record.startTimeMs = answer.startTimeMs;
         fleet.dispatcher->renewed("w1", leaving.startTimeMs, answer, fleet.now);
-        for (const JobChange &change : fleet.dispatcher->step(fleet.now, fleet.now).changes) {
-            fleet.state.apply(change);
-        }
-        CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
+        fleet.runUntil("the end of the first incarnation", 100,
+                       [&] { return fleet.state.worker("w1") == nullptr; });
         WorkerRecord restarted = leaving;
         restarted.startTimeMs = answer.startTimeMs;
         restarted.draining = false;
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -439,47 +439,53 @@
         dispatcher->startAnswered(lost.worker, lost.task, lost.run, CallFault::NoAnswer, now);
     }
     for (auto &[id, worker] : workers) {
-        if (!worker.pendingRenewal || worker.pendingRenewal->term != term) {
-            continue;
-        }
-        std::erase_if(worker.ended, [&worker = worker](const EndedRun &end) {
-            return end.number <= worker.pendingRenewal->cursor;
-        });
-        if (!worker.up && isHeldByOther(worker.record.address, id)) {
-            const std::int64_t startTimeMs = worker.pendingRenewal->startTimeMs;
-            worker.pendingRenewal.reset();
-            dispatcher->renewed(id, startTimeMs, CallFault::OtherIncarnation, now);
-            continue;
-        }
-        const bool reachable = worker.up && !worker.partitioned && !worker.pendingRenewal->lost;
-        if (!reachable) {
-            if (now >= worker.pendingRenewal->answerBy + dispatchOptions.calls.renewalMarginMs) {
-                const std::int64_t startTimeMs = worker.pendingRenewal->startTimeMs;
-                worker.pendingRenewal.reset();
-                dispatcher->renewed(id, startTimeMs, CallFault::NoAnswer, now);
+        std::vector<FakeWorker::PendingRenewal> pending;
+        pending.swap(worker.pendingRenewals);
+        for (const FakeWorker::PendingRenewal &renewal : pending) {
+            if (renewal.term == term && !answerRenewal(id, worker, renewal)) {
+                worker.pendingRenewals.push_back(renewal);
             }
-            continue;
         }
-        if (worker.ended.empty() && now < worker.pendingRenewal->answerBy) {
-            continue;
-        }
-        const std::int64_t startTimeMs = worker.pendingRenewal->startTimeMs;
-        worker.pendingRenewal.reset();
-        RenewAnswer answer;
-        answer.clockMs = now - worker.bootedAt;
-        answer.startTimeMs = worker.record.startTimeMs;
-        answer.ended = worker.ended;
-        for (const auto &[task, run] : worker.running) {
-            const std::int64_t passed = now - run.startedAt;
-            const std::int64_t percent = run.hangs ? 0
-                    : run.endsAt == 0
-                    ? (passed >= startupMs ? 100 : 0)
-                    : std::min<std::int64_t>(
-                            99, passed * 100 / std::max<std::int64_t>(run.durationMs, 1));
-            answer.running.push_back({task, run.run, {}, percent, run.hangs ? 0 : 10});
+    }
+}
+
+bool FleetSimulation::answerRenewal(const std::string &id, FakeWorker &worker,
+                                    const FakeWorker::PendingRenewal &renewal)
+{
+    if (!worker.up && isHeldByOther(worker.record.address, id)) {
+        dispatcher->renewed(id, renewal.startTimeMs, CallFault::OtherIncarnation, now);
+        return true;
+    }
+    if (!worker.up || worker.partitioned || renewal.lost) {
+        if (now < renewal.answerBy + dispatchOptions.calls.renewalMarginMs) {
+            return false;
         }
-        measureProcessorTime([&, &id = id] { dispatcher->renewed(id, startTimeMs, answer, now); });
+        dispatcher->renewed(id, renewal.startTimeMs, CallFault::NoAnswer, now);
+        return true;
     }
+    if (renewal.fenced) {
+        dispatcher->renewed(id, renewal.startTimeMs, CallFault::Fenced, now);
+        return true;
+    }
+    std::erase_if(worker.ended, [&](const EndedRun &end) { return end.number <= renewal.cursor; });
+    if (worker.ended.empty() && now < renewal.answerBy) {
+        return false;
+    }
+    RenewAnswer answer;
+    answer.clockMs = now - worker.bootedAt;
+    answer.startTimeMs = worker.record.startTimeMs;
+    answer.ended = worker.ended;
+    for (const auto &[task, run] : worker.running) {
+        const std::int64_t passed = now - run.startedAt;
+        const std::int64_t percent = run.hangs ? 0
+                : run.endsAt == 0
+                ? (passed >= startupMs ? 100 : 0)
+                : std::min<std::int64_t>(99,
+                                         passed * 100 / std::max<std::int64_t>(run.durationMs, 1));
+        answer.running.push_back({task, run.run, {}, percent, run.hangs ? 0 : 10});
+    }
+    measureProcessorTime([&] { dispatcher->renewed(id, renewal.startTimeMs, answer, now); });
+    return true;
 }
 
 void FleetSimulation::checkStart(const StartOrder &order) const
@@ -530,10 +536,11 @@
         return CallFault::NoAnswer;
     }
     FakeWorker &worker = found->second;
-    if (orderTerm < worker.fence) {
+    const std::uint64_t token = fencingToken(orderTerm, order.generation);
+    if (token < worker.fence) {
         return CallFault::Fenced;
     }
-    worker.fence = orderTerm;
+    worker.fence = token;
     if (worker.refusesStarts) {
         return CallFault::Unhealthy;
     }
@@ -613,6 +620,11 @@
         return CallFault::NoAnswer;
     }
     FakeWorker &worker = found->second;
+    const std::uint64_t token = fencingToken(term, order.generation);
+    if (token < worker.fence) {
+        return CallFault::Fenced;
+    }
+    worker.fence = token;
     worker.highestRun[order.task] = std::max(worker.highestRun[order.task], order.run);
     const auto run = worker.running.find(order.task);
     if (run != worker.running.end() && run->second.run <= order.run) {
@@ -645,33 +657,38 @@
         advise(order);
     }
     for (const RenewOrder &order : orders.renewals) {
-        const auto found = workers.find(order.worker);
-        if (found == workers.end()) {
-            dispatcher->renewed(order.worker, order.startTimeMs,
-                                isHeldByOther(order.address, order.worker)
-                                        ? CallFault::OtherIncarnation
-                                        : CallFault::NoAnswer,
-                                now);
-            continue;
-        }
-        FakeWorker &worker = found->second;
-        worker.pendingRenewal =
-                FakeWorker::PendingRenewal{order.ackCursor, now + order.waitMs, term,
-                                           isAnswerLost() || worker.partitioned, order.startTimeMs};
-        if (worker.up && !worker.partitioned) {
-            worker.fence = std::max(worker.fence, term);
-            if (order.leaseUntilMs) {
-                worker.leaseUntil = std::max(worker.leaseUntil,
-                                             std::min(*order.leaseUntilMs + worker.bootedAt,
-                                                      now + dispatchOptions.maxLeaseMs));
-            }
-        }
+        sendRenewal(order);
     }
     for (const JobChange &change : orders.changes) {
         propose(change);
     }
 }
 
+void FleetSimulation::sendRenewal(const RenewOrder &order)
+{
+    const auto found = workers.find(order.worker);
+    if (found == workers.end() || found->second.record.address != order.address) {
+        dispatcher->renewed(order.worker, order.startTimeMs,
+                            isHeldByOther(order.address, order.worker) ? CallFault::OtherIncarnation
+                                                                       : CallFault::NoAnswer,
+                            now);
+        return;
+    }
+    FakeWorker &worker = found->second;
+    const std::uint64_t token = fencingToken(term, order.generation);
+    worker.pendingRenewals.push_back({order.ackCursor, now + order.waitMs, term,
+                                      token < worker.fence, isAnswerLost() || worker.partitioned,
+                                      order.startTimeMs});
+    if (worker.up && !worker.partitioned && token >= worker.fence) {
+        worker.fence = token;
+        if (order.leaseUntilMs) {
+            worker.leaseUntil = std::max(worker.leaseUntil,
+                                         std::min(*order.leaseUntilMs + worker.bootedAt,
+                                                  now + dispatchOptions.maxLeaseMs));
+        }
+    }
+}
+
 void FleetSimulation::execute(const MaintenanceOrders &orders)
 {
     for (const MaintenanceOrder &order : orders.begin) {
@@ -816,15 +833,21 @@
 }
 
 void FleetSimulation::restart(const std::string &worker)
+{
+    restartUnannounced(worker);
+    announce(worker);
+}
+
+void FleetSimulation::restartUnannounced(const std::string &worker)
 {
     FakeWorker &fake = workers.at(worker);
     FakeWorker fresh;
     fresh.record = fake.record;
     fresh.record.startTimeMs = now;
     fresh.bootedAt = now;
-    fresh.pendingRenewal = fake.pendingRenewal;
+    fresh.pendingRenewals = fake.pendingRenewals;
+    fresh.partitioned = fake.partitioned;
     fake = fresh;
-    announce(worker);
 }
 
 } // namespace dandelionloom::test
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -36,6 +36,8 @@
         std::uint64_t cursor = 0;
         SteadyTimeMs answerBy = 0;
         std::uint64_t term = 0;
+        /// The worker has seen a higher fencing token.
+        bool fenced = false;
         bool lost = false;
         /// Incarnation that the renewal was sent to.
         std::int64_t startTimeMs = 0;
@@ -49,7 +51,7 @@
     std::vector<EndedRun> ended;
     std::uint64_t lastEnd = 0;
     std::map<TaskKey, std::uint32_t> highestRun;
-    std::optional<PendingRenewal> pendingRenewal;
+    std::vector<PendingRenewal> pendingRenewals;
     bool up = true;
     /// The worker keeps running, but no call reaches it.
     bool partitioned = false;
@@ -122,8 +124,10 @@
     void crash(const std::string &worker);
     /// Starts another worker on the instance. Returns its id.
     std::string replaceWorker(const std::string &instance);
-    /// Restarts a worker under its id.
+    /// Restarts a worker under its id. Late starts for its earlier incarnation reach the next one.
     void restart(const std::string &worker);
+    /// The same without an announcement.
+    void restartUnannounced(const std::string &worker);
     /// Announces a worker that need not be one of `workers`.
     void announceRecord(const WorkerRecord &worker);
     [[noreturn]] void reportViolation(const std::string &what) const;
@@ -175,6 +179,7 @@
     void commitDueChanges();
     void execute(const DispatchOrders &orders);
     std::optional<CallFault> startRun(const StartOrder &order, std::uint64_t orderTerm);
+    void sendRenewal(const RenewOrder &order);
     /// True if the worker leaves the start unanswered and carries it out later.
     bool delayStart(const StartOrder &order);
     void carryOutLateStarts();
@@ -186,6 +191,9 @@
     void advanceWorker(FakeWorker &worker);
     void endRun(FakeWorker &worker, const TaskKey &task, RunOutcome runOutcome);
     void answerRenewals();
+    /// Answers the renewal, or reports that it has failed. False while the worker holds it.
+    bool answerRenewal(const std::string &id, FakeWorker &worker,
+                       const FakeWorker::PendingRenewal &renewal);
     /// True if calls to the address reach another worker, which refuses those for this one.
     bool isHeldByOther(const std::string &address, const std::string &worker) const;
     bool isAnswerLost();
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -364,7 +364,10 @@
         const std::int64_t earlier = fleet.state.worker("w1")->startTimeMs;
         fleet.run(50);
         fleet.restart("w1");
+        fleet.runUntil("its confirmation", 100, [&] { return !fleet.restarts.empty(); });
+        fleet.run(20);
         fleet.workers.at("w1").partitioned = true;
+        CPPUNIT_ASSERT_EQUAL(earlier, fleet.state.worker("w1")->startTimeMs);
         fleet.runUntil("the next incarnation", 1000,
                        [&] { return fleet.state.worker("w1")->startTimeMs != earlier; });
         fleet.workers.at("w1").partitioned = false;
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -881,10 +881,8 @@
         WorkerRecord next = *fleet.state.worker(worker);
         section("an announced restart keeps the cordon", [&] {
             ++next.startTimeMs;
-            for (const JobChange &change : fleet.dispatcher->announced({next, 1, -1}, fleet.now)) {
-                fleet.state.apply(change);
-                fleet.dispatcher->applied(change, fleet.now);
-            }
+            fleet.state.apply(WorkerJoined{next});
+            fleet.dispatcher->applied(WorkerJoined{next}, fleet.now);
             CPPUNIT_ASSERT(fleet.dispatcher->view(worker)->cordoned);
             CPPUNIT_ASSERT(fleet.dispatcher->view(worker)->leaving);
         });
