Scheduling: Bound the wait for unanswered starts on lost workers

Cause: since a run with an unanswered start waits for the longest lease that a next incarnation may hold. Where workers grant 10 s, that is 12.9 s after a loss, beyond the 9 s after which a long-running task counts as neglected; and it waited also if the worker had listed the run, so that the only order was carried out.

Change: no such wait for a run that was listed after a single order; for others 8 s at most from the worker's last answer.

Evidence: RestartedWorkersTest::lossAfterUnansweredStart fails in its first section without the first part and in its second without the second.

--- a/Source/Scheduling/DispatchTypes.h
+++ b/Source/Scheduling/DispatchTypes.h
@@ -62,9 +62,11 @@
     /// Delay before a failed renewal, start or stop is repeated.
     std::int64_t retryMs = 250;
     /// Longest time after which a worker is assumed to carry out an order that it left unanswered.
-    /// Bounds the wait for a silent worker that may have restarted under its id: a long-running
-    /// task counts as neglected 9 s after its loss.
     std::int64_t lateOrderMs = 2000;
+    /// Longest wait for a silent worker, from its last answer, because a next incarnation of which
+    /// nothing is known may have carried out an unanswered start. A long-running task counts as
+    /// neglected 9 s after its loss.
+    std::int64_t maxLateStartWaitMs = 8000;
     /// A worker whose last answer is older than this gets no new tasks.
     std::int64_t maxAnswerAgeMs = 2600;
     /// Time after its end for which a job's state can be queried.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -236,6 +236,9 @@
     if (run.state != RunState::Running) {
         run.state = RunState::Running;
         run.confirmedAt = now;
+        if (run.sends == 1) {
+            run.lateStartEnd = 0;
+        }
         run.progressAt = now;
         m_startedJobs.insert(task.job);
         m_startedAt.try_emplace(task, now);
@@ -414,7 +417,10 @@
         break;
     case CallFault::NoAnswer:
         started.startUnanswered = true;
-        started.lateStartEnd = now + m_options.lateOrderMs + otherLeaseMs(m_options);
+        // The only order, if the worker lists the run: it can't be carried out once more.
+        if (started.state != RunState::Running || started.sends > 1) {
+            started.lateStartEnd = now + m_options.lateOrderMs + otherLeaseMs(m_options);
+        }
         if (++view.unansweredOrders >= m_options.maxUnansweredOrders) {
             view.avoidUntil = std::max(view.avoidUntil, now + unhealthyPauseMs);
         }
--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -393,9 +393,12 @@
                                id,
                                view.leaseUntilMs > 0 ? "lease-ended" : "earlier-lease-ended",
                                view.renewedAt == 0 ? -1 : now - view.renewedAt});
+        const SteadyTimeMs latestEnd =
+                std::max(view.renewedAt, m_termStartedAt) + m_options.maxLateStartWaitMs;
         for (const auto &[task, run] : view.runs) {
             // A next incarnation, of which nothing is known, may have carried out the start.
-            if (run.lateStartEnd != 0 && now < run.lateStartEnd + expiryMarginMs(m_options)) {
+            if (run.lateStartEnd != 0
+                && now < std::min(run.lateStartEnd, latestEnd) + expiryMarginMs(m_options)) {
                 view.leasesExpired = false;
                 continue;
             }
--- a/Tests/Scheduling/RestartedWorkersTest.cpp
+++ b/Tests/Scheduling/RestartedWorkersTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(lateStartAfterSecondRestart);
     CPPUNIT_TEST(lostBeforeFirstCheck);
     CPPUNIT_TEST(lostAfterFirstCheck);
+    CPPUNIT_TEST(lossAfterUnansweredStart);
     CPPUNIT_TEST(wrongAnnouncement);
     CPPUNIT_TEST(drainingRestart);
     CPPUNIT_TEST(restartsAndLateStarts);
@@ -188,6 +189,31 @@
         }
     }
 
+    /// Guards against a long-running task that waits for a lost worker until it counts as
+    /// neglected, because the answer to its start was lost.
+    void lossAfterUnansweredStart()
+    {
+        section("a start that the worker has listed is waited for as one that was answered", [] {
+            FleetSimulation fleet(67);
+            // The worker lists the run before the start order times out.
+            fleet.dispatchOptions.renewalWaitMs = 100;
+            setUpFleet(fleet, 3);
+            const std::string first = submitWithLateStart(fleet, longRunningStep(1, 1), 10);
+            fleet.run(2000);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.runningCount("a"));
+            fleet.crash(first);
+            fleet.runUntil("the next run", 6000, [&] { return fleet.runningCount("a") == 1; });
+        });
+        section("other starts are waited for less than 9 s, also where leases are longer", [] {
+            FleetSimulation fleet(68);
+            fleet.dispatchOptions.maxLeaseMs = 10000;
+            setUpFleet(fleet, 3);
+            const std::string first = submitWithLateStart(fleet, longRunningStep(1, 1), 20000);
+            fleet.crash(first);
+            fleet.runUntil("the next run", 9000, [&] { return fleet.runningCount("a") == 1; });
+        });
+    }
+
     /// Guards against the end of a worker's runs because an announcement of another writer says
     /// that it has started again.
     void wrongAnnouncement()
