Scheduling: Drop an announced restart that nobody confirms

An announcement of another writer that names a recorded worker with a later start and an address that nobody has was asked about four times a second for as long as the worker lived. After four checks without an answer it is dropped; a worker that has restarted announces itself again.

--- a/Source/Scheduling/DispatcherRestarts.cpp
+++ b/Source/Scheduling/DispatcherRestarts.cpp
@@ -13,6 +13,10 @@
 /// Interval of the checks of a worker that still lists runs of its earlier incarnation.
 constexpr std::int64_t restartCheckMs = 50;
 
+/// Checks without an answer after which an announcement is dropped, which may name an address that
+/// nobody has. A worker announces itself again every 1.5 s.
+constexpr std::uint32_t maxFailedChecks = 4;
+
 } // namespace
 
 std::uint64_t Dispatcher::generationOf(const std::string &worker) const
@@ -112,9 +116,12 @@
         } else if (restart.confirmed) {
             // Its runs are lost when all leases have ended that an order can have given it.
             onRenewalFailed(worker, m_workers[worker.id], now);
+        } else if (++restart.failedChecks >= maxFailedChecks) {
+            m_restarts.erase(worker.id);
         }
         return;
     }
+    restart.failedChecks = 0;
     const RenewAnswer &list = valueOf(answer);
     // An answer without a start time contradicts no announcement.
     const std::int64_t startTimeMs = list.startTimeMs == 0 ? restart.startTimeMs : list.startTimeMs;
--- a/Source/Scheduling/WorkerRestart.h
+++ b/Source/Scheduling/WorkerRestart.h
@@ -23,6 +23,8 @@
     /// The record of the next incarnation, or of the end of the recorded one, was proposed.
     bool recordProposed = false;
     bool checkInFlight = false;
+    /// Consecutive checks without an answer.
+    std::uint32_t failedChecks = 0;
     /// Generation of the check in flight, see fencingToken().
     std::uint64_t checkGeneration = 0;
     SteadyTimeMs nextCheckAt = 0;
--- a/Tests/Scheduling/RestartedWorkersTest.cpp
+++ b/Tests/Scheduling/RestartedWorkersTest.cpp
@@ -235,6 +235,10 @@
             CPPUNIT_ASSERT_EQUAL(10U, fleet.starts);
             CPPUNIT_ASSERT_EQUAL(fleet.workers.at("w1").record.startTimeMs,
                                  fleet.state.worker("w1")->startTimeMs);
+            section("nobody is asked for long", [&] {
+                fleet.run(3000);
+                CPPUNIT_ASSERT(!fleet.dispatcher->isRestartPending("w1"));
+            });
             section("a restart that follows is recorded", [&] {
                 fleet.restart("w1");
                 fleet.runUntil("the record", 3000, [&] {
