Scheduling: Give the members of a gang one checkpoint

Cause: each member kept the checkpoint of its own last run, and a lost run brings none, although the value of any member is valid for the gang.

Change: at the end of a member's run its checkpoint is given to the members that wait, or theirs to it if it brings none. The value of a member that runs is kept, as its start may be sent again.

--- a/Source/Scheduling/SchedulerState.cpp
+++ b/Source/Scheduling/SchedulerState.cpp
@@ -202,6 +202,9 @@
     if (!change.checkpoint.empty()) {
         task.checkpoint = change.checkpoint;
     }
+    if (step.gang) {
+        shareCheckpoint(job, change.task, !change.checkpoint.empty());
+    }
     if (change.runOutcome == RunOutcome::Done && !step.longRunning) {
         if (step.gang) {
             // The end of one gang member completes all of them.
@@ -223,6 +226,23 @@
     }
 }
 
+void SchedulerState::shareCheckpoint(JobRecord &job, const TaskKey &key, bool isNew)
+{
+    std::vector<TaskRecord> &members = job.occurrences[key.occurrence].steps[key.step].tasks;
+    TaskRecord &ended = members[key.index];
+    for (TaskRecord &member : members) {
+        // The value of a member that still runs is kept, as its start may be sent again.
+        if (&member == &ended || member.phase != TaskPhase::Pending) {
+            continue;
+        }
+        if (isNew) {
+            member.checkpoint = ended.checkpoint;
+        } else if (!member.checkpoint.empty()) {
+            ended.checkpoint = member.checkpoint;
+        }
+    }
+}
+
 void SchedulerState::finishTask(JobRecord &job, const TaskKey &key, WallTimeMs atMs)
 {
     OccurrenceRecord &occurrence = job.occurrences[key.occurrence];
--- a/Source/Scheduling/SchedulerState.h
+++ b/Source/Scheduling/SchedulerState.h
@@ -135,6 +135,9 @@
     TaskRecord *findTask(const TaskKey &key);
     void endRunsAsLost(const std::string &worker);
     void endRun(JobRecord &job, const RunEnded &change);
+    /// Gives the members of a gang that wait one value, after the end of the run of one of them:
+    /// its checkpoint if that is new, or else the one that the others have.
+    static void shareCheckpoint(JobRecord &job, const TaskKey &key, bool isNew);
     void finishTask(JobRecord &job, const TaskKey &key, WallTimeMs atMs);
     /// Counts an assigned task of the step in the use of the job's team.
     void addUse(const JobRecord &job, std::uint32_t step);
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(limitWhileRunIsStopped);
     CPPUNIT_TEST(announcementOfAddressInUse);
     CPPUNIT_TEST(addressOfNextWorker);
+    CPPUNIT_TEST(checkpointOfGang);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -449,6 +450,54 @@
         fleet.runUntil("the next run", 2500, [&] { return fleet.runningCount("a") == 2; });
         CPPUNIT_ASSERT(fleet.state.worker("w1") == nullptr);
     }
+
+    /// Guards against members of a gang that start with different checkpoints, after one of them
+    /// was lost with its worker and listed none (review/7: UNASKED).
+    void checkpointOfGang()
+    {
+        // Positions in which the three members with a checkpoint and the lost one end.
+        for (std::uint32_t lost = 0; lost < 4; ++lost) {
+            SchedulerState state;
+            state.apply(WorkerJoined{{"w1", 1, "pricing", "10.0.0.1:1", "z", "", {}, {}, false}});
+            JobSpec spec;
+            spec.id = "a";
+            spec.steps = {shortStep(4)};
+            spec.steps.front().gang = true;
+            spec.steps.front().checkpointing = true;
+            state.apply(JobAccepted{spec, queueOf("quotes", "pricing"), 1});
+            const auto member = [](std::uint32_t index) { return TaskKey{"a", 0, 0, index}; };
+            const auto endRuns = [&](std::uint32_t run, const std::string &checkpoint) {
+                for (std::uint32_t index = 0; index < 4; ++index) {
+                    state.apply(RunAssigned{member(index), run, "w1"});
+                }
+                for (std::uint32_t index = 0; index < 4; ++index) {
+                    const bool isLost = index == lost;
+                    state.apply(
+                            RunEnded{member(index), run,
+                                     isLost ? RunOutcome::WorkerLost : RunOutcome::GangMemberEnded,
+                                     isLost ? "" : checkpoint, 2});
+                }
+            };
+            endRuns(1, "c1000");
+            for (std::uint32_t index = 0; index < 4; ++index) {
+                CPPUNIT_ASSERT_EQUAL(std::string("c1000"), state.task(member(index))->checkpoint);
+            }
+            section("a later value replaces it for all", [&] {
+                endRuns(2, "c3000");
+                for (std::uint32_t index = 0; index < 4; ++index) {
+                    CPPUNIT_ASSERT_EQUAL(std::string("c3000"),
+                                         state.task(member(index))->checkpoint);
+                }
+            });
+            section("the end of a member does not change the value of one that runs", [&] {
+                for (std::uint32_t index = 0; index < 4; ++index) {
+                    state.apply(RunAssigned{member(index), 3, "w1"});
+                }
+                state.apply(RunEnded{member(0), 3, RunOutcome::GangMemberEnded, "c4000", 2});
+                CPPUNIT_ASSERT_EQUAL(std::string("c3000"), state.task(member(1))->checkpoint);
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
