Platform: Count the levels of a request before it is parsed

Cause: the document is built before it is known to be malformed, and each level takes about 75 bytes for one byte of text.

Change: requests with more than 32 levels are refused with 400 before they are parsed.

--- a/Tests/Platform/PlatformProtocolsTest.cpp
+++ b/Tests/Platform/PlatformProtocolsTest.cpp
@@ -317,6 +317,21 @@
                         400, statusOf(protocol.decode({"PUT", "/v1/config", "", {}, body})));
             }
         });
+        section("the levels are counted before memory is taken for them", [&] {
+            const auto faultOf = [&](const std::string &body) {
+                return std::get<HttpResponse>(
+                               protocol.decode({"PUT", "/v1/instances/i-1", "", {}, body}))
+                        .body;
+            };
+            const std::string largest(4 << 20, '[');
+            CPPUNIT_ASSERT(faultOf(largest).find("levels of nesting") != std::string::npos);
+            CPPUNIT_ASSERT(faultOf(std::string(33, '[')).find("levels") != std::string::npos);
+            CPPUNIT_ASSERT(faultOf(std::string(32, '[')).find("levels") == std::string::npos);
+        });
+        section("brackets in text are no levels", [&] {
+            CPPUNIT_ASSERT_EQUAL(0, statusWithReplacement(R"("a")", "\"" + nested + "\""));
+            CPPUNIT_ASSERT_EQUAL(0, statusWithReplacement(R"("a")", R"("\"[)" + nested + "\""));
+        });
         section("a worker's lists are read without their odd entries", [&] {
             for (const std::string &odd :
                  {std::string("[]"), std::string("7"), std::string("null"), closedNested,
