Runtime: Acknowledge a repeated submission of a removed queue

Cause: submissions looked for the queue before the job, and the gateway passed on a 404 although an earlier attempt had got no answer.

Change: the submission of a known job under a removed queue is acknowledged to its team. A 404 for a submission with an attempt in doubt is reported as unknown, as other refusals are; one for a question is passed on, as questions change nothing.

--- a/Source/Runtime/JobService.h
+++ b/Source/Runtime/JobService.h
@@ -138,6 +138,9 @@
     void checkPrediction(const RunAssigned &assigned);
     /// False if the job is of another team than the caller's.
     bool findsJob(const std::string &caller, const std::string &job, const JobCall &call);
+    /// Answers the repetition of a submission whose job was accepted and whose queue was removed
+    /// since. False for any other call.
+    bool acknowledgeKnownJob(const JobCall &call, const JobReplyCallback &reply);
     void submit(const JobCall &call, const JobReplyCallback &reply);
     void status(const JobCall &call, const JobReplyCallback &reply);
     void cancel(const JobCall &call, const JobReplyCallback &reply);
--- a/Source/Runtime/JobServiceCalls.cpp
+++ b/Source/Runtime/JobServiceCalls.cpp
@@ -259,8 +259,27 @@
     return proposed == m_teamsOfProposedJobs.end() ? std::string() : proposed->second;
 }
 
+bool JobService::acknowledgeKnownJob(const JobCall &call, const JobReplyCallback &reply)
+{
+    const std::string id = call.path.substr(call.path.rfind('/') + 1);
+    const JobRecord *job = m_schedulerState.job(id);
+    if (job == nullptr || m_schedulerState.queueFor(call.host, call.path) != nullptr
+        || job->queue.host != call.host || job->queue.pathPrefix + id != call.path) {
+        return false;
+    }
+    const std::optional<std::string> caller = findTeamOrReply(job->queue, call, reply);
+    if (caller) {
+        reply(findsJob(*caller, id, call) ? makeAnswer(JobCallOutcome::Done, "known-job")
+                                          : makeAnswer(JobCallOutcome::NotFound, "no-queue"));
+    }
+    return true;
+}
+
 void JobService::submit(const JobCall &call, const JobReplyCallback &reply)
 {
+    if (acknowledgeKnownJob(call, reply)) {
+        return;
+    }
     const QueueConfig *queue = findQueueOrReply(m_schedulerState, call, reply);
     if (queue == nullptr) {
         return;
--- a/Source/Runtime/LeaderClient.cpp
+++ b/Source/Runtime/LeaderClient.cpp
@@ -90,6 +90,7 @@
     const auto forwarded = std::make_shared<ForwardedCall>();
     forwarded->body = packMessage(call);
     forwarded->requestId = call.requestId;
+    forwarded->isSubmission = call.kind == JobCallKind::Submit;
     forwarded->deadline = deadline;
     forwarded->reply = std::move(reply);
     m_unanswered.push_back(forwarded);
@@ -227,7 +228,8 @@
     m_leaderHeardAt = steadyTimeNow();
     m_leader = target;
     const bool refused = received.outcome == JobCallOutcome::Busy
-            || received.outcome == JobCallOutcome::Unauthenticated;
+            || received.outcome == JobCallOutcome::Unauthenticated
+            || (forwarded->isSubmission && received.outcome == JobCallOutcome::NotFound);
     if (refused && (forwarded->inDoubt || forwarded->openAttempts > 0)) {
         // An earlier attempt may have been accepted, so the call can't be reported as refused.
         JobCallAnswer unknown;
--- a/Source/Runtime/LeaderClient.h
+++ b/Source/Runtime/LeaderClient.h
@@ -44,6 +44,7 @@
     {
         std::string body;
         std::string requestId;
+        bool isSubmission = false;
         SteadyTimeMs deadline = 0;
         /// An attempt may have taken effect, so the call must not be reported as refused.
         bool inDoubt = false;
--- a/Tests/Gateway/LeaderClientTest.cpp
+++ b/Tests/Gateway/LeaderClientTest.cpp
@@ -70,12 +70,14 @@
         }
     }
 
-    JobCallAnswer call(std::int64_t waitMs)
+    JobCallAnswer call(std::int64_t waitMs, JobCallKind kind = JobCallKind::Status)
     {
+        JobCall sent;
+        sent.kind = kind;
         bool answered = false;
         JobCallAnswer received;
         loop.post([&] {
-            client->call({}, steadyTimeNow() + waitMs, [&](const JobCallAnswer &answer) {
+            client->call(sent, steadyTimeNow() + waitMs, [&](const JobCallAnswer &answer) {
                 signal.change([&] {
                     received = answer;
                     answered = true;
@@ -270,6 +272,18 @@
                 CPPUNIT_ASSERT(gateway.call(8000).outcome == JobCallOutcome::Unknown);
             });
         }
+        section("a queue that a later leader doesn't know may have taken the job before", [&] {
+            gateway.outcome = JobCallOutcome::NotFound;
+            CPPUNIT_ASSERT(gateway.call(8000, JobCallKind::Submit).outcome
+                           == JobCallOutcome::NotFound);
+            gateway.lostAnswers = 1;
+            CPPUNIT_ASSERT(gateway.call(8000, JobCallKind::Submit).outcome
+                           == JobCallOutcome::Unknown);
+        });
+        section("a question for its state has no effect that could be lost", [&] {
+            gateway.lostAnswers = 1;
+            CPPUNIT_ASSERT(gateway.call(8000).outcome == JobCallOutcome::NotFound);
+        });
     }
 
     /// Guards against calls that wait for the time-out of a cut-off leader while later calls are
--- a/Tests/Scheduling/TeamCallsTest.cpp
+++ b/Tests/Scheduling/TeamCallsTest.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(changedKeys);
     CPPUNIT_TEST(jobsOfOtherTeams);
     CPPUNIT_TEST(removedQueue);
+    CPPUNIT_TEST(resendAfterRemoval);
     CPPUNIT_TEST(deploymentWithoutTeams);
     CPPUNIT_TEST(restoredSnapshot);
     CPPUNIT_TEST(recordsOfTheVersionBefore);
@@ -278,6 +279,26 @@
         CPPUNIT_ASSERT_EQUAL(done, nameOf(control.cancel("/open/2", "")));
     }
 
+    /// Guards against an accepted job that its sender is told doesn't exist, because the queue was
+    /// removed before the submission is repeated (review/9: REFUSED).
+    void resendAfterRemoval()
+    {
+        JobServiceFixture control;
+        FleetConfiguration configuration = configurationWithTeams();
+        control.configure(configuration);
+        control.submit("/q/1", "l1-secret");
+        configuration.version = 2;
+        configuration.queues.clear();
+        control.configure(configuration);
+        CPPUNIT_ASSERT_EQUAL(done, nameOf(control.submit("/q/1", "l1-secret")));
+        section("others learn nothing of the job, and new ones are refused", [&] {
+            CPPUNIT_ASSERT_EQUAL(notFound, nameOf(control.submit("/q/1", "s1-secret")));
+            CPPUNIT_ASSERT_EQUAL(unauthenticated, nameOf(control.submit("/q/1", "")));
+            CPPUNIT_ASSERT_EQUAL(notFound, nameOf(control.submit("/q/9", "l1-secret")));
+            CPPUNIT_ASSERT_EQUAL(notFound, nameOf(control.submit("/other/1", "l1-secret")));
+        });
+    }
+
     /// Guards against a deployment without teams that asks for keys or counts shares.
     void deploymentWithoutTeams()
     {
