Scheduling: Log the loss of a worker once

While a run waits for a possible next incarnation of a silent worker, the worker counted as not yet given up, and the line worker-lost was written with each check, 20 times a second. It is written when runs are lost. RestartedWorkersTest::lossAfterUnansweredStart counts the lines and failed before.

--- a/Source/Scheduling/DispatcherOrders.cpp
+++ b/Source/Scheduling/DispatcherOrders.cpp
@@ -385,24 +385,31 @@
         if (m_state.worker(id) == nullptr) {
             continue;
         }
-        view.leasesExpired = true;
-        // Without a lease of its own, this leader has waited for those of earlier ones only.
-        m_decisions.push_back({"worker-lost",
-                               {},
-                               0,
-                               id,
-                               view.leaseUntilMs > 0 ? "lease-ended" : "earlier-lease-ended",
-                               view.renewedAt == 0 ? -1 : now - view.renewedAt});
         const SteadyTimeMs latestEnd =
                 std::max(view.renewedAt, m_termStartedAt) + m_options.maxLateStartWaitMs;
+        std::vector<RunKey> lost;
+        view.leasesExpired = true;
         for (const auto &[task, run] : view.runs) {
             // A next incarnation, of which nothing is known, may have carried out the start.
             if (run.lateStartEnd != 0
                 && now < std::min(run.lateStartEnd, latestEnd) + expiryMarginMs(m_options)) {
                 view.leasesExpired = false;
-                continue;
+            } else if (!m_proposedEnds.contains({task, run.run})) {
+                lost.emplace_back(task, run.run);
             }
-            proposeEnd(task, run.run, RunOutcome::WorkerLost, {});
+        }
+        if (lost.empty()) {
+            continue;
+        }
+        // Without a lease of its own, this leader has waited for those of earlier ones only.
+        m_decisions.push_back({"worker-lost",
+                               {},
+                               0,
+                               id,
+                               view.leaseUntilMs > 0 ? "lease-ended" : "earlier-lease-ended",
+                               view.renewedAt == 0 ? -1 : now - view.renewedAt});
+        for (const auto &[task, run] : lost) {
+            proposeEnd(task, run, RunOutcome::WorkerLost, {});
         }
     }
 }
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -233,6 +233,8 @@
             longRunningWaits.push_back(decision);
         } else if (decision.decision == "worker-restarted") {
             restarts.push_back(decision);
+        } else if (decision.decision == "worker-lost") {
+            losses.push_back(decision);
         } else if (decision.decision == "reserve") {
             reservations.push_back(decision);
         }
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -156,6 +156,8 @@
     std::vector<DispatchDecision> longRunningWaits;
     /// Workers found to have restarted by their answers.
     std::vector<DispatchDecision> restarts;
+    /// Workers that were given up.
+    std::vector<DispatchDecision> losses;
     /// Decisions to reserve quota for a step.
     std::vector<DispatchDecision> reservations;
     /// Digest of all placements with their times, in order.
--- a/Tests/Scheduling/RestartedWorkersTest.cpp
+++ b/Tests/Scheduling/RestartedWorkersTest.cpp
@@ -211,6 +211,7 @@
             const std::string first = submitWithLateStart(fleet, longRunningStep(1, 1), 20000);
             fleet.crash(first);
             fleet.runUntil("the next run", 9000, [&] { return fleet.runningCount("a") == 1; });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.losses.size());
         });
     }
 
