--- a/review/standIns3/reviewCase.cpp
+++ b/review/standIns3/reviewCase.cpp
@@ -84,70 +84,122 @@
                                                         : std::to_string(answer.status);
 }
 
-/// The configuration grows until its journal entry is larger than a peer message. LOST.
-/// Without the disruption it changes as often, but does not grow.
-void largeConfiguration(Record &record)
+/// Three control processes, a gateway and four workers, with a job whose steps run one after the other.
+struct ChainedJob
 {
-    System system(record, 3, 1);
-    Fleet fleet(system, record);
-    for (int index = 0; index < 4; ++index) {
-        fleet.add("m-" + std::to_string(index + 1), "svc-a", 100 + index);
-    }
-    const std::string cloudIp = system.ip(90);
-    system.setCloud(cloudIp + ":" + std::to_string(system.port()));
-    system.startAll();
-    fleet.taskMilli = 500;
-    std::atomic<std::int64_t> lastStartAt{0};
-    std::atomic<std::size_t> starts{0};
-    fleet.onStart = [&](const Machine &, const std::string &, std::uint64_t) {
-        lastStartAt = steadyMs();
-        ++starts;
-    };
-    fleet.start(cloudIp);
-    sleepMs(3000);
-    if (!configure(system, record, 1, 0)) {
-        throw CannotRun{"the first configuration was not acknowledged"};
-    }
-    sleepMs(3000);
-    // A chain of steps of one task, each of 1 s.
-    Json chain = {{"spec", "1000"}, {"steps", Json::array()}};
-    for (std::size_t step = 0; step < steps; ++step) {
-        Json next = {{"count", 1}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", 1000}};
-        if (step > 0) {
-            next["depends_on"] = {step - 1};
+    explicit ChainedJob(Record &usedRecord) : record(usedRecord), system(record, 3, 1), fleet(system, record)
+    {
+        for (int index = 0; index < 4; ++index) {
+            fleet.add("m-" + std::to_string(index + 1), "svc-a", 100 + index);
+        }
+        const std::string cloudIp = system.ip(90);
+        system.setCloud(cloudIp + ":" + std::to_string(system.port()));
+        system.startAll();
+        fleet.taskMilli = 500;
+        fleet.onStart = [this](const Machine &, const std::string &, std::uint64_t) {
+            lastStartAt = steadyMs();
+            ++starts;
+        };
+        fleet.start(cloudIp);
+        sleepMs(3000);
+        if (!configure(system, record, 1, 0)) {
+            throw CannotRun{"the first configuration was not acknowledged"};
+        }
+        sleepMs(3000);
+        // A chain of steps of one task, each of 1 s.
+        Json chain = {{"spec", "1000"}, {"steps", Json::array()}};
+        for (std::size_t step = 0; step < steps; ++step) {
+            Json next = {{"count", 1}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", 1000}};
+            if (step > 0) {
+                next["depends_on"] = {step - 1};
+            }
+            chain["steps"].push_back(next);
+        }
+        const Answer accepted =
+                call(system.fronts().front(), "POST", prefix + job, chain.dump(), 3000, host,
+                     "X-Dandelionloom-Deadline-Ms: 3000\r\n");
+        record.line("POST " + prefix + job + " -> " + std::to_string(accepted.status));
+        if (accepted.status != 200) {
+            throw CannotRun{"the job was not accepted"};
         }
-        chain["steps"].push_back(next);
     }
-    const Answer accepted = call(system.fronts().front(), "POST", prefix + job, chain.dump(), 3000,
-                                 host, "X-Dandelionloom-Deadline-Ms: 3000\r\n");
-    record.line("POST " + prefix + job + " -> " + std::to_string(accepted.status));
-    if (accepted.status != 200) {
-        throw CannotRun{"the job was not accepted"};
+
+    /// finish_s is 14 s; the chain takes 30 s and little more.
+    void judge()
+    {
+        const std::int64_t until = steadyMs() + 45000;
+        while (steadyMs() < until && stateOf(system) != "completed") {
+            sleepMs(500);
+        }
+        const std::string state = stateOf(system);
+        const std::int64_t idleMs = steadyMs() - lastStartAt;
+        record.line("state " + state + ", " + std::to_string(starts.load()) + " of "
+                    + std::to_string(steps) + " tasks started, the last one "
+                    + std::to_string(idleMs) + " ms ago, "
+                    + std::to_string(fleet.countRunning()) + " running");
+        if (state != "completed" && fleet.countRunning() == 0 && idleMs > 14000) {
+            record.broken("LOST: the accepted job " + job + " is " + state
+                          + " and has had nothing running for " + std::to_string(idleMs)
+                          + " ms, with four idle workers");
+        }
     }
+
+    Record &record;
+    System system;
+    std::atomic<std::int64_t> lastStartAt{0};
+    std::atomic<std::size_t> starts{0};
+    Fleet fleet;
+};
+
+/// The configuration grows until its journal entry is larger than a peer message. LOST.
+/// Without the disruption it changes as often, but does not grow.
+void largeConfiguration(Record &record)
+{
+    ChainedJob chained(record);
     for (int change = 1; change <= changes; ++change) {
         sleepMs(1000);
         const int furtherRoutes = hasTrouble() ? change * routesPerChange : 0;
-        if (!configure(system, record, static_cast<std::uint64_t>(1 + change), furtherRoutes)) {
+        if (!configure(chained.system, record, static_cast<std::uint64_t>(1 + change),
+                       furtherRoutes)) {
             record.line("the operator gives up");
             break;
         }
     }
-    // finish_s is 14 s; the chain takes 30 s and little more.
-    const std::int64_t until = steadyMs() + 45000;
-    while (steadyMs() < until && stateOf(system) != "completed") {
-        sleepMs(500);
-    }
-    const std::string state = stateOf(system);
-    const std::int64_t idleMs = steadyMs() - lastStartAt;
-    record.line("state " + state + ", " + std::to_string(starts.load()) + " of "
-                + std::to_string(steps) + " tasks started, the last one "
-                + std::to_string(idleMs) + " ms ago, "
-                + std::to_string(fleet.countRunning()) + " running");
-    if (state != "completed" && fleet.countRunning() == 0 && idleMs > 14000) {
-        record.broken("LOST: the accepted job " + job + " is " + state
-                      + " and has had nothing running for " + std::to_string(idleMs)
-                      + " ms, with four idle workers");
+    chained.judge();
+}
+
+/// One heartbeat of another writer has a long label. LOST.
+void longLabel(Record &record)
+{
+    constexpr std::size_t labelBytes = 2200000;
+    ChainedJob chained(record);
+    sleepMs(5000);
+    const Json heartbeat = {{"service", "archive-7"},
+                            {"address", chained.system.ip(120) + ":"
+                                     + std::to_string(chained.system.port())},
+                            {"zone", "zone-a"},
+                            {"version", "v1"},
+                            {"slots", 8},
+                            {"state", "ready"},
+                            {"cold_remaining_ms", 0},
+                            {"capacity", {{"cpu", 1000}, {"mem_mb", 1024}, {"gpu", 0}}},
+                            {"labels", {"a", "r" + std::string(labelBytes, '9') + "-1"}},
+                            {"clock_ms", 1000},
+                            {"born", wallMs()},
+                            {"sequence", 1}};
+    if (hasTrouble()) {
+        const std::string body = heartbeat.dump();
+        // As workers do, at the next node after a second without an acknowledgement.
+        for (const std::string &to : chained.system.controls()) {
+            const Answer answer = call(to, "PUT", "/v1/instances/w-other", body, 1000);
+            record.line("another writer: PUT /v1/instances/w-other, " + std::to_string(body.size())
+                        + " bytes -> " + std::to_string(answer.status));
+            if (answer.status == 200) {
+                break;
+            }
+        }
     }
+    chained.judge();
 }
 
 /// Another writer's heartbeats carry the ids of two workers. LOST.
@@ -225,7 +277,8 @@
 }
 
 const std::map<std::string, void (*)(Record &)> cases = {{"large-configuration", largeConfiguration},
-                                                         {"borrowed-ids", borrowedIds}};
+                                                         {"borrowed-ids", borrowedIds},
+                                                         {"long-label", longLabel}};
 
 } // namespace
 
