Consensus: Let an instance without a disk find the group whoever leads

After further losses, each within what is to be borne, nothing is read back or accepted any more.

Cause: an empty instance asked its seeds only, a seed that didn't lead named neither the voters nor the leader, and the leader asked nobody.

The leader now asks the known instances that it has no contact with. Probe answers and heartbeats name the instances of the group, and each message makes its sender known. An instance that stays outside logs whom it asks.

--- a/Source/Consensus/Raft.cpp
+++ b/Source/Consensus/Raft.cpp
@@ -5,6 +5,12 @@
 
 namespace dandelionloom {
 
+namespace {
+
+constexpr std::int64_t peerExpiryIntervalMs = 1000;
+
+} // namespace
+
 std::string formatVoterId(const VoterId &voter)
 {
     return voter.name + "/" + voter.storageId;
@@ -13,8 +19,10 @@
 Raft::Raft(RaftOptions options, const HardState &hardState,
            std::shared_ptr<const Snapshot> snapshot, const std::vector<LogEntry> &entries,
            SteadyTimeMs now)
-    : m_options(std::move(options)), m_random(m_options.seed), m_term(hardState.term),
-      m_votedFor(hardState.votedFor), m_snapshot(std::move(snapshot))
+    : m_options(std::move(options)),
+      m_directory(m_options.self.name, m_options.voterNames, m_options.peerRetentionMs),
+      m_random(m_options.seed), m_term(hardState.term), m_votedFor(hardState.votedFor),
+      m_snapshot(std::move(snapshot))
 {
     const std::uint64_t base = m_snapshot ? m_snapshot->lastIndex : 0;
     std::uint64_t lastTerm = m_snapshot ? m_snapshot->lastTerm : 0;
@@ -41,6 +49,10 @@
 
 void Raft::tick(SteadyTimeMs now)
 {
+    if (now >= m_nextPeerExpiry) {
+        m_nextPeerExpiry = now + peerExpiryIntervalMs;
+        m_directory.forgetExpired(now);
+    }
     if (m_role == RaftRole::Leader) {
         leaderTick(now);
         return;
@@ -68,9 +80,14 @@
     }
     const bool probe = message.kind == RaftMessageKind::Probe;
     if (message.from == m_options.self || message.from.name.empty()
-        || message.to.name != m_options.self.name
-        || (message.to.storageId != m_options.self.storageId
-            && !(probe && message.to.storageId.empty()))) {
+        || message.to.name != m_options.self.name) {
+        return;
+    }
+    // A message for the storage that this instance had before it lost its disk names its sender,
+    // too.
+    recordPeers(message, now);
+    if (message.to.storageId != m_options.self.storageId
+        && !(probe && message.to.storageId.empty())) {
         return;
     }
     switch (message.kind) {
@@ -106,11 +123,13 @@
 
 void Raft::addProbeTarget(const std::string &name)
 {
-    const auto isKnown = [&name](const std::vector<std::string> &names) {
-        return std::find(names.begin(), names.end(), name) != names.end();
-    };
-    if (name != m_options.self.name && !isKnown(m_options.voterNames) && !isKnown(m_probeTargets)) {
-        m_probeTargets.push_back(name);
+    m_directory.addConfigured(name);
+}
+
+void Raft::addPeerHint(const std::string &name, SteadyTimeMs now)
+{
+    if (m_directory.recordHint(name, now)) {
+        m_nextProbe = std::min(m_nextProbe, now);
     }
 }
 
@@ -206,11 +225,29 @@
     }
 }
 
+bool Raft::hasLeader(SteadyTimeMs now) const
+{
+    return m_role == RaftRole::Leader
+            || (!m_leader.name.empty() && now - m_lastLeaderContactAt < m_options.electionMaxMs);
+}
+
 bool Raft::isVoter() const
 {
     return isVoter(m_options.self);
 }
 
+std::vector<std::string> Raft::peerNames() const
+{
+    std::vector<std::string> names = m_directory.names();
+    for (const VoterId &voter : voters()) {
+        if (voter.name != m_options.self.name
+            && std::find(names.begin(), names.end(), voter.name) == names.end()) {
+            names.push_back(voter.name);
+        }
+    }
+    return names;
+}
+
 bool Raft::isVoter(const VoterId &id) const
 {
     return std::find(voters().begin(), voters().end(), id) != voters().end();
--- a/Source/Consensus/Raft.h
+++ b/Source/Consensus/Raft.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "Consensus/PeerDirectory.h"
 #include "Consensus/RaftLog.h"
 #include "Consensus/RaftMessage.h"
 #include "Model/Time.h"
@@ -32,6 +33,9 @@
     std::int64_t heartbeatMs = 150;
     std::int64_t electionMinMs = 600;
     std::int64_t electionMaxMs = 1200;
+    /// Time without contact after which the name of an instance that is neither a voter nor in the
+    /// settings is forgotten. One that is away for longer finds the group by its own probes.
+    std::int64_t peerRetentionMs = 600'000;
     /// Maximum payload bytes of one Append or snapshot chunk.
     std::size_t maxBatchBytes = 256 * 1024;
     std::uint64_t seed = 1;
@@ -107,8 +111,12 @@
     /// snapshot.
     void setSnapshot(std::shared_ptr<const Snapshot> snapshot, std::uint64_t compactTo);
 
-    /// Adds an instance to which probes are sent. Has no effect if the name is already known.
+    /// Adds an instance from the settings, which is asked for the group whenever there is no
+    /// leader.
     void addProbeTarget(const std::string &name);
+    /// Adds an instance that another part of the process has heard of. It is forgotten after
+    /// RaftOptions::peerRetentionMs.
+    void addPeerHint(const std::string &name, SteadyTimeMs now);
 
     // Outputs.
     RaftOutput takeOutput();
@@ -124,10 +132,18 @@
     std::uint64_t term() const { return m_term; }
     /// Name of the known leader; empty if there is none.
     const std::string &leader() const { return m_leader.name; }
+    /// True while this instance leads or has had recent contact with a leader.
+    bool hasLeader(SteadyTimeMs now) const;
     std::uint64_t commitIndex() const { return m_commitIndex; }
     const RaftLog &log() const { return m_log; }
     const std::vector<VoterId> &voters() const { return m_log.voters(); }
     bool isVoter() const;
+    /// Names of the instances that are asked for the group: those in the settings, the voters, and
+    /// those learnt from messages.
+    std::vector<std::string> peerNames() const;
+    /// Names learnt from messages since the last call. The caller must make these instances
+    /// reachable.
+    std::vector<std::string> takeNewPeers() { return m_directory.takeNewNames(); }
     /// The latest contact with a quorum, if there was one.
     std::optional<QuorumContact> contact(SteadyTimeMs now) const;
 
@@ -186,6 +202,15 @@
 
     // Bootstrap and membership changes.
     void probe(SteadyTimeMs now);
+    void sendProbe(const std::string &name);
+    /// Sends probes to the known instances that the leader has no contact with. An instance that
+    /// lost its disk knows its seeds only, and those may know nobody.
+    void seekPeers(SteadyTimeMs now);
+    bool hasContact(const std::string &name, SteadyTimeMs now) const;
+    /// Records the sender of a message and the names that it passes on.
+    void recordPeers(const RaftMessage &message, SteadyTimeMs now);
+    /// Names that are passed on to other instances.
+    std::vector<std::string> sharedPeerNames() const;
     void onProbe(const RaftMessage &message, SteadyTimeMs now);
     void onProbeResponse(const RaftMessage &message, SteadyTimeMs now);
     void bootstrapCluster(SteadyTimeMs now);
@@ -226,8 +251,7 @@
     std::uint64_t nextRequestId() { return ++m_lastRequestId; }
 
     const RaftOptions m_options;
-    /// Names to which probes are sent in addition to RaftOptions::voterNames.
-    std::vector<std::string> m_probeTargets;
+    PeerDirectory m_directory;
     std::mt19937_64 m_random;
 
     std::uint64_t m_term = 0;
@@ -244,6 +268,7 @@
     SteadyTimeMs m_lastLeaderContactAt = 0;
     SteadyTimeMs m_electionDeadline = 0;
     SteadyTimeMs m_nextProbe = 0;
+    SteadyTimeMs m_nextPeerExpiry = 0;
     /// Voters that granted the vote or pre-vote in progress.
     std::vector<VoterId> m_votes;
     /// True until the candidate's vote for itself is synced; it counts only from then on.
--- a/Source/Consensus/RaftLeader.cpp
+++ b/Source/Consensus/RaftLeader.cpp
@@ -45,6 +45,7 @@
         return;
     }
     removeUnresponsiveLearners(now);
+    seekPeers(now);
     if (now >= m_nextHeartbeat) {
         sendHeartbeats(now);
     }
@@ -99,6 +100,9 @@
         peer.inFlightSince = now;
     }
     request.logTerm = m_log.termAt(request.logIndex).value_or(0);
+    if (heartbeat && m_options.targetVoters > 0) {
+        request.peers = sharedPeerNames();
+    }
     peer.sentCommit = m_commitIndex;
     m_messages.push_back(std::move(request));
 }
--- a/Source/Consensus/RaftMembership.cpp
+++ b/Source/Consensus/RaftMembership.cpp
@@ -22,23 +22,70 @@
 {
     m_nextProbe = now + probeIntervalMs;
     bootstrapCluster(now);
-    std::vector<std::string> targets = m_options.voterNames;
-    targets.insert(targets.end(), m_probeTargets.begin(), m_probeTargets.end());
-    for (const std::string &name : targets) {
-        if (name == m_options.self.name) {
-            continue;
+    for (const std::string &name : peerNames()) {
+        sendProbe(name);
+    }
+}
+
+void Raft::sendProbe(const std::string &name)
+{
+    RaftMessage request = makeMessage(RaftMessageKind::Probe, {name, {}});
+    request.request = nextRequestId();
+    request.logIndex = m_log.durableIndex();
+    m_messages.push_back(std::move(request));
+}
+
+void Raft::seekPeers(SteadyTimeMs now)
+{
+    if (m_options.targetVoters == 0 || now < m_nextProbe) {
+        return;
+    }
+    m_nextProbe = now + probeIntervalMs;
+    for (const std::string &name : peerNames()) {
+        if (!hasContact(name, now)) {
+            sendProbe(name);
         }
-        RaftMessage request = makeMessage(RaftMessageKind::Probe, {name, {}});
-        request.request = nextRequestId();
-        request.logIndex = m_log.durableIndex();
-        m_messages.push_back(std::move(request));
     }
 }
 
+bool Raft::hasContact(const std::string &name, SteadyTimeMs now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return item.first.name == name && now - item.second.lastContactAt < m_options.electionMaxMs;
+    });
+}
+
+void Raft::recordPeers(const RaftMessage &message, SteadyTimeMs now)
+{
+    if (m_options.targetVoters == 0) {
+        return;
+    }
+    bool isNew = m_directory.recordContact(message.from.name, now);
+    for (const std::string &name : message.peers) {
+        isNew = m_directory.recordHint(name, now) || isNew;
+    }
+    if (isNew) {
+        // An instance without a leader asks the new ones at once.
+        m_nextProbe = std::min(m_nextProbe, now);
+    }
+}
+
+std::vector<std::string> Raft::sharedPeerNames() const
+{
+    std::vector<std::string> names = m_directory.contactedNames();
+    for (const VoterId &voter : voters()) {
+        names.push_back(voter.name);
+    }
+    return names;
+}
+
 void Raft::onProbe(const RaftMessage &request, SteadyTimeMs now)
 {
     RaftMessage reply = makeResponse(RaftMessageKind::ProbeResponse, request);
     reply.accepted = !voters().empty();
+    if (m_options.targetVoters > 0) {
+        reply.peers = sharedPeerNames();
+    }
     m_messagesAfterSync.push_back(std::move(reply));
     if (m_role != RaftRole::Leader || !mayBecomeVoter(request.from.name)
         || request.from.name == m_options.self.name || isVoter(request.from)) {
--- a/Source/Consensus/RaftMessage.h
+++ b/Source/Consensus/RaftMessage.h
@@ -14,8 +14,8 @@
 
 /// The numeric values are part of the wire protocol: only append new kinds.
 enum class RaftMessageKind {
-    /// Sent by an instance that is in no voter set known to it. Requests admission, and discovers
-    /// whether a cluster exists.
+    /// Sent by an instance without a leader, to request admission and to discover whether a cluster
+    /// exists; and by a leader to instances that it has no contact with, so that they find it.
     Probe,
     ProbeResponse,
     PreVote,
@@ -69,10 +69,13 @@
     std::string data;
     /// Progress report of the sender. Opaque to the consensus module.
     std::string report;
+    /// ProbeResponse and heartbeats: names of instances of the group that the sender knows. Absent
+    /// in messages of earlier versions.
+    std::vector<std::string> peers;
 
     MSGPACK_DEFINE_ARRAY(kind, from, to, request, term, logIndex, logTerm, commit, accepted, round,
                          sentAt, peerClock, contactAgeMs, entries, voters, offset, totalBytes, data,
-                         report)
+                         report, peers)
 };
 
 struct RaftMessageError
--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -68,8 +68,10 @@
         m_loop.post([this] { m_service->onSnapshotRequested(); });
     };
     events.failed = m_onFatal;
-    // A control instance that is not in this instance's settings becomes known by its probe.
-    events.probeReceived = [this](const std::string &name) { addControlInstances({name}); };
+    events.peerFound = [this](const std::string &name) {
+        m_transport->addPeer(controlAddress(m_settings.peers, name));
+        m_loop.post([this, name] { addPeer(name); });
+    };
     return events;
 }
 
@@ -88,7 +90,6 @@
         return;
     }
     m_leaderClient->addControlInstance(name);
-    m_journal->addPeer(name);
     m_workerCalls->addRelay(name);
 }
 
@@ -130,6 +131,8 @@
     m_leaderClient = std::make_unique<LeaderClient>(
             m_loop, *m_transport, m_log, [this](const std::string &name) {
                 m_transport->addPeer(controlAddress(m_settings.peers, name));
+                // Other instances name a leader that the journal may not know.
+                m_journal->addPeerHint(name);
             });
     const auto opened = m_journal->open();
     if (!isOk(opened)) {
@@ -218,6 +221,7 @@
 {
     m_loop.post([this, names] {
         for (const std::string &name : names) {
+            m_journal->addPeer(name);
             addPeer(name);
         }
     });
--- a/Source/Runtime/ReplicatedJournal.cpp
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -14,6 +14,11 @@
 /// Covers a clock drift of 2% between two instances over one election timeout, and late timers.
 constexpr std::int64_t leaseMarginMs = 60;
 
+/// Longer than an election, during which every instance without a vote has no leader.
+constexpr std::int64_t admissionLogDelayMs = 1500;
+/// Interval of the log line of an instance that stays outside the group.
+constexpr std::int64_t admissionLogIntervalMs = 5000;
+
 /// Least extension of the leader lease that is reported. Each answer of a peer extends it by a
 /// millisecond or two.
 constexpr std::int64_t leaseReportMs = 25;
@@ -124,6 +129,11 @@
     m_queue.post([this, name] { m_raft->addProbeTarget(name); });
 }
 
+void ReplicatedJournal::addPeerHint(const std::string &name)
+{
+    m_queue.post([this, name] { m_raft->addPeerHint(name, steadyTimeNow()); });
+}
+
 void ReplicatedJournal::run()
 {
     while (!m_stopped && !m_failed) {
@@ -140,13 +150,16 @@
     for (const TaskQueue::Task &task : tasks) {
         task();
     }
+    announceNewPeers();
     flush();
     for (auto &[request, reply] : m_pendingReplies) {
         reply(std::string());
     }
     m_pendingReplies.clear();
     if (!m_failed) {
-        publishStatus(steadyTimeNow());
+        const SteadyTimeMs now = steadyTimeNow();
+        publishStatus(now);
+        logAdmission(now);
         if (m_bytesSinceSnapshot >= m_options.compactBytes && !m_snapshotRequested) {
             m_snapshotRequested = true;
             m_events.snapshotRequested();
@@ -154,6 +167,45 @@
     }
 }
 
+void ReplicatedJournal::announceNewPeers()
+{
+    for (const std::string &name : m_raft->takeNewPeers()) {
+        m_log.event(LogSeverity::Info, "journal", "found control instance " + name);
+        if (m_events.peerFound) {
+            m_events.peerFound(name);
+        }
+    }
+}
+
+void ReplicatedJournal::logAdmission(SteadyTimeMs now)
+{
+    const bool outside = !m_raft->isVoter() && !m_raft->hasLeader(now);
+    if (!outside) {
+        if (m_outsideSince && now - *m_outsideSince >= admissionLogDelayMs) {
+            m_log.event(LogSeverity::Info, "journal",
+                        "admitted by leader " + m_raft->leader() + " after "
+                                + std::to_string(now - *m_outsideSince) + " ms");
+        }
+        m_outsideSince.reset();
+        return;
+    }
+    if (!m_outsideSince) {
+        m_outsideSince = now;
+        m_nextAdmissionLog = now + admissionLogDelayMs;
+    }
+    if (now < m_nextAdmissionLog) {
+        return;
+    }
+    m_nextAdmissionLog = now + admissionLogIntervalMs;
+    std::string names;
+    for (const std::string &name : m_raft->peerNames()) {
+        names += (names.empty() ? "" : ", ") + name;
+    }
+    m_log.event(LogSeverity::Warning, "journal",
+                "no vote and no leader for " + std::to_string(now - *m_outsideSince)
+                        + " ms, asking " + names);
+}
+
 void ReplicatedJournal::fail(const std::string &message)
 {
     m_failed = true;
@@ -175,9 +227,6 @@
     if (!added) {
         reply(std::string());
     }
-    if (message.kind == RaftMessageKind::Probe && m_events.probeReceived) {
-        m_events.probeReceived(message.from.name);
-    }
     m_raft->receive(message, steadyTimeNow());
 }
 
--- a/Source/Runtime/ReplicatedJournal.h
+++ b/Source/Runtime/ReplicatedJournal.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -71,9 +72,9 @@
     std::function<void()> snapshotRequested;
     /// The disk failed and the process must stop. Called once.
     std::function<void(std::string)> failed;
-    /// A probe arrived from an instance that may ask to join. The owner must make the instance
-    /// reachable as a peer, so that the journal can be replicated to it.
-    std::function<void(std::string name)> probeReceived;
+    /// An instance that is not in the settings became known by a message. The owner must make it
+    /// reachable as a peer before it returns, as messages to the instance may follow at once.
+    std::function<void(std::string name)> peerFound;
 };
 
 /// A durable, replicated log of opaque records, stored by the instances with a disk. One thread
@@ -100,7 +101,10 @@
     void propose(std::uint64_t term, std::string payload);
     /// Stores a snapshot of the owner's state as of `index` and drops the log up to it.
     void saveSnapshot(std::uint64_t index, std::string state);
+    /// Adds an instance from the settings.
     void addPeer(const std::string &name);
+    /// Adds an instance that another part of the process has heard of.
+    void addPeerHint(const std::string &name);
     /// The lease as the journal knows it now. May be called on any thread.
     LeaderLease lease() const;
 
@@ -114,6 +118,9 @@
     bool sync(const RaftOutput &output);
     bool checkSaved(const Result<Done, StorageError> &result, const char *what);
     void publishStatus(SteadyTimeMs now);
+    void announceNewPeers();
+    /// Logs that this instance is outside the group, repeatedly while that lasts, and its end.
+    void logAdmission(SteadyTimeMs now);
 
     const JournalOptions m_options;
     LogStorage &m_storage;
@@ -133,6 +140,9 @@
     LeaderLease m_lease;
     std::size_t m_bytesSinceSnapshot = 0;
     bool m_snapshotRequested = false;
+    /// Since when this instance has been outside the group; none if it follows a leader or votes.
+    std::optional<SteadyTimeMs> m_outsideSince;
+    SteadyTimeMs m_nextAdmissionLog = 0;
 };
 
 } // namespace dandelionloom
--- a/Tests/Consensus/RaftSimulation.cpp
+++ b/Tests/Consensus/RaftSimulation.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-RaftSimulation::RaftSimulation(std::size_t nodes, std::uint64_t seed)
-    : m_seed(seed), m_random(seed), m_nodes(nodes)
+RaftSimulation::RaftSimulation(std::size_t nodes, std::uint64_t seed, std::optional<Group> group)
+    : m_seed(seed), m_group(group), m_random(seed), m_nodes(nodes)
 {
     for (std::size_t index = 0; index < nodes; ++index) {
         m_nodes[index].name = std::string(1, static_cast<char>('a' + index));
@@ -45,10 +45,18 @@
 void RaftSimulation::start(Node &node)
 {
     RaftOptions options;
-    options.self = {node.name, node.name + "-" + std::to_string(node.disk)};
+    options.self = idOf(node);
     for (const Node &other : m_nodes) {
-        options.voterNames.push_back(other.name);
+        if (!m_group || options.voterNames.size() < m_group->seeds) {
+            options.voterNames.push_back(other.name);
+        }
+    }
+    if (m_group) {
+        options.targetVoters = m_group->targetVoters;
+        options.mayBootstrap = !node.startedBefore;
+        node.addresses = {options.voterNames.begin(), options.voterNames.end()};
     }
+    node.startedBefore = true;
     options.maxBatchBytes = batchBytes;
     options.seed = m_random();
     node.applied.clear();
@@ -182,6 +190,7 @@
 {
     Node &node = m_nodes[index];
     for (bool again = true; again;) {
+        updateAddresses(node);
         const RaftOutput output = node.raft->takeOutput();
         again = output.needsSync();
         send(index, output.messages);
@@ -312,6 +321,14 @@
 {
     for (const RaftMessage &message : messages) {
         const std::size_t to = indexOf(message.to.name);
+        const bool isResponse = message.kind == RaftMessageKind::ProbeResponse
+                || message.kind == RaftMessageKind::PreVoteResponse
+                || message.kind == RaftMessageKind::VoteResponse
+                || message.kind == RaftMessageKind::AppendResponse
+                || message.kind == RaftMessageKind::SnapshotResponse;
+        if (m_group && !isResponse && !m_nodes[from].addresses.contains(message.to.name)) {
+            continue;
+        }
         std::size_t bytes = message.data.size();
         for (const LogEntry &entry : message.entries) {
             bytes += entry.payload.size();
@@ -402,9 +419,8 @@
             return false;
         }
         for (const Node &other : m_nodes) {
-            const VoterId id{other.name, other.name + "-" + std::to_string(other.disk)};
             const auto &voters = node.raft->voters();
-            if (std::find(voters.begin(), voters.end(), id) == voters.end()) {
+            if (std::find(voters.begin(), voters.end(), idOf(other)) == voters.end()) {
                 return false;
             }
         }
@@ -412,13 +428,56 @@
     return true;
 }
 
+bool RaftSimulation::isCurrentVoter(std::size_t node) const
+{
+    const auto found = leader();
+    if (!found) {
+        return false;
+    }
+    const std::vector<VoterId> &voters = raft(*found).voters();
+    return std::find(voters.begin(), voters.end(), idOf(m_nodes[node])) != voters.end();
+}
+
+bool RaftSimulation::allInGroup() const
+{
+    const auto found = leader();
+    if (!found || raft(*found).log().votersIndex() > raft(*found).commitIndex()) {
+        return false;
+    }
+    std::size_t voters = 0;
+    for (std::size_t index = 0; index < size(); ++index) {
+        if (!isUp(index)) {
+            continue;
+        }
+        if (raft(index).leader() != m_nodes[*found].name
+            || !raft(index).hasLeader(clockOf(m_nodes[index]))) {
+            return false;
+        }
+        voters += isCurrentVoter(index) ? 1 : 0;
+    }
+    return voters == m_group->targetVoters && raft(*found).voters().size() == voters;
+}
+
+void RaftSimulation::updateAddresses(Node &node)
+{
+    for (const std::string &name : node.raft->takeNewPeers()) {
+        node.addresses.insert(name);
+    }
+    for (const VoterId &voter : node.raft->voters()) {
+        node.addresses.insert(voter.name);
+    }
+    if (!node.raft->leader().empty()) {
+        node.addresses.insert(node.raft->leader());
+    }
+}
+
 void RaftSimulation::checkLeaders(std::size_t index)
 {
     const Node &node = m_nodes[index];
     if (node.raft->role() != RaftRole::Leader) {
         return;
     }
-    const std::string id = node.name + "-" + std::to_string(node.disk);
+    const std::string id = idOf(node).storageId;
     const auto [known, added] = m_leaders.emplace(node.raft->term(), id);
     if (!added && known->second != id) {
         reportViolation("two leaders of term " + std::to_string(node.raft->term()) + ": "
--- a/Tests/Consensus/RaftSimulation.h
+++ b/Tests/Consensus/RaftSimulation.h
@@ -28,7 +28,16 @@
         std::int64_t maxDelayMs = 2;
     };
 
-    RaftSimulation(std::size_t nodes, std::uint64_t seed);
+    /// A group whose members come and go, as opposed to a fixed set of voters.
+    struct Group
+    {
+        /// Number of nodes, from the first on, that all nodes have in their settings. A node can
+        /// send to another one only if it is a seed or has become known by a message.
+        std::size_t seeds = 0;
+        std::size_t targetVoters = 0;
+    };
+
+    RaftSimulation(std::size_t nodes, std::uint64_t seed, std::optional<Group> group = {});
 
     Network network;
     /// Probability that the process crashes during a sync.
@@ -85,6 +94,10 @@
     void waitForConvergence();
     /// Whether the committed voter set of every node has all nodes with their current storage ids.
     bool allAdmitted() const;
+    /// Whether every running node follows the leader and as many of the running nodes as
+    /// Group::targetVoters vote with their current storage ids.
+    bool allInGroup() const;
+    bool isCurrentVoter(std::size_t node) const;
     std::size_t confirmedReads() const { return m_confirmedReads; }
     std::size_t committed() const { return m_committed.size(); }
     std::size_t termsWithLeader() const { return m_leaders.size(); }
@@ -108,6 +121,9 @@
         HardState hardState;
         std::shared_ptr<const Snapshot> snapshot;
         std::vector<LogEntry> entries;
+        bool startedBefore = false;
+        /// Group: names of the nodes that the node can send to.
+        std::set<std::string> addresses;
         // Applied state: all values in order, and the index of the last one.
         std::vector<std::string> applied;
         std::uint64_t appliedIndex = 0;
@@ -134,7 +150,14 @@
     void checkLogs() const;
     [[noreturn]] void reportViolation(const std::string &what) const;
 
+    VoterId idOf(const Node &node) const
+    {
+        return {node.name, node.name + "-" + std::to_string(node.disk)};
+    }
+    void updateAddresses(Node &node);
+
     const std::uint64_t m_seed;
+    const std::optional<Group> m_group;
     std::mt19937_64 m_random;
     std::int64_t m_now = 1000000;
     std::vector<Node> m_nodes;
