Runtime: Make no calls for a leader that the results don't reach

Cause: a relay accepted batches of a leader that it had no address of, made the calls and ignored that their results were dropped. The leader took the receipt as proof that the relay works, and a call without a result did not count against its relay. No process logged it.

A relay now refuses a batch before anything is sent unless the leader has lately acknowledged a message of the relay, for which it asks when the last one is old. The leader gives up a relay that returned nothing for the whole time of a call. The sender of a batch becomes known as a control instance.

--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -197,6 +197,8 @@
             [this](const std::string &from, std::string body, PeerTransport::Reply reply) {
                 m_loop.post([this, from, body = std::move(body), reply = std::move(reply),
                              receivedAt = steadyTimeNow()] {
+                    // The results are sent to the leader, whom the journal may not know yet.
+                    addPeer(from);
                     m_relay->handle(from, body, receivedAt, reply);
                 });
             });
--- a/Source/Runtime/RelayedWorkerCalls.cpp
+++ b/Source/Runtime/RelayedWorkerCalls.cpp
@@ -83,8 +83,9 @@
                                              std::int64_t timeoutMs, Callback done)
 {
     const std::uint64_t call = m_nextCall++;
-    const SteadyTimeMs deadline = steadyTimeNow() + timeoutMs + relayMarginMs;
-    m_pending.emplace(call, Pending{relay, worker, deadline, std::move(done)});
+    const SteadyTimeMs now = steadyTimeNow();
+    const SteadyTimeMs deadline = now + timeoutMs + relayMarginMs;
+    m_pending.emplace(call, Pending{relay, worker, now, deadline, std::move(done)});
     m_deadlines.emplace(deadline, call);
     return call;
 }
@@ -210,6 +211,7 @@
         return;
     case WorkerCallReceipt::Stale:
     case WorkerCallReceipt::Unreadable:
+    case WorkerCallReceipt::NoReturnPath:
         callDirectly(*batch);
         onRelayLost(relay, std::string(workerCallReceiptNames.name(ack.receipt)));
         return;
@@ -352,6 +354,10 @@
                     "dropped results of " + from + " for an earlier process");
         return;
     }
+    const auto relay = m_relays.find(from);
+    if (relay != m_relays.end() && !results.isEmpty()) {
+        relay->second.returnedAt = steadyTimeNow();
+    }
     for (const OrderResult &result : results.orders) {
         completeOrder(result.call, result.fault);
     }
@@ -384,12 +390,29 @@
     });
 }
 
-void RelayedWorkerCalls::check()
+void RelayedWorkerCalls::endOverdueCalls(SteadyTimeMs now)
 {
-    const SteadyTimeMs now = steadyTimeNow();
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        fail(m_deadlines.begin()->second, CallFault::NoAnswer);
+        const std::uint64_t call = m_deadlines.begin()->second;
+        const Pending &pending = m_pending.at(call);
+        const std::string relay = pending.relay;
+        const SteadyTimeMs sentAt = pending.sentAt;
+        if (const auto route = m_routes.find(pending.worker); route != m_routes.end()) {
+            recordRelayFailure(route->second, relay, now, m_options);
+        }
+        fail(call, CallFault::NoAnswer);
+        RelayView &view = m_relays[relay];
+        if (view.heardAt != 0 && view.returnedAt <= sentAt) {
+            view.avoidUntil = now + m_options.avoidMs;
+            onRelayLost(relay, "no results for " + std::to_string(now - sentAt) + " ms");
+        }
     }
+}
+
+void RelayedWorkerCalls::check()
+{
+    const SteadyTimeMs now = steadyTimeNow();
+    endOverdueCalls(now);
     if (now >= m_nextRoutePurge) {
         m_nextRoutePurge = now + forgetRouteAfterMs;
         std::erase_if(m_routes, [now](const auto &item) {
--- a/Source/Runtime/RelayedWorkerCalls.h
+++ b/Source/Runtime/RelayedWorkerCalls.h
@@ -57,6 +57,7 @@
     {
         std::string relay;
         std::string worker;
+        SteadyTimeMs sentAt = 0;
         SteadyTimeMs deadline = 0;
         Callback done;
     };
@@ -88,6 +89,9 @@
     void scheduleCheck();
     /// Ends overdue calls and asks quiet relays whether they respond.
     void check();
+    /// Ends calls whose relay has returned no result in time. A relay that has returned nothing at
+    /// all since such a call was made is lost, whatever it has accepted.
+    void endOverdueCalls(SteadyTimeMs now);
 
     EventLoop &m_loop;
     PeerTransport &m_transport;
--- a/Source/Runtime/WorkerCallMessages.h
+++ b/Source/Runtime/WorkerCallMessages.h
@@ -49,10 +49,12 @@
     /// The relay was paused or overloaded after it had received the batch. Nothing was sent.
     Stale,
     /// Nothing was sent.
-    Unreadable
+    Unreadable,
+    /// The relay's results don't reach the leader. Nothing was sent.
+    NoReturnPath
 };
-inline constexpr EnumNames<WorkerCallReceipt, 4> workerCallReceiptNames{
-        {"accepted", "old-term", "stale", "unreadable"}};
+inline constexpr EnumNames<WorkerCallReceipt, 5> workerCallReceiptNames{
+        {"accepted", "old-term", "stale", "unreadable", "no-return-path"}};
 
 /// Answer to PeerMessageKind::WorkerCalls.
 struct WorkerCallAck
@@ -82,7 +84,8 @@
     MSGPACK_DEFINE_ARRAY(call, fault, answer)
 };
 
-/// Body of PeerMessageKind::WorkerCallResults.
+/// Body of PeerMessageKind::WorkerCallResults. A message without results only asks whether the
+/// leader can be reached.
 struct WorkerCallResults
 {
     std::vector<OrderResult> orders;
@@ -90,6 +93,7 @@
     /// WorkerCallBatch::process of the calls.
     std::uint64_t process = 0;
 
+    bool isEmpty() const { return orders.empty() && renewals.empty(); }
     MSGPACK_DEFINE_ARRAY(orders, renewals, process)
 };
 
--- a/Source/Runtime/WorkerCallRelay.cpp
+++ b/Source/Runtime/WorkerCallRelay.cpp
@@ -1,5 +1,7 @@
 #include "Runtime/WorkerCallRelay.h"
 
+#include <algorithm>
+
 #include "Runtime/ReplicaMessages.h"
 
 namespace dandelionloom {
@@ -12,6 +14,19 @@
 
 constexpr Milliseconds resultTimeout{1000};
 
+/// The leader is asked for an acknowledgement if its last one is older than this.
+constexpr std::int64_t confirmAfterMs = 300;
+
+/// No calls are made for a leader whose last acknowledgement is older than this. The leader itself
+/// gives up a relay that it has not heard from for as long.
+constexpr std::int64_t returnPathSilenceMs = 700;
+
+/// Shorter than the time that the leader waits for the reply to its batch.
+constexpr Milliseconds confirmTimeout{400};
+
+/// A process of a leader that has sent nothing for this long has ended or lost the leadership.
+constexpr std::int64_t forgetLeaderAfterMs = 10000;
+
 /// A batch that waited longer than this for the event loop is not carried out: the process was
 /// paused or has too little processor time, and the leader has other ways to the workers.
 constexpr std::int64_t maxQueuedMs = 500;
@@ -32,19 +47,102 @@
 
 void WorkerCallRelay::handle(const std::string &from, const std::string &body,
                              SteadyTimeMs receivedAt, const PeerTransport::Reply &reply)
-{
-    reply(packMessage(WorkerCallAck{receive(from, body, receivedAt), m_availabilityZone}));
-}
-
-WorkerCallReceipt WorkerCallRelay::receive(const std::string &from, const std::string &body,
-                                           SteadyTimeMs receivedAt)
 {
     const auto unpacked = unpackMessage<WorkerCallBatch>(body);
     if (!isOk(unpacked)) {
         m_log.event(LogSeverity::Warning, "worker-calls", "unreadable batch of " + from);
-        return WorkerCallReceipt::Unreadable;
+        this->reply(reply, WorkerCallReceipt::Unreadable);
+        return;
     }
     const WorkerCallBatch &batch = valueOf(unpacked);
+    const WorkerCallReceipt receipt = receive(from, batch, receivedAt);
+    if (receipt != WorkerCallReceipt::Accepted) {
+        this->reply(reply, receipt);
+        return;
+    }
+    const SteadyTimeMs now = steadyTimeNow();
+    ReturnPath &path = checkReturnPath({from, batch.process}, now);
+    const bool isConfirmed = path.confirmedAt != 0 && now - path.confirmedAt < returnPathSilenceMs;
+    if (batch.isEmpty() && now - path.confirmedAt >= confirmAfterMs) {
+        path.waiting.push_back(reply);
+        return;
+    }
+    if (isConfirmed) {
+        makeCalls(from, batch);
+    }
+    this->reply(reply, isConfirmed ? WorkerCallReceipt::Accepted : WorkerCallReceipt::NoReturnPath);
+}
+
+void WorkerCallRelay::reply(const PeerTransport::Reply &reply, WorkerCallReceipt receipt) const
+{
+    reply(packMessage(WorkerCallAck{receipt, m_availabilityZone}));
+}
+
+WorkerCallRelay::ReturnPath &WorkerCallRelay::checkReturnPath(const LeaderProcess &leader,
+                                                              SteadyTimeMs now)
+{
+    std::erase_if(m_returnPaths, [now](const auto &item) {
+        return item.second.openMessages == 0 && now - item.second.usedAt >= forgetLeaderAfterMs;
+    });
+    ReturnPath &path = m_returnPaths[leader];
+    path.usedAt = now;
+    if (now - path.confirmedAt >= confirmAfterMs && path.openMessages == 0) {
+        WorkerCallResults question;
+        question.process = leader.second;
+        sendResults(leader, std::move(question), confirmTimeout);
+    }
+    return path;
+}
+
+void WorkerCallRelay::sendResults(const LeaderProcess &leader, WorkerCallResults results,
+                                  Milliseconds timeout)
+{
+    const SteadyTimeMs now = steadyTimeNow();
+    const std::size_t calls = results.orders.size() + results.renewals.size();
+    ++m_returnPaths[leader].openMessages;
+    m_transport.call(leader.first, PeerMessageKind::WorkerCallResults, packMessage(results),
+                     timeout,
+                     [alive = std::weak_ptr(m_alive), &loop = m_loop, leader, now,
+                      calls](const PeerResult &result) {
+                         loop.post([alive, leader, now, calls, result] {
+                             if (const auto relay = alive.lock()) {
+                                 (*relay)->onResultsSent(leader, now, calls, result);
+                             }
+                         });
+                     });
+}
+
+void WorkerCallRelay::onResultsSent(const LeaderProcess &leader, SteadyTimeMs sentAt,
+                                    std::size_t calls, const PeerResult &result)
+{
+    ReturnPath &path = m_returnPaths[leader];
+    --path.openMessages;
+    if (isOk(result)) {
+        path.confirmedAt = std::max(path.confirmedAt, sentAt);
+        if (std::exchange(path.failureLogged, false)) {
+            m_log.event(LogSeverity::Info, "worker-calls", "results reach leader " + leader.first);
+        }
+    } else if (sentAt >= path.confirmedAt) {
+        path.confirmedAt = 0;
+        // Results that are lost need no repetition: the leader gives the relay up with its next
+        // batch, and workers list the ends of runs until the leader has acknowledged them.
+        if (calls > 0 || !path.failureLogged) {
+            m_log.event(LogSeverity::Warning, "worker-calls",
+                        "results of " + std::to_string(calls) + " calls did not reach leader "
+                                + leader.first + ": " + errorOf(result).message);
+        }
+        path.failureLogged = true;
+    }
+    for (const PeerTransport::Reply &waiting : std::exchange(path.waiting, {})) {
+        reply(waiting,
+              path.confirmedAt != 0 ? WorkerCallReceipt::Accepted
+                                    : WorkerCallReceipt::NoReturnPath);
+    }
+}
+
+WorkerCallReceipt WorkerCallRelay::receive(const std::string &from, const WorkerCallBatch &batch,
+                                           SteadyTimeMs receivedAt)
+{
     if (batch.term < m_term) {
         m_log.event(LogSeverity::Warning, "worker-calls",
                     "refused orders of " + from + " of term " + std::to_string(batch.term)
@@ -59,7 +157,6 @@
                             + " ms");
         return WorkerCallReceipt::Stale;
     }
-    makeCalls(from, batch);
     return WorkerCallReceipt::Accepted;
 }
 
@@ -124,10 +221,7 @@
     m_flushScheduled = false;
     for (auto &[leader, results] : m_results) {
         results.process = leader.second;
-        // Results that are lost need no repetition: the leader's calls time out, and workers list
-        // the ends of runs until the leader has acknowledged them.
-        m_transport.call(leader.first, PeerMessageKind::WorkerCallResults, packMessage(results),
-                         resultTimeout, [](const PeerResult &) {});
+        sendResults(leader, std::move(results), resultTimeout);
     }
     m_results.clear();
 }
--- a/Source/Scheduling/RelayRouting.cpp
+++ b/Source/Scheduling/RelayRouting.cpp
@@ -23,7 +23,7 @@
 bool isUsable(const RelayView &relay, SteadyTimeMs now, const RelayRoutingOptions &options)
 {
     return relay.heardAt != 0 && now - relay.heardAt < options.relaySilenceMs
-            && relay.acceptMs <= options.maxAcceptMs;
+            && relay.acceptMs <= options.maxAcceptMs && now >= relay.avoidUntil;
 }
 
 std::string chooseRelay(const std::map<std::string, RelayView> &relays, const std::string &worker,
--- a/Source/Scheduling/RelayRouting.h
+++ b/Source/Scheduling/RelayRouting.h
@@ -19,7 +19,8 @@
     std::int64_t relaySilenceMs = 700;
     /// A relay that takes longer than this to accept a batch delays starts noticeably.
     std::int64_t maxAcceptMs = 250;
-    /// Time for which a worker that did not answer through a relay is called another way. Doubles
+    /// Time for which a worker that did not answer through a relay is called another way, and for
+    /// which a relay that returned nothing is not used. Doubles
     /// with each failure up to the maximum, as the relay may be cut off from the worker for long.
     std::int64_t avoidMs = 3000;
     std::int64_t maxAvoidMs = 24000;
@@ -33,6 +34,10 @@
     SteadyTimeMs heardAt = 0;
     /// Time that it took to accept the last batch.
     std::int64_t acceptMs = 0;
+    /// Time of its last message with results of calls.
+    SteadyTimeMs returnedAt = 0;
+    /// Not used until then, as it accepted calls and returned nothing.
+    SteadyTimeMs avoidUntil = 0;
 };
 
 /// How one worker was called lately.
--- a/Tests/Consensus/ControlInstancesTest.cpp
+++ b/Tests/Consensus/ControlInstancesTest.cpp
@@ -104,6 +104,7 @@
 {
     CPPUNIT_TEST_SUITE(ControlInstancesTest);
     CPPUNIT_TEST(admitsInstancesNotInSettings);
+    CPPUNIT_TEST(relayLearnsLeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,40 +113,83 @@
     /// CONFIG and RECOVER).
     void admitsInstancesNotInSettings()
     {
-        PeerNetworkSettings peers;
-        peers.availabilityZone = "zone";
-        peers.controlPort = freePort();
-        peers.ownPort = peers.controlPort;
+        const PeerNetworkSettings peers = seededPeers();
         const std::uint16_t callPort = freePort();
         const std::uint16_t metricsPort = freePort();
-        for (std::size_t index = 0; index < seedCount; ++index) {
-            peers.controlInstances.push_back(addressOf(index));
-        }
         std::vector<std::unique_ptr<Member>> members;
         for (std::size_t index = 0; index < instanceCount; ++index) {
-            auto member = std::make_unique<Member>();
-            ControlSettings settings;
-            settings.peers = peers;
-            settings.peers.name = addressOf(index);
-            settings.controlAddress = addressOf(index) + ":" + std::to_string(callPort);
-            settings.metricsAddress = addressOf(index) + ":" + std::to_string(metricsPort);
-            settings.dataFolder = member->folder.path();
-            settings.bootstrap = true;
-            settings.toleratedFailures = toleratedFailures;
-            settings.service.name = settings.peers.name;
-            member->instance = std::make_unique<ControlInstance>(
-                    settings, member->protocol, member->log, [](const std::string &) {});
-            const auto started = member->instance->start([](EventLoop &) {
-                return OutgoingClients{std::make_unique<UnreachableWorkers>(),
-                                       std::make_unique<UnreachableInstanceProvider>()};
-            });
-            CPPUNIT_ASSERT(isOk(started));
-            members.push_back(std::move(member));
+            members.push_back(startMember(peers, index, callPort, metricsPort, true));
         }
         CPPUNIT_ASSERT_EQUAL(2 * toleratedFailures + 1, waitForVoterCount(peers));
     }
 
+    /// Guards against an instance that makes calls to workers for a leader that it has no address
+    /// of, as it lost its disk and its seeds know nobody: the results were dropped (TWICE).
+    void relayLearnsLeader()
+    {
+        const PeerNetworkSettings peers = seededPeers();
+        const auto relay = startMember(peers, 0, freePort(), freePort(), false);
+        PeerNetworkSettings self = peers;
+        self.name = addressOf(instanceCount);
+        LogRecorder log;
+        PrometheusMetrics metrics;
+        Signal signal;
+        bool returned = false;
+        Http2PeerTransport leader(
+                peerIdentity(self), self.name + ":" + std::to_string(peers.controlPort),
+                {controlAddress(peers, addressOf(0))}, peerTransportOptions(), log, metrics);
+        leader.setHandler(
+                PeerMessageKind::WorkerCallResults,
+                [&](const std::string &, const std::string &, const PeerTransport::Reply &reply) {
+                    signal.change([&] { returned = true; });
+                    reply(std::string());
+                });
+        CPPUNIT_ASSERT(isOk(leader.start()));
+        WorkerCallBatch batch;
+        batch.term = 1;
+        leader.call(addressOf(0), PeerMessageKind::WorkerCalls, packMessage(batch),
+                    Milliseconds(5000), [](const PeerResult &) {});
+        CPPUNIT_ASSERT(signal.waitFor([&] { return returned; }));
+        leader.stop();
+    }
+
 private:
+    static PeerNetworkSettings seededPeers()
+    {
+        PeerNetworkSettings peers;
+        peers.availabilityZone = "zone";
+        peers.controlPort = freePort();
+        peers.ownPort = peers.controlPort;
+        for (std::size_t index = 0; index < seedCount; ++index) {
+            peers.controlInstances.push_back(addressOf(index));
+        }
+        return peers;
+    }
+
+    static std::unique_ptr<Member> startMember(const PeerNetworkSettings &peers, std::size_t index,
+                                               std::uint16_t callPort, std::uint16_t metricsPort,
+                                               bool bootstrap)
+    {
+        auto member = std::make_unique<Member>();
+        ControlSettings settings;
+        settings.peers = peers;
+        settings.peers.name = addressOf(index);
+        settings.controlAddress = addressOf(index) + ":" + std::to_string(callPort);
+        settings.metricsAddress = addressOf(index) + ":" + std::to_string(metricsPort);
+        settings.dataFolder = member->folder.path();
+        settings.bootstrap = bootstrap;
+        settings.toleratedFailures = toleratedFailures;
+        settings.service.name = settings.peers.name;
+        member->instance = std::make_unique<ControlInstance>(
+                settings, member->protocol, member->log, [](const std::string &) {});
+        const auto started = member->instance->start([](EventLoop &) {
+            return OutgoingClients{std::make_unique<UnreachableWorkers>(),
+                                   std::make_unique<UnreachableInstanceProvider>()};
+        });
+        CPPUNIT_ASSERT(isOk(started));
+        return member;
+    }
+
     /// Number of voters known to the first instance. Waits until there are enough, at most for
     /// admissionLimit.
     static std::size_t waitForVoterCount(const PeerNetworkSettings &peers)
--- a/Tests/Consensus/FakePeerNetwork.cpp
+++ b/Tests/Consensus/FakePeerNetwork.cpp
@@ -67,6 +67,12 @@
     m_cut.emplace(from, to);
 }
 
+void FakePeerNetwork::forgetAddress(const std::string &from, const std::string &to)
+{
+    const std::lock_guard lock(m_mutex);
+    m_unknown.emplace(from, to);
+}
+
 void FakePeerNetwork::isolate(const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
@@ -77,6 +83,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_cut.clear();
+    m_unknown.clear();
     m_isolated.clear();
 }
 
@@ -143,7 +150,8 @@
         {
             const std::lock_guard lock(m_mutex);
             const auto found = m_handlers.find(to);
-            if (found == m_handlers.end() || m_down.contains(to) || m_down.contains(from)) {
+            if (found == m_handlers.end() || m_down.contains(to) || m_down.contains(from)
+                || m_unknown.contains({from, to})) {
                 handlers = nullptr;
             } else {
                 handlers = found->second;
--- a/Tests/Consensus/FakePeerNetwork.h
+++ b/Tests/Consensus/FakePeerNetwork.h
@@ -25,6 +25,9 @@
     /// Sets whether an instance accepts connections.
     void setUp(const std::string &name, bool up);
     void cut(const std::string &from, const std::string &to);
+    /// Makes calls in one direction fail as if the address of `to` were unknown. Answers to calls
+    /// in the other direction arrive.
+    void forgetAddress(const std::string &from, const std::string &to);
     void isolate(const std::string &name);
     void heal();
     /// Number of calls of a kind that reached a handler at `to`.
@@ -48,6 +51,7 @@
     std::set<std::string> m_down;
     std::set<std::string> m_isolated;
     std::set<std::pair<std::string, std::string>> m_cut;
+    std::set<std::pair<std::string, std::string>> m_unknown;
     std::map<std::pair<std::string, PeerMessageKind>, std::size_t> m_delivered;
     std::thread m_thread;
 };
--- a/Tests/Consensus/RelayedWorkerCallsTest.cpp
+++ b/Tests/Consensus/RelayedWorkerCallsTest.cpp
@@ -179,6 +179,23 @@
         return count;
     }
 
+    std::vector<StartOrder> startsAt(RelayMember &relay)
+    {
+        std::vector<StartOrder> starts;
+        relay.loop.runAndWait([&] { starts = relay.workers.starts; });
+        return starts;
+    }
+
+    /// Waits until the relay has received another batch.
+    void waitForProbe(const std::string &relay)
+    {
+        const std::size_t before = network.delivered(relay, PeerMessageKind::WorkerCalls);
+        // Calls keep the leader active.
+        while (network.delivered(relay, PeerMessageKind::WorkerCalls) == before) {
+            (void)renew("idle");
+        }
+    }
+
     /// Sends a renewal that the first relay's worker doesn't answer.
     void renewUnanswered(const std::string &worker, const WorkerCalls::RenewCallback &done)
     {
@@ -217,6 +234,8 @@
     CPPUNIT_TEST(relayLostBeforeCalls);
     CPPUNIT_TEST(relayLostDuringCalls);
     CPPUNIT_TEST(relayWithoutItsWorkers);
+    CPPUNIT_TEST(relayWithoutReturnPath);
+    CPPUNIT_TEST(relayThatReturnsNothing);
     CPPUNIT_TEST(ordersOfAnEarlierLeader);
     CPPUNIT_TEST(ordersAfterAPause);
     CPPUNIT_TEST(malformedMessages);
@@ -315,6 +334,63 @@
         CPPUNIT_ASSERT(!fleet.start("w"));
     }
 
+    /// Guards against relays that carry out calls whose results can't reach the leader: it took
+    /// hundreds of workers for silent and started their tasks again (TWICE).
+    void relayWithoutReturnPath()
+    {
+        section("a relay that doesn't know the leader makes no calls for it", [] {
+            RelayFixture fleet;
+            fleet.network.forgetAddress("r1", "leader");
+            fleet.network.forgetAddress("r2", "leader");
+            for (int count = 0; count < 20; ++count) {
+                CPPUNIT_ASSERT(!fleet.start("w" + std::to_string(count)));
+                fleet.waitForProbe("r1");
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(20), fleet.directStarts());
+            CPPUNIT_ASSERT(fleet.startsAt(fleet.first).empty());
+        });
+        section("one that loses the leader's address is given up, and the calls go another way",
+                [] {
+                    RelayFixture fleet;
+                    fleet.waitForRelay();
+                    fleet.network.forgetAddress("r1", "leader");
+                    (void)fleet.start("lost");
+                    const std::size_t before = fleet.startsAt(fleet.first).size();
+                    for (int count = 0; count < 10; ++count) {
+                        CPPUNIT_ASSERT(!fleet.start("w" + std::to_string(count)));
+                    }
+                    CPPUNIT_ASSERT_EQUAL(before, fleet.startsAt(fleet.first).size());
+                });
+        section("it is used again once its results arrive", [] {
+            RelayFixture fleet;
+            fleet.network.forgetAddress("r1", "leader");
+            fleet.network.forgetAddress("r2", "leader");
+            CPPUNIT_ASSERT(!fleet.start("w"));
+            fleet.waitForProbe("r1");
+            fleet.network.heal();
+            fleet.waitForRelay();
+        });
+    }
+
+    /// Guards against a relay that accepts calls and never returns a result, such as one of an
+    /// earlier version that can't reach the leader: each call's worker counted as silent, and the
+    /// next call went the same way.
+    void relayThatReturnsNothing()
+    {
+        RelayFixture fleet;
+        fleet.waitForRelay();
+        fleet.network.transport("r1")->setHandler(
+                PeerMessageKind::WorkerCalls,
+                [](const std::string &, const std::string &, const PeerTransport::Reply &reply) {
+                    reply(packMessage(WorkerCallAck{WorkerCallReceipt::Accepted, "zone-r1"}));
+                });
+        CPPUNIT_ASSERT(fleet.start("lost") == CallFault::NoAnswer);
+        for (int count = 0; count < 10; ++count) {
+            CPPUNIT_ASSERT(!fleet.start("w" + std::to_string(count)));
+        }
+        CPPUNIT_ASSERT(!fleet.start("lost"));
+    }
+
     /// Guards against two leaders whose orders both reach workers around an election.
     void ordersOfAnEarlierLeader()
     {
