Consensus: Pass the vote on before a control instance stops

Cause: stop() did nothing about the vote, and the leader replaced a voter after 3 s of silence only. Until then the group bore no loss, although the successor had caught up.

An instance that is told to stop asks the leader to pass its vote on. The leader adds the successor, then removes the voter, so that the group bears as many losses at every step. A leader that stops gives up the leadership in between. A voter that ends without notice is replaced within three quarters of the time to catch up; for a leader that time counts from its last message.

--- a/Source/Consensus/Raft.cpp
+++ b/Source/Consensus/Raft.cpp
@@ -53,6 +53,7 @@
         m_nextPeerExpiry = now + peerExpiryIntervalMs;
         m_directory.forgetExpired(now);
     }
+    departureTick(now);
     if (m_role == RaftRole::Leader) {
         leaderTick(now);
         return;
@@ -109,6 +110,10 @@
         return onSnapshotChunk(message, now);
     case RaftMessageKind::SnapshotResponse:
         return onSnapshotResponse(message, now);
+    case RaftMessageKind::Departure:
+        return onDeparture(message, now);
+    case RaftMessageKind::DepartureResponse:
+        return onDepartureResponse(message, now);
     }
 }
 
@@ -283,6 +288,7 @@
     if (m_role == RaftRole::Leader) {
         failReads();
         m_peers.clear();
+        m_departing.clear();
     }
     m_role = RaftRole::Follower;
     m_leader = {};
@@ -294,6 +300,7 @@
 void Raft::recordLeaderContact(const VoterId &leader, SteadyTimeMs now)
 {
     m_leader = leader;
+    m_lastLeader = leader;
     m_lastLeaderContactAt = now;
     resetElectionDeadline(now);
 }
@@ -303,6 +310,10 @@
     std::uniform_int_distribution<std::int64_t> timeout(m_options.electionMinMs,
                                                         m_options.electionMaxMs);
     m_electionDeadline = now + timeout(m_random);
+    if (m_departure != RaftDeparture::None) {
+        // The others come first. If none of them can be elected, this instance still can.
+        m_electionDeadline += m_options.electionMaxMs;
+    }
 }
 
 void Raft::failReads()
--- a/Source/Consensus/Raft.h
+++ b/Source/Consensus/Raft.h
@@ -45,6 +45,19 @@
 inline constexpr EnumNames<RaftRole, 4> raftRoleNames{
         {"follower", "pre-candidate", "candidate", "leader"}};
 
+/// State of an instance that is about to stop.
+enum class RaftDeparture {
+    None,
+    /// Its vote has not passed to another instance yet.
+    Requested,
+    /// It is no voter of the committed voter set.
+    Released,
+    /// There is no instance that could take its vote.
+    NoSuccessor
+};
+inline constexpr EnumNames<RaftDeparture, 4> raftDepartureNames{
+        {"none", "requested", "released", "no-successor"}};
+
 /// Proof that a quorum acknowledged the leader at local time `at` or later. `commit` covers every
 /// entry that was committed before `at`.
 struct QuorumContact
@@ -128,6 +141,12 @@
     /// that does not lead.
     void resign(SteadyTimeMs now);
 
+    /// Passes this instance's vote to an instance that has caught up, before the process stops. The
+    /// group bears as many losses meanwhile: the successor votes before this instance ceases to. A
+    /// leader gives up the leadership once its successor votes. A second call has no effect.
+    void depart(SteadyTimeMs now);
+    RaftDeparture departure() const { return m_departure; }
+
     RaftRole role() const { return m_role; }
     std::uint64_t term() const { return m_term; }
     /// Name of the known leader; empty if there is none.
@@ -218,8 +237,26 @@
     bool mayBecomeVoter(const std::string &name) const;
     /// The voter to remove in favor of a learner that has caught up; none if all are responsive.
     std::optional<VoterId> unresponsiveVoter(SteadyTimeMs now) const;
+    /// Whether the learner has caught up and responds.
+    bool mayVote(const VoterId &id, const Peer &peer, SteadyTimeMs now) const;
+    void proposeVoters(std::vector<VoterId> next);
+    /// Removes a voter from a set that has more than it needs. False if none is to be removed.
+    bool removeExcessVoter(SteadyTimeMs now);
+    /// Adds a successor of a departing voter. False if there is none to be added.
+    bool addSuccessor(SteadyTimeMs now);
     void removeUnresponsiveLearners(SteadyTimeMs now);
 
+    // Departure.
+    void departureTick(SteadyTimeMs now);
+    void onDeparture(const RaftMessage &message, SteadyTimeMs now);
+    void onDepartureResponse(const RaftMessage &message, SteadyTimeMs now);
+    bool isDeparting(const VoterId &id) const;
+    void forgetDepartures(SteadyTimeMs now);
+    /// Whether there are more voters than needed, as while a vote passes to a successor.
+    bool isExcessive() const;
+    /// Whether a learner is left for the departing voter after those that precede it.
+    bool hasSuccessor(const VoterId &departing, SteadyTimeMs now) const;
+
     // Leader.
     void leaderTick(SteadyTimeMs now);
     void sendHeartbeats(SteadyTimeMs now);
@@ -266,6 +303,8 @@
     RaftRole m_role = RaftRole::Follower;
     VoterId m_leader;
     SteadyTimeMs m_lastLeaderContactAt = 0;
+    /// Leader of the last contact, also after it is no longer followed.
+    VoterId m_lastLeader;
     SteadyTimeMs m_electionDeadline = 0;
     SteadyTimeMs m_nextProbe = 0;
     SteadyTimeMs m_nextPeerExpiry = 0;
@@ -276,10 +315,17 @@
     std::map<std::string, ProbeResult> m_probeResults;
     std::optional<QuorumContact> m_contact;
 
+    RaftDeparture m_departure = RaftDeparture::None;
+    SteadyTimeMs m_nextDepartureRequest = 0;
+    /// Leader: instances that are about to stop, with the time of their last request. They get no
+    /// vote.
+    std::map<VoterId, SteadyTimeMs> m_departing;
+
     std::map<VoterId, Peer> m_peers;
     SteadyTimeMs m_nextHeartbeat = 0;
     std::uint64_t m_heartbeatRound = 0;
     std::uint64_t m_termStartIndex = 0;
+    SteadyTimeMs m_leaderSince = 0;
     std::deque<PendingRead> m_pendingReads;
     std::vector<ConfirmedRead> m_finishedReads;
     std::uint64_t m_lastReadId = 0;
--- a/Source/Consensus/RaftElection.cpp
+++ b/Source/Consensus/RaftElection.cpp
@@ -130,16 +130,20 @@
     m_role = RaftRole::Leader;
     m_leader = m_options.self;
     m_peers.clear();
+    m_departing.clear();
     for (const VoterId &voter : voters()) {
         if (voter == m_options.self) {
             continue;
         }
         Peer peer;
         peer.nextIndex = m_log.lastIndex() + 1;
-        peer.lastContactAt = now;
+        // The time until an unresponsive voter is replaced counts from its last sign of life. For
+        // the leader before this one that is its last message.
+        peer.lastContactAt = voter == m_lastLeader ? m_lastLeaderContactAt : now;
         m_peers.emplace(voter, peer);
     }
     m_nextHeartbeat = now;
+    m_leaderSince = now;
     // Committing this no-op entry of the new term also commits the entries of earlier terms.
     appendLocal(commandEntryKind, {});
     m_termStartIndex = m_log.lastIndex();
--- a/Source/Consensus/RaftLeader.cpp
+++ b/Source/Consensus/RaftLeader.cpp
@@ -45,6 +45,7 @@
         return;
     }
     removeUnresponsiveLearners(now);
+    forgetDepartures(now);
     seekPeers(now);
     if (now >= m_nextHeartbeat) {
         sendHeartbeats(now);
--- a/Source/Consensus/RaftMembership.cpp
+++ b/Source/Consensus/RaftMembership.cpp
@@ -21,6 +21,9 @@
 void Raft::probe(SteadyTimeMs now)
 {
     m_nextProbe = now + probeIntervalMs;
+    if (m_departure != RaftDeparture::None) {
+        return;
+    }
     bootstrapCluster(now);
     for (const std::string &name : peerNames()) {
         sendProbe(name);
@@ -95,6 +98,8 @@
         return item.first.name == request.from.name && item.first != request.from
                 && !isVoter(item.first);
     });
+    // A process that asks for admission has started again.
+    m_departing.erase(request.from);
     const auto [learner, added] = m_peers.try_emplace(request.from);
     learner->second.lastContactAt = now;
     if (added) {
@@ -154,9 +159,11 @@
     if (!hasCommittedInTerm() || m_log.votersIndex() > m_commitIndex) {
         return;
     }
+    if (removeExcessVoter(now) || addSuccessor(now)) {
+        return;
+    }
     for (const auto &[id, peer] : m_peers) {
-        if (isVoter(id) || peer.matchIndex + maxAdmissionLag < m_log.durableIndex()
-            || peer.matchIndex == 0 || now - peer.lastContactAt >= m_options.electionMinMs) {
+        if (!mayVote(id, peer, now)) {
             continue;
         }
         std::vector<VoterId> next = voters();
@@ -185,11 +192,80 @@
             }
             next.erase(old);
         }
-        appendLocal(voterEntryKind, encodeVoters(next));
+        proposeVoters(std::move(next));
         return;
     }
 }
 
+bool Raft::mayVote(const VoterId &id, const Peer &peer, SteadyTimeMs now) const
+{
+    return !isVoter(id) && !isDeparting(id)
+            && peer.matchIndex + maxAdmissionLag >= m_log.durableIndex() && peer.matchIndex != 0
+            && now - peer.lastContactAt < m_options.electionMinMs;
+}
+
+void Raft::proposeVoters(std::vector<VoterId> next)
+{
+    std::sort(next.begin(), next.end());
+    appendLocal(voterEntryKind, encodeVoters(next));
+}
+
+bool Raft::removeExcessVoter(SteadyTimeMs now)
+{
+    if (!isExcessive()) {
+        return false;
+    }
+    std::optional<VoterId> removed;
+    for (const VoterId &voter : voters()) {
+        if (isDeparting(voter) && voter != m_options.self) {
+            removed = voter;
+        }
+    }
+    if (!removed && isDeparting(m_options.self)) {
+        // The next leader removes this voter, as it takes part in the election until then.
+        becomeFollower(m_term, now);
+        return true;
+    }
+    if (!removed) {
+        removed = unresponsiveVoter(now);
+    }
+    if (!removed) {
+        if (now - m_leaderSince < m_options.unresponsiveVoterTimeoutMs) {
+            // The departing voter may not have found this leader yet.
+            return true;
+        }
+        // The departure was called off. Four voters bear no more losses than three.
+        const auto other = std::find_if(voters().rbegin(), voters().rend(),
+                                        [&](const auto &voter) { return voter != m_options.self; });
+        removed = *other;
+    }
+    std::vector<VoterId> next = voters();
+    std::erase(next, *removed);
+    proposeVoters(std::move(next));
+    return true;
+}
+
+bool Raft::addSuccessor(SteadyTimeMs now)
+{
+    const bool departs = std::any_of(voters().begin(), voters().end(),
+                                     [&](const auto &voter) { return isDeparting(voter); });
+    if (!departs || voters().size() < m_options.targetVoters) {
+        return false;
+    }
+    for (const auto &[id, peer] : m_peers) {
+        const bool nameVotes =
+                std::any_of(voters().begin(), voters().end(),
+                            [&name = id.name](const auto &voter) { return voter.name == name; });
+        if (mayVote(id, peer, now) && !nameVotes) {
+            std::vector<VoterId> next = voters();
+            next.push_back(id);
+            proposeVoters(std::move(next));
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<VoterId> Raft::unresponsiveVoter(SteadyTimeMs now) const
 {
     for (const VoterId &voter : voters()) {
--- a/Source/Consensus/RaftMessage.cpp
+++ b/Source/Consensus/RaftMessage.cpp
@@ -14,6 +14,27 @@
 
 } // namespace
 
+bool isResponse(RaftMessageKind kind)
+{
+    switch (kind) {
+    case RaftMessageKind::ProbeResponse:
+    case RaftMessageKind::PreVoteResponse:
+    case RaftMessageKind::VoteResponse:
+    case RaftMessageKind::AppendResponse:
+    case RaftMessageKind::SnapshotResponse:
+    case RaftMessageKind::DepartureResponse:
+        return true;
+    case RaftMessageKind::Probe:
+    case RaftMessageKind::PreVote:
+    case RaftMessageKind::Vote:
+    case RaftMessageKind::Append:
+    case RaftMessageKind::SnapshotChunk:
+    case RaftMessageKind::Departure:
+        return false;
+    }
+    return false;
+}
+
 std::string encodeRaftMessage(const RaftMessage &message)
 {
     return packed(message);
--- a/Source/Consensus/RaftMessage.h
+++ b/Source/Consensus/RaftMessage.h
@@ -25,11 +25,18 @@
     Append,
     AppendResponse,
     SnapshotChunk,
-    SnapshotResponse
+    SnapshotResponse,
+    /// Sent to the leader by an instance that is about to stop, until its vote has passed to
+    /// another one.
+    Departure,
+    DepartureResponse
 };
-inline constexpr EnumNames<RaftMessageKind, 10> raftMessageKindNames{
+inline constexpr EnumNames<RaftMessageKind, 12> raftMessageKindNames{
         {"probe", "probe-answer", "pre-vote", "pre-vote-answer", "vote", "vote-answer", "append",
-         "append-answer", "snapshot-chunk", "snapshot-answer"}};
+         "append-answer", "snapshot-chunk", "snapshot-answer", "departure", "departure-answer"}};
+
+/// True for the answer to a request of another instance.
+bool isResponse(RaftMessageKind kind);
 
 /// One message of the consensus protocol. The kind determines which fields are used.
 struct RaftMessage
@@ -49,7 +56,8 @@
     std::uint64_t logTerm = 0;
     /// Commit index of the sender.
     std::uint64_t commit = 0;
-    /// Responses: vote granted, entries appended, snapshot complete, or (probes) voter set known.
+    /// Responses: vote granted, entries appended, snapshot complete, (probes) voter set known, or
+    /// (departures) the vote passes to another instance or isn't needed.
     bool accepted = false;
     /// Heartbeat round of the leader; responses to it confirm reads.
     std::uint64_t round = 0;
@@ -62,6 +70,8 @@
     /// Append: age of the leader's last contact with a quorum; -1 if there was none.
     std::int64_t contactAgeMs = -1;
     std::vector<LogEntry> entries;
+    /// Snapshot messages: voters as of the snapshot. DepartureResponse: the committed voter set;
+    /// empty while a change is in progress.
     std::vector<VoterId> voters;
     /// Snapshot messages: offset of `data` in the state. Responses: next offset expected.
     std::uint64_t offset = 0;
--- a/Source/Program/ControlInstance.cpp
+++ b/Source/Program/ControlInstance.cpp
@@ -30,6 +30,16 @@
 constexpr ListenerShare metricsShare{8, 3, 3, 64 * 1024};
 constexpr PeerShare peerShare{25, 12};
 
+/// A voter that restarts or is briefly suspended keeps its vote.
+constexpr std::int64_t maxUnresponsiveVoterMs = 3000;
+
+/// Time without contact after which a voter is replaced. The last quarter of the time to catch up
+/// is for the change itself.
+std::int64_t unresponsiveVoterTimeoutMs(const ControlSettings &settings)
+{
+    return std::min(maxUnresponsiveVoterMs, settings.catchUpMs * 3 / 4);
+}
+
 } // namespace
 
 ControlInstance::ControlInstance(ControlSettings settings, JobProtocol &protocol, JsonLineLog &log,
@@ -124,6 +134,7 @@
     // A group of 2n + 1 voters keeps its quorum when n fail.
     journal.targetVoters = 2 * m_settings.toleratedFailures + 1;
     journal.mayBootstrap = m_settings.bootstrap;
+    journal.unresponsiveVoterTimeoutMs = unresponsiveVoterTimeoutMs(m_settings);
     journal.seed = std::hash<std::string>{}(peers.name);
     m_journal = std::make_unique<ReplicatedJournal>(journal, *m_storage, *m_transport, m_log,
                                                     journalEvents());
@@ -265,10 +276,23 @@
     m_loop.startTimer(tickInterval, [this] { tick(); });
 }
 
+void ControlInstance::passVoteOn()
+{
+    // Requests are served meanwhile. The rest of the time is for those that are pending then.
+    const Milliseconds limit(m_settings.shutdownTimeoutMs / 2);
+    std::future<RaftDeparture> departure = m_journal->depart();
+    const bool done = departure.wait_for(limit) == std::future_status::ready;
+    m_log.line(
+            done ? LogSeverity::Info : LogSeverity::Warning, "vote-passed-on",
+            {{"outcome", done ? std::string(raftDepartureNames.name(departure.get())) : "timeout"},
+             {"limit_ms", limit.count()}});
+}
+
 void ControlInstance::stop()
 {
     m_log.line(LogSeverity::Info, "stop", {{"role", "control"}});
     const SteadyTimeMs begin = steadyTimeNow();
+    passVoteOn();
     m_loop.runAndWait([this] { m_controlServer->drain(); });
     std::size_t pending = 1;
     while (pending > 0 && steadyTimeNow() - begin < m_settings.shutdownTimeoutMs) {
--- a/Source/Program/ControlInstance.h
+++ b/Source/Program/ControlInstance.h
@@ -25,6 +25,8 @@
     bool bootstrap = false;
     /// Number of control instances that may fail at the same time.
     std::size_t toleratedFailures = 1;
+    /// Time after which the successor of a lost or removed instance must be able to take its place.
+    std::int64_t catchUpMs = 4000;
     JobServiceOptions service;
     /// How long stop() waits for pending requests.
     std::int64_t shutdownTimeoutMs = 0;
@@ -51,6 +53,8 @@
 
     Result<Done, StartError> start(const OutgoingClientsFactory &factory);
     void addControlInstances(const std::vector<std::string> &names);
+    /// Passes the vote in the journal on and drains pending requests, both within
+    /// ControlSettings::shutdownTimeoutMs.
     void stop();
 
 private:
@@ -59,6 +63,7 @@
     void handleRequest(const HttpRequest &request, const EventedHttpServer::Respond &respond);
     void addPeer(const std::string &name);
     void onStatus(const JournalStatus &status);
+    void passVoteOn();
     void tick();
 
     const ControlSettings m_settings;
--- a/Source/Runtime/ReplicatedJournal.cpp
+++ b/Source/Runtime/ReplicatedJournal.cpp
@@ -57,6 +57,7 @@
     raft.voterNames = m_options.initialVoters;
     raft.mayBootstrap = m_options.mayBootstrap;
     raft.targetVoters = m_options.targetVoters;
+    raft.unresponsiveVoterTimeoutMs = m_options.unresponsiveVoterTimeoutMs;
     raft.heartbeatMs = m_options.heartbeatMs;
     raft.electionMinMs = m_options.electionMinMs;
     raft.electionMaxMs = m_options.electionMaxMs;
@@ -160,6 +161,7 @@
         const SteadyTimeMs now = steadyTimeNow();
         publishStatus(now);
         logAdmission(now);
+        reportDeparture();
         if (m_bytesSinceSnapshot >= m_options.compactBytes && !m_snapshotRequested) {
             m_snapshotRequested = true;
             m_events.snapshotRequested();
@@ -167,6 +169,28 @@
     }
 }
 
+std::future<RaftDeparture> ReplicatedJournal::depart()
+{
+    auto promise = std::make_shared<std::promise<RaftDeparture>>();
+    std::future<RaftDeparture> result = promise->get_future();
+    m_queue.post([this, promise] {
+        m_departed = promise;
+        m_raft->depart(steadyTimeNow());
+    });
+    return result;
+}
+
+void ReplicatedJournal::reportDeparture()
+{
+    const RaftDeparture departure = m_raft->departure();
+    if (!m_departed || departure == RaftDeparture::Requested) {
+        return;
+    }
+    m_log.event(LogSeverity::Info, "journal",
+                "departure: " + std::string(raftDepartureNames.name(departure)));
+    std::exchange(m_departed, nullptr)->set_value(departure);
+}
+
 void ReplicatedJournal::announceNewPeers()
 {
     for (const std::string &name : m_raft->takeNewPeers()) {
@@ -234,12 +258,7 @@
 {
     for (RaftMessage &message : messages) {
         const auto pendingReply = m_pendingReplies.find({message.to, message.request});
-        const bool isAnswer = message.kind == RaftMessageKind::ProbeResponse
-                || message.kind == RaftMessageKind::PreVoteResponse
-                || message.kind == RaftMessageKind::VoteResponse
-                || message.kind == RaftMessageKind::AppendResponse
-                || message.kind == RaftMessageKind::SnapshotResponse;
-        if (isAnswer) {
+        if (isResponse(message.kind)) {
             if (pendingReply != m_pendingReplies.end()) {
                 pendingReply->second(encodeRaftMessage(message));
                 m_pendingReplies.erase(pendingReply);
--- a/Source/Runtime/ReplicatedJournal.h
+++ b/Source/Runtime/ReplicatedJournal.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,6 +32,8 @@
     /// Three voters tolerate the loss of one. A fourth instance stays a non-voting replacement,
     /// because four voters tolerate no more losses than three and block on an even split.
     std::size_t targetVoters = 3;
+    /// See RaftOptions::unresponsiveVoterTimeoutMs.
+    std::int64_t unresponsiveVoterTimeoutMs = 3000;
     std::int64_t heartbeatMs = 120;
     std::int64_t electionMinMs = 450;
     std::int64_t electionMaxMs = 900;
@@ -105,6 +108,9 @@
     void addPeer(const std::string &name);
     /// Adds an instance that another part of the process has heard of.
     void addPeerHint(const std::string &name);
+    /// Passes this instance's vote on before the process stops, see Raft::depart(). The result is
+    /// set once the instance is not needed any more, or has no successor; otherwise never.
+    std::future<RaftDeparture> depart();
     /// The lease as the journal knows it now. May be called on any thread.
     LeaderLease lease() const;
 
@@ -119,6 +125,7 @@
     bool checkSaved(const Result<Done, StorageError> &result, const char *what);
     void publishStatus(SteadyTimeMs now);
     void announceNewPeers();
+    void reportDeparture();
     /// Logs that this instance is outside the group, repeatedly while that lasts, and its end.
     void logAdmission(SteadyTimeMs now);
 
@@ -140,6 +147,7 @@
     LeaderLease m_lease;
     std::size_t m_bytesSinceSnapshot = 0;
     bool m_snapshotRequested = false;
+    std::shared_ptr<std::promise<RaftDeparture>> m_departed;
     /// Since when this instance has been outside the group; none if it follows a leader or votes.
     std::optional<SteadyTimeMs> m_outsideSince;
     SteadyTimeMs m_nextAdmissionLog = 0;
--- a/Tests/Consensus/RaftAdmissionTest.cpp
+++ b/Tests/Consensus/RaftAdmissionTest.cpp
@@ -5,61 +5,12 @@
 #include <string>
 #include <vector>
 
-#include "Consensus/RaftSimulation.h"
+#include "Consensus/SeededGroup.h"
 #include "Support/Section.h"
 
 using namespace dandelionloom;
 using namespace dandelionloom::test;
 
-namespace {
-
-constexpr std::size_t seedCount = 3;
-
-/// Time that an instance has to catch up after it is back; the shortest of all deployments.
-constexpr std::int64_t catchUpMs = 4000;
-
-/// Time without contact after which a voter is replaced, and for the change.
-constexpr std::int64_t replacementMs = 4500;
-
-RaftSimulation::Group groupFor(std::size_t toleratedFailures)
-{
-    return {seedCount, 2 * toleratedFailures + 1};
-}
-
-/// A group with one instance more than voters, where the last instances are no seeds.
-struct SeededGroup
-{
-    explicit SeededGroup(std::size_t toleratedFailures, std::uint64_t seed = 7)
-        : nodes(2 * toleratedFailures + 2), simulation(nodes, seed, groupFor(toleratedFailures))
-    {
-        simulation.runUntil("a complete group", 20000, [&] { return simulation.allInGroup(); });
-    }
-
-    void waitForGroup()
-    {
-        simulation.runUntil("a complete group after a loss", catchUpMs,
-                            [&] { return simulation.allInGroup(); });
-    }
-
-    /// Fails over until an instance that is no seed leads.
-    void moveLeadFromSeeds()
-    {
-        for (std::size_t round = 0; simulation.waitForLeader() < seedCount; ++round) {
-            CPPUNIT_ASSERT(round < 100);
-            const std::size_t leader = simulation.waitForLeader();
-            simulation.crash(leader);
-            simulation.run(replacementMs);
-            simulation.restart(leader);
-            waitForGroup();
-        }
-    }
-
-    const std::size_t nodes;
-    RaftSimulation simulation;
-};
-
-} // namespace
-
 class RaftAdmissionTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RaftAdmissionTest);
--- a/Tests/Consensus/RaftSimulation.cpp
+++ b/Tests/Consensus/RaftSimulation.cpp
@@ -98,6 +98,11 @@
     start(lost);
 }
 
+void RaftSimulation::depart(std::size_t node)
+{
+    m_nodes[node].raft->depart(clockOf(m_nodes[node]));
+}
+
 void RaftSimulation::suspend(std::size_t node)
 {
     m_nodes[node].suspended = true;
@@ -321,12 +326,8 @@
 {
     for (const RaftMessage &message : messages) {
         const std::size_t to = indexOf(message.to.name);
-        const bool isResponse = message.kind == RaftMessageKind::ProbeResponse
-                || message.kind == RaftMessageKind::PreVoteResponse
-                || message.kind == RaftMessageKind::VoteResponse
-                || message.kind == RaftMessageKind::AppendResponse
-                || message.kind == RaftMessageKind::SnapshotResponse;
-        if (m_group && !isResponse && !m_nodes[from].addresses.contains(message.to.name)) {
+        if (m_group && !isResponse(message.kind)
+            && !m_nodes[from].addresses.contains(message.to.name)) {
             continue;
         }
         std::size_t bytes = message.data.size();
@@ -458,6 +459,24 @@
     return voters == m_group->targetVoters && raft(*found).voters().size() == voters;
 }
 
+std::size_t RaftSimulation::tolerance() const
+{
+    std::size_t least = size();
+    for (std::size_t index = 0; index < size(); ++index) {
+        if (!isUp(index) || !raft(index).isVoter()) {
+            continue;
+        }
+        const std::vector<VoterId> &voters = raft(index).voters();
+        const auto running = std::count_if(m_nodes.begin(), m_nodes.end(), [&](const Node &node) {
+            return node.raft && std::find(voters.begin(), voters.end(), idOf(node)) != voters.end();
+        });
+        const std::size_t quorum = voters.size() / 2 + 1;
+        const auto spare = static_cast<std::size_t>(running);
+        least = std::min(least, spare < quorum ? 0 : spare - quorum);
+    }
+    return least;
+}
+
 void RaftSimulation::updateAddresses(Node &node)
 {
     for (const std::string &name : node.raft->takeNewPeers()) {
--- a/Tests/Consensus/RaftSimulation.h
+++ b/Tests/Consensus/RaftSimulation.h
@@ -64,6 +64,8 @@
     void restart(std::size_t node);
     /// Crashes the node and restarts it with an empty disk and a new storage id.
     void loseDisk(std::size_t node);
+    /// Tells the node that its process is about to stop. It goes on until it is crashed.
+    void depart(std::size_t node);
     /// Suspends the node. Messages to it are queued.
     void suspend(std::size_t node);
     void resume(std::size_t node);
@@ -98,6 +100,8 @@
     /// Group::targetVoters vote with their current storage ids.
     bool allInGroup() const;
     bool isCurrentVoter(std::size_t node) const;
+    /// Number of further losses of a voter that each voter set in use bears.
+    std::size_t tolerance() const;
     std::size_t confirmedReads() const { return m_confirmedReads; }
     std::size_t committed() const { return m_committed.size(); }
     std::size_t termsWithLeader() const { return m_leaders.size(); }
