Scheduling: Keep a worker whose id another writer announces

Cause: any announcement with id and start replaced the record of the worker, and its number made all later ones of the worker late.

An announcement that moves a recorded worker to an unconfigured service is ignored. Lower numbers that go on in order for 2 s are taken for the worker's own, if none comes from the high one on.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -68,7 +68,7 @@
     m_earlierLeaseEnds.clear();
     m_workers.clear();
     m_workersOfService.clear();
-    m_sequences.clear();
+    m_announcements.clear();
     m_restarts.clear();
     m_generations.clear();
     m_proposed.clear();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Model/Result.h"
+#include "Scheduling/AnnouncementOrder.h"
 #include "Scheduling/DemandTracker.h"
 #include "Scheduling/DispatchTypes.h"
 #include "Scheduling/DisruptionBudgets.h"
@@ -238,9 +239,10 @@
     // Workers that start again under their id.
     /// Generation of the orders to the worker, see fencingToken().
     std::uint64_t generationOf(const std::string &worker) const;
+    bool isServiceConfigured(const std::string &service) const;
     /// True if the recorded incarnation has ended and the next one is not recorded yet.
     bool isRestartConfirmed(const std::string &worker) const;
-    void onRestartAnnounced(const WorkerAnnouncement &announcement);
+    void onRestartAnnounced(const WorkerAnnouncement &announcement, SteadyTimeMs now);
     /// Called with the record of a worker of which a later incarnation has answered.
     void confirmRestart(const WorkerRecord &worker, std::int64_t startTimeMs, SteadyTimeMs now);
     void emitRestartChecks(SteadyTimeMs now, DispatchOrders &orders);
@@ -422,7 +424,7 @@
     std::map<std::string, WorkerView> m_workers;
     /// The recorded workers by service; rebuilt when empty. Most placement passes change none.
     std::map<std::string, Candidates> m_workersOfService;
-    std::map<std::string, std::uint64_t> m_sequences;
+    std::map<std::string, AnnouncementOrder> m_announcements;
     std::map<std::string, WorkerRestart> m_restarts;
     /// Generations of the workers that have restarted under their id in this term.
     std::map<std::string, std::uint64_t> m_generations;
--- a/Source/Scheduling/DispatcherRestarts.cpp
+++ b/Source/Scheduling/DispatcherRestarts.cpp
@@ -31,7 +31,7 @@
     return found != m_restarts.end() && found->second.confirmed;
 }
 
-void Dispatcher::onRestartAnnounced(const WorkerAnnouncement &announcement)
+void Dispatcher::onRestartAnnounced(const WorkerAnnouncement &announcement, SteadyTimeMs now)
 {
     const WorkerRecord &worker = announcement.worker;
     WorkerRestart &restart = m_restarts[worker.id];
@@ -42,12 +42,12 @@
         }
         restart = {};
         restart.startTimeMs = worker.startTimeMs;
-    } else if (restart.announced && announcement.sequence < restart.sequence) {
+    }
+    if (!recordAnnouncement(restart.order, announcement.sequence, now)) {
         return;
     }
     const bool draining = worker.draining || (restart.announced && restart.announced->draining);
     restart.address = worker.address;
-    restart.sequence = announcement.sequence;
     restart.announced = worker;
     restart.announced->draining = draining;
 }
@@ -182,7 +182,7 @@
         m_workers[worker.id].otherLeaseEnd = now + otherLeaseMs(m_options);
     }
     if (restart != m_restarts.end() && restart->second.startTimeMs <= worker.startTimeMs) {
-        m_sequences[worker.id] = restart->second.sequence;
+        m_announcements[worker.id] = restart->second.order;
         m_restarts.erase(restart);
     }
 }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -1,5 +1,7 @@
 #include "Scheduling/Dispatcher.h"
+
 #include "Scheduling/StepFacts.h"
+#include <algorithm>
 
 // Tracks workers, runs and jobs from announcements and the applied changes.
 
@@ -310,16 +312,26 @@
         || (known != nullptr && known->startTimeMs > worker.startTimeMs)) {
         return {};
     }
+    if (known != nullptr && worker.service != known->service
+        && !isServiceConfigured(worker.service)) {
+        // Another writer's: a worker changes to configured services only.
+        m_decisions.push_back({"announcement-ignored", {}, 0, worker.id, "unknown-service", -1});
+        return {};
+    }
     const bool newIncarnation = known == nullptr || known->startTimeMs != worker.startTimeMs;
     if (known != nullptr && newIncarnation) {
-        onRestartAnnounced(announcement);
+        onRestartAnnounced(announcement, now);
         return {};
     }
-    std::uint64_t &sequence = m_sequences[worker.id];
-    if (!newIncarnation && announcement.sequence < sequence) {
+    AnnouncementOrder &order = m_announcements[worker.id];
+    if (newIncarnation) {
+        order = {};
+    }
+    // The number of another writer's announcement would hide the worker's own.
+    const bool isOrdered = !newIncarnation || isServiceConfigured(worker.service);
+    if (isOrdered && !recordAnnouncement(order, announcement.sequence, now)) {
         return {};
     }
-    sequence = announcement.sequence;
     if (!newIncarnation && announcement.clockMs >= 0) {
         WorkerView &view = m_workers[worker.id];
         if (!view.clockMs) {
@@ -343,6 +355,13 @@
     return {WorkerJoined{worker}};
 }
 
+bool Dispatcher::isServiceConfigured(const std::string &service) const
+{
+    const std::vector<ServiceConfig> &services = m_state.configuration().services;
+    return std::any_of(services.begin(), services.end(),
+                       [&](const ServiceConfig &each) { return each.name == service; });
+}
+
 bool Dispatcher::deregistered(const std::string &worker)
 {
     const WorkerRecord *known = m_state.worker(worker);
--- a/Source/Scheduling/WorkerRestart.h
+++ b/Source/Scheduling/WorkerRestart.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "Model/Time.h"
+#include "Scheduling/AnnouncementOrder.h"
 #include "Scheduling/JobTypes.h"
 
 namespace dandelionloom {
@@ -15,9 +16,9 @@
     /// The next incarnation.
     std::int64_t startTimeMs = 0;
     std::string address;
-    /// Its announcement, with the highest sequence number; unset if only an answer has shown it.
+    /// Its current announcement; unset if only an answer has shown it.
     std::optional<WorkerRecord> announced;
-    std::uint64_t sequence = 0;
+    AnnouncementOrder order;
     /// The incarnation has answered. Until then the recorded one may go on.
     bool confirmed = false;
     /// The record of the next incarnation, or of the end of the recorded one, was proposed.
--- a/Tests/Scheduling/LostRunsTest.cpp
+++ b/Tests/Scheduling/LostRunsTest.cpp
@@ -31,6 +31,18 @@
     return fleet.state.job(job) != nullptr && fleet.phaseOf(job) == JobPhase::Completed;
 }
 
+/// Announces a worker, records what follows and returns it.
+std::vector<JobChange> announce(FleetSimulation &fleet, const WorkerRecord &worker,
+                                std::uint64_t sequence)
+{
+    const auto changes = fleet.dispatcher->announced({worker, sequence, -1}, fleet.now);
+    for (const JobChange &change : changes) {
+        fleet.state.apply(change);
+        fleet.dispatcher->applied(change, fleet.now);
+    }
+    return changes;
+}
+
 } // namespace
 
 /// Runs that are recorded as lost although their workers go on, and what these list later.
@@ -53,6 +65,8 @@
     CPPUNIT_TEST(renewalWhileRestartIsRecorded);
     CPPUNIT_TEST(limitWhileRunIsStopped);
     CPPUNIT_TEST(announcementOfAddressInUse);
+    CPPUNIT_TEST(announcementOfAnotherWriter);
+    CPPUNIT_TEST(lateAnnouncements);
     CPPUNIT_TEST(addressOfNextWorker);
     CPPUNIT_TEST(checkpointOfGang);
     CPPUNIT_TEST_SUITE_END();
@@ -431,6 +445,73 @@
         }
     }
 
+    /// Guards against a worker that gets no tasks any more, and whose draining isn't noticed,
+    /// because another writer has announced its id and start with a high number (review/15: LOST).
+    void announcementOfAnotherWriter()
+    {
+        constexpr std::uint64_t highNumber = 4294967295;
+        for (const char *service : {"pricing", "archive"}) {
+            section(std::string("an announcement with the service ") + service, [&] {
+                FleetSimulation fleet(61);
+                setUpFleet(fleet, 1);
+                WorkerRecord other = fleet.workers.at("w1").record;
+                other.service = service;
+                CPPUNIT_ASSERT(announce(fleet, other, highNumber).empty());
+                fleet.submit("a", "quotes", {shortStep(1)});
+                fleet.runUntil("the job", 3000, [&] { return isCompleted(fleet, "a"); });
+                WorkerRecord draining = fleet.workers.at("w1").record;
+                draining.draining = true;
+                std::size_t recorded = 0;
+                for (std::uint64_t number = 1; number <= 3; ++number) {
+                    fleet.run(1500);
+                    recorded += announce(fleet, draining,
+                                         static_cast<std::uint64_t>(fleet.now) + number)
+                                        .size();
+                }
+                CPPUNIT_ASSERT(recorded > 0);
+            });
+        }
+        section("one that comes before the worker's own", [] {
+            FleetSimulation fleet(62);
+            setUpFleet(fleet, 1);
+            WorkerRecord worker = fleet.workers.at("w1").record;
+            worker.id = "w2";
+            worker.address = "10.0.0.2:81";
+            WorkerRecord other = worker;
+            other.service = "archive";
+            CPPUNIT_ASSERT(!announce(fleet, other, highNumber).empty());
+            CPPUNIT_ASSERT(!announce(fleet, worker, 1).empty());
+            CPPUNIT_ASSERT_EQUAL(std::string("pricing"), fleet.state.worker("w2")->service);
+        });
+    }
+
+    /// Guards against late announcements that are taken for current ones.
+    void lateAnnouncements()
+    {
+        constexpr SteadyTimeMs beatMs = 1500;
+        AnnouncementOrder order;
+        SteadyTimeMs now = 0;
+        CPPUNIT_ASSERT(recordAnnouncement(order, 10, now));
+        section("a burst of late ones", [&] {
+            for (std::uint64_t number = 1; number < 10; ++number) {
+                CPPUNIT_ASSERT(!recordAnnouncement(order, number, now));
+            }
+        });
+        section("late ones beside current ones, and out of order", [&] {
+            for (const std::uint64_t number : {2, 11, 3, 4, 12, 5, 6, 13, 7, 6, 5, 8, 4, 3}) {
+                now += beatMs;
+                CPPUNIT_ASSERT_EQUAL(number > 10, recordAnnouncement(order, number, now));
+            }
+        });
+        section("a series in order that goes on is the worker's own", [&] {
+            CPPUNIT_ASSERT(recordAnnouncement(order, 1000000, now));
+            CPPUNIT_ASSERT(!recordAnnouncement(order, 14, now + beatMs));
+            CPPUNIT_ASSERT(!recordAnnouncement(order, 15, now + 2 * beatMs));
+            CPPUNIT_ASSERT(recordAnnouncement(order, 16, now + 3 * beatMs));
+            CPPUNIT_ASSERT(!recordAnnouncement(order, 15, now + 3 * beatMs));
+        });
+    }
+
     /// Guards against tasks that wait for the leases of a worker whose address the next one has:
     /// the next one refuses its calls.
     void addressOfNextWorker()
