Consensus: Split commands that are larger than a message

Raft::propose splits a command larger than a batch into entries that are delivered as one. All parts are stored at once; if the leader ends before they are replicated, a later leader commits all of them or the command has no effect.

RaftScenariosTest::largeCommands fails without the split (timed out) and passes with it.

--- a/Source/Consensus/Raft.cpp
+++ b/Source/Consensus/Raft.cpp
@@ -122,7 +122,11 @@
     if (m_role != RaftRole::Leader) {
         return std::nullopt;
     }
-    appendLocal(commandEntryKind, std::move(payload));
+    std::vector<std::string> parts = splitCommand(std::move(payload), m_options.maxBatchBytes);
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        const bool isLast = part + 1 == parts.size();
+        appendLocal(isLast ? commandEntryKind : commandPartEntryKind, std::move(parts[part]));
+    }
     return LogPosition{m_log.lastIndex(), m_term};
 }
 
@@ -177,6 +181,7 @@
     RaftSyncedOutput released;
     if (m_receivedSnapshot) {
         released.restored = m_receivedSnapshot;
+        m_commandParts = {};
         installSnapshot(now);
     }
     if (m_ownVotePending) {
@@ -196,7 +201,9 @@
     }
     const std::uint64_t deliverable = std::min(m_commitIndex, m_log.durableIndex());
     for (; m_deliveredIndex < deliverable; ++m_deliveredIndex) {
-        released.committed.push_back(m_log.at(m_deliveredIndex + 1));
+        if (auto entry = m_commandParts.add(m_log.at(m_deliveredIndex + 1))) {
+            released.committed.push_back(std::move(*entry));
+        }
     }
     released.messages = std::move(m_messagesAfterSync);
     m_messagesAfterSync.clear();
--- a/Source/Consensus/Raft.h
+++ b/Source/Consensus/Raft.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "Consensus/CommandParts.h"
 #include "Consensus/PeerDirectory.h"
 #include "Consensus/RaftLog.h"
 #include "Consensus/RaftMessage.h"
@@ -113,7 +114,8 @@
     // Inputs.
     void tick(SteadyTimeMs now);
     void receive(const RaftMessage &message, SteadyTimeMs now);
-    /// Appends a command. None if this is not the leader.
+    /// Appends a command. None if this is not the leader. A command larger than
+    /// RaftOptions::maxBatchBytes is split into several entries, of which the position is the last.
     std::optional<LogPosition> propose(std::string payload);
     /// Starts a linearizable read with a heartbeat round and returns its id. None if this is not
     /// the leader, or if no entry of its term is committed yet: its commit index may then be lower
@@ -308,6 +310,7 @@
     SteadyTimeMs m_electionDeadline = 0;
     SteadyTimeMs m_nextProbe = 0;
     SteadyTimeMs m_nextPeerExpiry = 0;
+    CommandParts m_commandParts;
     /// Voters that granted the vote or pre-vote in progress.
     std::vector<VoterId> m_votes;
     /// True until the candidate's vote for itself is synced; it counts only from then on.
--- a/Source/Consensus/RaftLog.h
+++ b/Source/Consensus/RaftLog.h
@@ -12,6 +12,9 @@
 /// Values of LogEntry::kind.
 inline constexpr std::uint32_t commandEntryKind = 0;
 inline constexpr std::uint32_t voterEntryKind = 1;
+/// A part of a command that the entries right after it continue, up to one of commandEntryKind. A
+/// command whose last part is missing was never proposed completely and has no effect.
+inline constexpr std::uint32_t commandPartEntryKind = 2;
 
 /// In-memory log of one replica. Changes since the last sync can be undone, so that memory stays
 /// consistent with the disk when the disk is full.
--- a/Source/Ports/LogStorage.h
+++ b/Source/Ports/LogStorage.h
@@ -17,7 +17,8 @@
 {
     std::uint64_t index = 0;
     std::uint64_t term = 0;
-    /// Payload type, defined by the consensus module: 0 command, 1 voter change.
+    /// Payload type, defined by the consensus module: 0 command, 1 voter change, 2 part of a
+    /// command.
     std::uint32_t kind = 0;
     std::string payload;
 
--- a/Tests/Consensus/RaftScenariosTest.cpp
+++ b/Tests/Consensus/RaftScenariosTest.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "Consensus/RaftSimulation.h"
 #include "Support/Section.h"
 
@@ -53,9 +55,55 @@
     CPPUNIT_TEST(secondDiskLossDuringRepair);
     CPPUNIT_TEST(catchUpAfterDowntime);
     CPPUNIT_TEST(fullDisk);
+    CPPUNIT_TEST(largeCommands);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a command larger than a message: it was never replicated, nor any command
+    /// after it (review/14: LOST).
+    void largeCommands()
+    {
+        const std::string large(1000, 'x');
+        section("it is committed, and the next one", [&] {
+            BootstrappedCluster cluster(3);
+            cluster.simulation.network.maxMessageBytes = 100;
+            cluster.commit(cluster.leader, large);
+            cluster.commit(cluster.leader, "next");
+            cluster.simulation.waitForConvergence();
+            section("restarted voters read it whole", [&] {
+                for (std::size_t node = 0; node < 3; ++node) {
+                    cluster.simulation.crash(node);
+                    cluster.simulation.restart(node);
+                }
+                cluster.simulation.waitForConvergence();
+                for (std::size_t node = 0; node < 3; ++node) {
+                    const auto &values = cluster.simulation.applied(node);
+                    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1),
+                                         std::count(values.begin(), values.end(), large));
+                }
+            });
+        });
+        section("a leader that ends at any moment leaves all of it or nothing", [&] {
+            for (std::int64_t afterMs = 0; afterMs < 60; ++afterMs) {
+                BootstrappedCluster cluster(3);
+                RaftSimulation &simulation = cluster.simulation;
+                simulation.network.maxMessageBytes = 100;
+                simulation.compactEntries = 4;
+                CPPUNIT_ASSERT(simulation.propose(cluster.leader, large));
+                simulation.run(afterMs);
+                simulation.crash(cluster.leader);
+                cluster.commit(simulation.waitForLeader(), "after");
+                simulation.restart(cluster.leader);
+                simulation.waitForConvergence();
+                for (std::size_t node = 0; node < 3; ++node) {
+                    for (const std::string &value : simulation.applied(node)) {
+                        CPPUNIT_ASSERT(value.find('x') == std::string::npos || value == large);
+                    }
+                }
+            }
+        });
+    }
+
     /// Guards against a minority that accepts changes while the cluster is partitioned evenly.
     void evenPartition()
     {
--- a/Tests/Consensus/RaftSimulation.cpp
+++ b/Tests/Consensus/RaftSimulation.cpp
@@ -285,7 +285,12 @@
 
 void RaftSimulation::applyEntry(Node &node, const LogEntry &entry)
 {
-    if (entry.index != node.appliedIndex + 1) {
+    // Only the parts of a command are not applied by themselves.
+    std::uint64_t next = node.appliedIndex + 1;
+    while (next < entry.index && node.raft->log().at(next).kind == commandPartEntryKind) {
+        ++next;
+    }
+    if (entry.index != next) {
         reportViolation(node.name + " applied entry " + std::to_string(entry.index) + " after "
                         + std::to_string(node.appliedIndex));
     }
@@ -338,6 +343,9 @@
             reportViolation("message of " + std::to_string(bytes)
                             + " bytes exceeds the batch limit");
         }
+        if (network.maxMessageBytes != 0 && bytes > network.maxMessageBytes) {
+            continue;
+        }
         if (m_cut.contains({from, to}) || randomFraction() < network.dropProbability) {
             continue;
         }
--- a/Tests/Consensus/RaftSimulation.h
+++ b/Tests/Consensus/RaftSimulation.h
@@ -26,6 +26,8 @@
         double duplicateProbability = 0;
         std::int64_t minDelayMs = 1;
         std::int64_t maxDelayMs = 2;
+        /// Messages whose entries and data are larger are not sent; 0 for no limit.
+        std::size_t maxMessageBytes = 0;
     };
 
     /// A group whose members come and go, as opposed to a fixed set of voters.
