Runtime: Log the loss of a return path once

The relay wrote a line for each message with results that failed, up to 66 a second. It writes one when the path fails and one, with the number of calls whose results were lost, when it works again.

--- a/Source/Consensus/PeerDirectory.cpp
+++ b/Source/Consensus/PeerDirectory.cpp
@@ -28,7 +28,7 @@
     }
 }
 
-PeerDirectory::Evidence *PeerDirectory::find(const std::string &name, bool &added)
+PeerDirectory::Evidence *PeerDirectory::findOrAdd(const std::string &name, bool &added)
 {
     added = false;
     if (name.empty() || name == m_self) {
@@ -51,7 +51,7 @@
 bool PeerDirectory::recordContact(const std::string &name, SteadyTimeMs now)
 {
     bool added = false;
-    if (Evidence *evidence = find(name, added)) {
+    if (Evidence *evidence = findOrAdd(name, added)) {
         evidence->lastAt = now;
         evidence->contactedAt = now;
     }
@@ -61,7 +61,7 @@
 bool PeerDirectory::recordHint(const std::string &name, SteadyTimeMs now)
 {
     bool added = false;
-    if (Evidence *evidence = find(name, added)) {
+    if (Evidence *evidence = findOrAdd(name, added)) {
         evidence->lastAt = now;
     }
     return added;
--- a/Source/Consensus/PeerDirectory.h
+++ b/Source/Consensus/PeerDirectory.h
@@ -44,9 +44,9 @@
         std::optional<SteadyTimeMs> contactedAt;
     };
 
-    /// Returns the evidence for a name. Null for this instance's own name and for a new name
-    /// beyond the limit.
-    Evidence *find(const std::string &name, bool &added);
+    /// Returns the evidence for a name, added if there was none. Null for this instance's own name
+    /// and for a new name beyond the limit. Sets `added` if the name is new and not configured.
+    Evidence *findOrAdd(const std::string &name, bool &added);
 
     const std::string m_self;
     const std::int64_t m_retentionMs;
--- a/Source/Runtime/WorkerCallRelay.cpp
+++ b/Source/Runtime/WorkerCallRelay.cpp
@@ -119,19 +119,22 @@
     --path.openMessages;
     if (isOk(result)) {
         path.confirmedAt = std::max(path.confirmedAt, sentAt);
-        if (std::exchange(path.failureLogged, false)) {
-            m_log.event(LogSeverity::Info, "worker-calls", "results reach leader " + leader.first);
+        if (std::exchange(path.failing, false)) {
+            m_log.event(LogSeverity::Info, "worker-calls",
+                        "results reach leader " + leader.first + "; those of "
+                                + std::to_string(std::exchange(path.lostResults, 0))
+                                + " calls were lost");
         }
     } else if (sentAt >= path.confirmedAt) {
         path.confirmedAt = 0;
         // Results that are lost need no repetition: the leader gives the relay up with its next
         // batch, and workers list the ends of runs until the leader has acknowledged them.
-        if (calls > 0 || !path.failureLogged) {
+        path.lostResults += calls;
+        if (!std::exchange(path.failing, true)) {
             m_log.event(LogSeverity::Warning, "worker-calls",
                         "results of " + std::to_string(calls) + " calls did not reach leader "
                                 + leader.first + ": " + errorOf(result).message);
         }
-        path.failureLogged = true;
     }
     for (const PeerTransport::Reply &waiting : std::exchange(path.waiting, {})) {
         reply(waiting,
--- a/Source/Runtime/WorkerCallRelay.h
+++ b/Source/Runtime/WorkerCallRelay.h
@@ -50,7 +50,9 @@
         SteadyTimeMs usedAt = 0;
         /// Replies to batches without calls that wait for an acknowledgement.
         std::vector<PeerTransport::Reply> waiting;
-        bool failureLogged = false;
+        /// The last results failed, and how many calls' results were lost since the path failed.
+        bool failing = false;
+        std::size_t lostResults = 0;
     };
 
     WorkerCallReceipt receive(const std::string &from, const WorkerCallBatch &batch,
