Scheduling: Repeat a pending order of an earlier leader first

Cause: a new leader counted the instance as unavailable for the pause between the orders of two leaders only, and then ordered another one.

After the pause it now repeats the order for that instance before it gives others. The provider refuses the earlier order from then on, or answers that it was carried out.

--- a/Source/Scheduling/MaintenancePlanner.cpp
+++ b/Source/Scheduling/MaintenancePlanner.cpp
@@ -109,6 +109,10 @@
         if (!m_orderLog.mayOrder(item.first, m_term, now)) {
             return false;
         }
+        if (repeatEarlierOrder(item.first, item.second, now)) {
+            m_decisions.push_back({"earlier-order", item.first, 0, item.second, "repeated", -1});
+            return true;
+        }
         m_dispatcher.setCordoned(item.second, false);
         m_dispatcher.setLeaving(item.second, false);
         m_decisions.push_back({"earlier-order", item.first, 0, item.second, "pause-over", -1});
@@ -116,6 +120,29 @@
     });
 }
 
+bool MaintenancePlanner::repeatEarlierOrder(const std::string &instance, const std::string &worker,
+                                            SteadyTimeMs now)
+{
+    const auto listed = m_instances.find(instance);
+    const bool isPending = listed != m_instances.end() && listed->second.worker == worker
+            && listed->second.state == InstanceState::InService;
+    const auto wave =
+            std::find_if(m_state.waves().begin(), m_state.waves().end(), [&](const auto &item) {
+                const std::vector<std::string> &instances = item.second.instances;
+                return !item.second.isCompleted() && !isFinished(item.second, instance)
+                        && std::find(instances.begin(), instances.end(), instance)
+                        != instances.end();
+            });
+    if (!isPending || wave == m_state.waves().end() || m_progress.contains(instance)
+        || !m_orderLog.claim(instance)) {
+        return false;
+    }
+    Progress &progress = m_progress[instance];
+    progress = {wave->first, Phase::Ordered, now, now, worker};
+    progress.unanswered = true;
+    return true;
+}
+
 bool MaintenancePlanner::hasWork() const
 {
     return !m_progress.empty()
--- a/Source/Scheduling/MaintenancePlanner.h
+++ b/Source/Scheduling/MaintenancePlanner.h
@@ -110,6 +110,10 @@
     /// Marks instances with an order of an earlier leader as leaving, as the provider may carry out
     /// the order late.
     void trackEarlierOrders(SteadyTimeMs now);
+    /// Repeats an order of an earlier leader that may not have been carried out yet, before others
+    /// are given. The provider then refuses the earlier one. False if it is not needed any more.
+    bool repeatEarlierOrder(const std::string &instance, const std::string &worker,
+                            SteadyTimeMs now);
     std::uint32_t unavailableCount(const MaintenanceWave &wave) const;
     std::vector<std::string> candidates(const MaintenanceWave &wave, SteadyTimeMs now) const;
     void release(const std::string &instance);
--- a/Tests/Scheduling/FleetSimulation.cpp
+++ b/Tests/Scheduling/FleetSimulation.cpp
@@ -352,10 +352,12 @@
     now += tickMs;
     returnInstances();
     std::erase_if(m_delayedTakeDowns, [this](const auto &delayed) {
-        if (delayed.first > now) {
+        if (delayed.at > now) {
             return false;
         }
-        takeDown(delayed.second);
+        if (delayed.term >= m_orderTerms[delayed.instance]) {
+            takeDown(delayed.instance);
+        }
         return true;
     });
     for (auto &[id, worker] : workers) {
@@ -720,12 +722,13 @@
 {
     ++ordersReceived;
     lastOrderedWorker = instances.at(order.instance).worker;
+    m_orderTerms[order.instance] = term;
     if (m_takenDown.contains(order.instance)) {
         maintenance->answered(order, std::nullopt, now);
         return;
     }
     if (maintenanceDelayMs > 0) {
-        m_delayedTakeDowns.emplace_back(now + maintenanceDelayMs, order.instance);
+        m_delayedTakeDowns.push_back({now + maintenanceDelayMs, order.instance, term});
         maintenance->answered(order, InstanceFault::NoAnswer, now);
         return;
     }
--- a/Tests/Scheduling/FleetSimulation.h
+++ b/Tests/Scheduling/FleetSimulation.h
@@ -239,8 +239,17 @@
     };
     std::vector<DelayedOrder> m_pendingOrders;
     std::vector<std::pair<SteadyTimeMs, MoveOrder>> m_unansweredMoves;
-    /// Instances that the provider takes out of service later.
-    std::vector<std::pair<SteadyTimeMs, std::string>> m_delayedTakeDowns;
+    struct DelayedTakeDown
+    {
+        SteadyTimeMs at = 0;
+        std::string instance;
+        std::uint64_t term = 0;
+    };
+    /// Instances that the provider takes out of service later, unless a later leader has given an
+    /// order for them by then.
+    std::vector<DelayedTakeDown> m_delayedTakeDowns;
+    /// Term of the last order for each instance.
+    std::map<std::string, std::uint64_t> m_orderTerms;
     /// Instances that the provider has taken out of service for the wave; it confirms repeated
     /// orders for them.
     std::set<std::string> m_takenDown;
--- a/Tests/Scheduling/PlannersTest.cpp
+++ b/Tests/Scheduling/PlannersTest.cpp
@@ -149,6 +149,7 @@
     CPPUNIT_TEST(earlierLeaderOrder);
     CPPUNIT_TEST(delayedOrderRecord);
     CPPUNIT_TEST(limitAfterFailover);
+    CPPUNIT_TEST(lateOrderOfEarlierLeader);
     CPPUNIT_TEST(orderExecutedBefore);
     CPPUNIT_TEST(standbyMaintenance);
     CPPUNIT_TEST(longRunningTaskSpread);
@@ -702,6 +703,38 @@
         CPPUNIT_ASSERT(!fleet.maintainedInstances.empty());
     }
 
+    /// Guards against more instances in maintenance than the wave allows, because an order of an
+    /// earlier leader is carried out after the pause between two leaders' orders (review/10:
+    /// LIMIT).
+    void lateOrderOfEarlierLeader()
+    {
+        for (const std::int64_t delayMs : {4500, 6000, 9000, 12000}) {
+            FleetSimulation fleet(34);
+            fleet.configure({queueOf("quotes", "pricing")}, {"pricing"});
+            for (int index = 0; index < 4; ++index) {
+                fleet.addWorker("pricing");
+            }
+            fleet.start();
+            fleet.run(1000);
+            fleet.maintenanceDelayMs = delayMs;
+            fleet.startWave({"m1", "m2", "m3", "m4"}, 1);
+            fleet.runUntil("the order", 3000, [&] { return fleet.ordersReceived == 1; });
+            fleet.maintenanceDelayMs = 0;
+            fleet.changeLeader();
+            const SteadyTimeMs end = fleet.now + 20000;
+            while (fleet.now < end) {
+                fleet.run(5);
+                CPPUNIT_ASSERT(std::count_if(fleet.instances.begin(), fleet.instances.end(),
+                                             [](const auto &item) {
+                                                 return item.second.state
+                                                         == InstanceState::Maintenance;
+                                             })
+                               <= 1);
+            }
+            CPPUNIT_ASSERT(fleet.state.waves().at(1).isCompleted());
+        }
+    }
+
     /// Guards against a second run of a task whose worker counts as ended because the provider
     /// confirms an order that it carried out for an earlier leader (chamdakam-loom scale-1, seed
     /// 777177528407, TWICE).
